--- /dev/null
+++ b/src/cornelshore/core/types.hpp
@@ -0,0 +1,85 @@
+#ifndef CORNELSHORE_CORE_TYPES_HPP
+#define CORNELSHORE_CORE_TYPES_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+namespace cornelshore {
+
+/**
+ * @brief Integer identifier that does not mix with identifiers of other kinds.
+ * @tparam Tag Names the kind.
+ * @tparam Value Underlying unsigned integer.
+ */
+template<typename Tag, typename Value>
+struct StrongId
+{
+  Value value_{};
+
+  constexpr auto operator<=>(const StrongId&) const noexcept = default;
+
+  template<typename Hash>
+  friend Hash AbslHashValue(Hash aHash, const StrongId& aId)
+  {
+    return Hash::combine(std::move(aHash), aId.value_);
+  }
+};
+
+/** @brief A process of the system (balancer, agent or control). */
+using NodeId = StrongId<struct NodeIdTag, std::uint64_t>;
+
+/** @brief An upstream host; equal in value to the `NodeId` of its agent. */
+using HostId = StrongId<struct HostIdTag, std::uint64_t>;
+
+/** @brief A service callers reach; never reused for another service. */
+using ServiceId = StrongId<struct ServiceIdTag, std::uint32_t>;
+
+/** @brief A class of work. */
+using ClassId = StrongId<struct ClassIdTag, std::uint32_t>;
+
+/** @brief A data centre. */
+using DataCentreId = StrongId<struct DataCentreIdTag, std::uint32_t>;
+
+/** @brief One run of a process; a later run of the same process is greater. */
+using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+
+/** @brief Epoch of one node's view of the membership; grows at that node. */
+using TableEpoch = StrongId<struct TableEpochTag, std::uint64_t>;
+
+/** @brief Version of the accepted configuration; never falls anywhere. */
+using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+
+/** @brief Bucket of an address's routing table. */
+using BucketId = StrongId<struct BucketIdTag, std::uint16_t>;
+
+/** @brief Name of one request, chosen by its caller and kept on a resend. */
+struct RequestId
+{
+  std::uint64_t high_{};
+  std::uint64_t low_{};
+
+  constexpr auto operator<=>(const RequestId&) const noexcept = default;
+
+  template<typename Hash>
+  friend Hash AbslHashValue(Hash aHash, const RequestId& aId)
+  {
+    return Hash::combine(std::move(aHash), aId.high_, aId.low_);
+  }
+};
+
+} // namespace cornelshore
+
+template<typename Tag, typename Value>
+struct std::hash<cornelshore::StrongId<Tag, Value>>
+{
+  std::size_t operator()(
+    const cornelshore::StrongId<Tag, Value>& aId) const noexcept
+  {
+    return std::hash<Value>{}(aId.value_);
+  }
+};
+
+#endif
