--- /dev/null
+++ b/src/cornelshore/settings/settings.hpp
@@ -0,0 +1,114 @@
+#ifndef CORNELSHORE_SETTINGS_SETTINGS_HPP
+#define CORNELSHORE_SETTINGS_SETTINGS_HPP
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/address.hpp>
+#include <cornelshore/core/names.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+#include <cornelshore/log/event.hpp>
+
+namespace cornelshore::settings {
+
+/** @brief What one process of the system does. */
+enum class Role : std::uint8_t
+{
+  Balancer, ///< On an entry VM, behind the fabric.
+  Agent,    ///< Beside an upstream.
+  Control,  ///< On a VM with a disk.
+};
+
+/** @brief Names of `Role`, as the settings write them. */
+inline constexpr std::array<EnumName<Role>, 3> kRoleNames{ {
+  { Role::Balancer, "balancer" },
+  { Role::Agent, "agent" },
+  { Role::Control, "control" },
+} };
+
+/** @brief Files for TLS 1.3 with both sides checked; all empty: no TLS. */
+struct Tls
+{
+  std::string certificate_; ///< PEM file of the process's own certificate.
+  std::string privateKey_;  ///< PEM file of its key.
+  std::string authority_;   ///< PEM file of the authority of both sides.
+
+  [[nodiscard]] bool Enabled() const noexcept { return !authority_.empty(); }
+};
+
+/** @brief One address at which callers reach a service's class of flows. */
+struct FlowListener
+{
+  std::string service_;
+  std::string class_;
+  Address address_; ///< Address callers use; part of the flow's key.
+  Address listen_;  ///< Socket for plain datagrams; zero port: none.
+};
+
+/** @brief Settings of a balancer. */
+struct BalancerSettings
+{
+  Address gue_;      ///< Socket for IP packets in UDP; zero port: none.
+  Address requests_; ///< Socket for callers' requests; zero port: none.
+  std::vector<FlowListener> listeners_;
+};
+
+/** @brief Settings of an agent and the upstream beside it. */
+struct AgentSettings
+{
+  std::string service_;
+  std::uint16_t slots_{};
+  std::uint32_t connections_{};
+  Address upstreamRequests_; ///< JSON-RPC 2.0 over TCP; zero port: none.
+  Address upstreamFlows_;    ///< Plain datagrams; zero port: none.
+  Address upstreamGue_;      ///< IP packets in UDP; zero port: none.
+  Duration stopLimit_{};     ///< Longest graceful stop.
+};
+
+/** @brief One control VM of the quorum. */
+struct ControlMember
+{
+  std::string name_;
+  Address address_;
+};
+
+/** @brief Settings of a control process. */
+struct ControlSettings
+{
+  std::string dataFolder_;
+  std::vector<ControlMember> members_;
+};
+
+/** @brief Everything one process learns from its settings file. */
+struct Settings
+{
+  Role role_{};
+  std::string name_;
+  std::string dataCentre_;
+  Address node_;               ///< Datagrams between processes.
+  std::vector<Address> seeds_; ///< Control VMs to announce to.
+  std::string keyFile_;
+  Address operator_; ///< JSON-RPC for operators.
+  Tls tls_;
+  Address metrics_; ///< Zero port: no metrics are served.
+  log::Level logLevel_{ log::Level::Info };
+  BalancerSettings balancer_;
+  AgentSettings agent_;
+  ControlSettings control_;
+};
+
+/**
+ * @brief Reads and checks a settings file as a whole.
+ * @return The settings, or `NotFound` / `InvalidArgument` with one line a
+ * problem: file, line, key, what is allowed.
+ */
+[[nodiscard]] absl::StatusOr<Settings> Load(const std::string& aFile);
+
+} // namespace cornelshore::settings
+
+#endif
