--- /dev/null
+++ b/src/cornelshore/tool/send.cpp
@@ -0,0 +1,11 @@
+#include <cornelshore/tool/commands.hpp>
+
+namespace cornelshore::tool {
+
+ExitCode
+RunSend(const Options&)
+{
+  return ExitCode::Unreachable;
+}
+
+} // namespace cornelshore::tool
