--- /dev/null
+++ b/test/cornelshore/rpc/server.cpp
@@ -0,0 +1,97 @@
+#include <utility>
+
+#include <cornelshore/rpc/client.hpp>
+#include <cornelshore/rpc/server.hpp>
+
+#include <string>
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace cornelshore::rpc {
+namespace {
+
+constexpr std::chrono::seconds kPatience{ 20 };
+
+Reply
+Echo(const std::string& aMethod, const std::string& aParams)
+{
+  if (aMethod == "refuse") {
+    return { ErrorCode::Refused, "", "no such host" };
+  }
+  return { ErrorCode::None, R"({"got":)" + aParams + "}", "" };
+}
+
+class ServerTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    std::string error;
+    ASSERT_TRUE(server_.Start(error)) << error;
+  }
+
+  [[nodiscard]] Endpoint At() const { return { "127.0.0.1", server_.Port() }; }
+
+  Server server_{ { "127.0.0.1", 0 }, {}, { "echo", "refuse" }, Echo };
+};
+
+TEST_F(ServerTest, AnswersACall)
+{
+  const auto reply = Call(At(), {}, "echo", R"({"a":1})", kPatience);
+  EXPECT_EQ(reply.code_, ErrorCode::None) << reply.message_;
+  EXPECT_EQ(reply.json_, R"({"got":{"a":1}})");
+}
+
+TEST_F(ServerTest, HandsARefusalOnAsSaid)
+{
+  const auto reply = Call(At(), {}, "refuse", "{}", kPatience);
+  EXPECT_EQ(reply.code_, ErrorCode::Refused);
+  EXPECT_NE(reply.message_.find("no such host"), std::string::npos);
+}
+
+TEST_F(ServerTest, AnswersWrongInputWithAnErrorAndGoesOn)
+{
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), server_.Port() });
+  for (const auto* line :
+       { "no json\n",
+         "[]\n",
+         "{\"jsonrpc\":\"2.0\",\"id\":1}\n",
+         "{\"jsonrpc\":\"2.0\",\"method\":\"gone\",\"id\":2}\n",
+         "{\"jsonrpc\":\"1\",\"method\":{},\"id\":[]}\n" }) {
+    asio::write(socket, asio::buffer(std::string(line)));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), '\n');
+    EXPECT_NE(answer.find("error"), std::string::npos) << line << answer;
+  }
+  EXPECT_EQ(Call(At(), {}, "echo", "{}", kPatience).code_, ErrorCode::None);
+}
+
+TEST_F(ServerTest, ClosesAConnectionWithAnEndlessLine)
+{
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), server_.Port() });
+  const std::string part(std::size_t{ 1 } << 16U, 'x');
+  boost::system::error_code error;
+  for (int index = 0; index < 64 && !error; ++index) {
+    asio::write(socket, asio::buffer(part), error);
+  }
+  std::string answer;
+  asio::read_until(socket, asio::dynamic_buffer(answer), '\n', error);
+  EXPECT_TRUE(error);
+  EXPECT_EQ(server_.Counters().oversized_, 1U);
+}
+
+TEST(Client, SaysThatNobodyListens)
+{
+  const auto reply = Call({ "127.0.0.1", 1 }, {}, "echo", "{}", kPatience);
+  EXPECT_EQ(reply.code_, ErrorCode::Transport);
+}
+
+} // namespace
+} // namespace cornelshore::rpc
--- /dev/null
+++ b/test/cornelshore/settings/settings.cpp
@@ -0,0 +1,185 @@
+#include <cornelshore/settings/settings.hpp>
+#include <cornelshore/settings/targets.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace cornelshore::settings {
+namespace {
+
+constexpr const char* kGood = R"(role = "agent"
+name = "a"
+data_centre = "d"
+[node]
+address = "127.0.0.1:1"
+seeds = ["127.0.0.1:2"]
+key_file = "k"
+[operator]
+address = "127.0.0.1:3"
+[agent]
+service = "s"
+slots = 3
+connections = 2000
+upstream_request_address = "127.0.0.1:4"
+)";
+
+/** Writes text to a file that is removed at the end. */
+class TextFile
+{
+public:
+  explicit TextFile(const std::string& aText)
+    : path_(std::filesystem::temp_directory_path() /
+            ("cornelshore_settings_" + std::to_string(::getpid()) + ".toml"))
+  {
+    std::ofstream(path_) << aText;
+  }
+  ~TextFile() { std::filesystem::remove(path_); }
+  TextFile(const TextFile&) = delete;
+  TextFile& operator=(const TextFile&) = delete;
+
+  [[nodiscard]] std::string Path() const { return path_.string(); }
+
+private:
+  std::filesystem::path path_;
+};
+
+std::string
+Replaced(const std::string& aFrom, const std::string& aTo)
+{
+  std::string text = kGood;
+  const auto at = text.find(aFrom);
+  EXPECT_NE(at, std::string::npos) << aFrom;
+  return text.replace(at, aFrom.size(), aTo);
+}
+
+std::string
+ErrorOf(const std::string& aText)
+{
+  const TextFile file(aText);
+  const auto settings = Load(file.Path());
+  EXPECT_FALSE(settings.ok()) << aText;
+  auto message = std::string(settings.status().message());
+  EXPECT_EQ(message.find(file.Path()), 0U) << message;
+  return message.substr(std::min(message.size(), file.Path().size()));
+}
+
+TEST(Settings, ReadsAGoodFile)
+{
+  const TextFile file(kGood);
+  const auto settings = Load(file.Path());
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->role_, Role::Agent);
+  EXPECT_EQ(settings->agent_.slots_, 3);
+}
+
+TEST(Settings, NamesLineKeyAndWhatIsAllowed)
+{
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { Replaced("slots = 3", "slots = 0"),
+      ":12: agent.slots: 0 is out of range; allowed is 1 to 4096" },
+    { Replaced("slots = 3", "slots = \"3\""),
+      ":12: agent.slots: is no integer; write an integer from 1 to 4096" },
+    { Replaced("slots = 3\n", ""),
+      ":10: agent.slots: is missing; write an integer from 1 to 4096" },
+    { Replaced("slots = 3", "slots = 3\nslot = 4"),
+      ":13: agent.slot: is unknown; allowed here is " },
+    { Replaced("role = \"agent\"", "role = \"proxy\""),
+      ":1: role: 'proxy' is unknown; allowed is balancer, agent, control" },
+    { Replaced("\"127.0.0.1:1\"", "\"127.0.0.1\""),
+      ":5: node.address: '127.0.0.1' is not an address" },
+    { Replaced("[\"127.0.0.1:2\"]", "[]"),
+      ":6: node.seeds: must be a list of at least one address" },
+    { Replaced("127.0.0.1:3", "10.0.0.1:3"),
+      ":9: operator.address: is not on loopback and has no [operator.tls]" },
+    { Replaced("upstream_request_address = \"127.0.0.1:4\"\n", ""),
+      ":10: agent.upstream_request_address: no upstream is named" },
+    { Replaced("name = \"a\"", "name = \"\""), ":2: name: is empty" },
+    { Replaced("[agent]", "[agent"), ":10: is no valid TOML" },
+    { Replaced("[agent]", "[balancer]"),
+      ":1: agent: is missing; the role needs this table" },
+  };
+  std::set<std::string> messages;
+  for (const auto& [text, expected] : cases) {
+    const auto message = ErrorOf(text);
+    EXPECT_EQ(message.find(expected), 0U) << message;
+    messages.insert(message);
+  }
+  EXPECT_EQ(messages.size(), cases.size());
+}
+
+TEST(Settings, ReportsEveryProblemAtOnce)
+{
+  auto text = Replaced("slots = 3", "slots = 0");
+  text += "extra = 1\n";
+  const auto message = ErrorOf(text);
+  EXPECT_NE(message.find("agent.slots"), std::string::npos);
+  EXPECT_NE(message.find("agent.extra"), std::string::npos);
+}
+
+TEST(Settings, RefusesAnEvenNumberOfControlMembers)
+{
+  const std::string text = R"(role = "control"
+name = "c1"
+data_centre = "d"
+[node]
+address = "127.0.0.1:1"
+seeds = ["127.0.0.1:2"]
+key_file = "k"
+[operator]
+address = "127.0.0.1:3"
+[control]
+data_folder = "x"
+[[control.member]]
+name = "c1"
+address = "127.0.0.1:1"
+[[control.member]]
+name = "c2"
+address = "127.0.0.1:2"
+)";
+  EXPECT_NE(ErrorOf(text).find("2 members; allowed is 1, 3, 5 or 7"),
+            std::string::npos);
+}
+
+TEST(Settings, ExamplesOfBothDeploymentsAreGood)
+{
+  std::size_t read = 0;
+  for (const auto* site : { "tartu", "antioquia" }) {
+    const auto folder =
+      std::filesystem::path(CORNELSHORE_SOURCE_DIR) / "settings" / site;
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+      const auto path = entry.path().string();
+      if (entry.path().filename() == "targets.toml") {
+        EXPECT_TRUE(LoadTargets(path).ok()) << LoadTargets(path).status();
+      } else {
+        EXPECT_TRUE(Load(path).ok()) << Load(path).status();
+      }
+      ++read;
+    }
+  }
+  EXPECT_EQ(read, 14U);
+}
+
+TEST(Targets, RefusesAFloorAboveTheMost)
+{
+  const TextFile file(R"([[service]]
+name = "s"
+[[service.class]]
+name = "c"
+urgency = 1
+most_percent = 10
+keeps_percent = 20
+)");
+  const auto targets = LoadTargets(file.Path());
+  ASSERT_FALSE(targets.ok());
+  EXPECT_NE(targets.status().message().find("keeps_percent: is above"),
+            absl::string_view::npos);
+}
+
+} // namespace
+} // namespace cornelshore::settings
