Add the module admission: targets, slots, connections, shedding, host health

Cause: classes of work need their targets kept where numbers are exact (at the slots) and floods refused where it is cheap (at the balancers). Change: target validation, apportionment of whole slots over a fleet, the slot scheduler, the connection limiter, pushback with its codec and fuzzer, the balancer's shedder and host health. Interfaces are meant to stay.

--- /dev/null
+++ b/src/cornelshore/admission/concurrency.cpp
@@ -0,0 +1,107 @@
+#include <cornelshore/admission/concurrency.hpp>
+
+#include <algorithm>
+
+namespace cornelshore::admission {
+
+namespace {
+
+constexpr double kCutFactor = 0.5;
+constexpr double kSlowFactor = 3.0;
+constexpr double kUsualGain = 0.002;
+constexpr double kWorthHalving = 0.9;
+constexpr std::uint32_t kTrialRounds = 8;
+constexpr Duration kTrialPause = std::chrono::seconds{ 30 };
+
+} // namespace
+
+void
+Concurrency::SetSlots(std::uint16_t aSlots) noexcept
+{
+  slots_ = aSlots;
+  threshold_ = slots_;
+  limit_ = std::clamp(limit_, 1.0, std::max(1.0, double{ threshold_ }));
+}
+
+std::uint32_t
+Concurrency::Limit() const noexcept
+{
+  return std::min<std::uint32_t>(slots_, static_cast<std::uint32_t>(limit_));
+}
+
+void
+Concurrency::OnFinish(TimePoint aNow, Result aResult, Duration aHold) noexcept
+{
+  if (aResult == Result::Shed) {
+    Cut(aNow);
+    return;
+  }
+  if (aResult == Result::Cancelled || aHold < Duration::zero()) {
+    return;
+  }
+  const auto hold = internal::Seconds(aHold);
+  recent_.Add(hold);
+  if (usual_ == 0.0) {
+    usual_ = hold;
+  }
+  usual_ += kUsualGain * (hold - usual_);
+  Compare(aNow, hold);
+  if (trial_ == Trial::None && aResult == Result::Done) {
+    Grow();
+  }
+}
+
+void
+Concurrency::Grow() noexcept
+{
+  const auto step = limit_ < threshold_ ? 1.0 : 1.0 / limit_;
+  limit_ = std::min<double>(limit_ + step, slots_);
+}
+
+void
+Concurrency::Cut(TimePoint aNow) noexcept
+{
+  trial_ = Trial::None;
+  if (aNow < cutUntil_) {
+    return;
+  }
+  limit_ = std::max(1.0, limit_ * kCutFactor);
+  threshold_ = limit_;
+  cutUntil_ = aNow + internal::FromSeconds(recent_.Or(0.1));
+}
+
+void
+Concurrency::Compare(TimePoint aNow, double aHold) noexcept
+{
+  if (trial_ == Trial::None) {
+    const bool slow = recent_.Or(aHold) > kSlowFactor * usual_;
+    if (slow && aNow >= noTrialBefore_ && limit_ >= 2.0) {
+      trial_ = Trial::Measuring;
+      trialStart_ = aNow;
+      trialFinished_ = 0;
+    }
+    return;
+  }
+  ++trialFinished_;
+  if (trialFinished_ < kTrialRounds || aNow <= trialStart_) {
+    return;
+  }
+  const auto rate = trialFinished_ / internal::Seconds(aNow - trialStart_);
+  trialStart_ = aNow;
+  trialFinished_ = 0;
+  if (trial_ == Trial::Measuring) {
+    trial_ = Trial::Halved;
+    fullRate_ = rate;
+    fullLimit_ = limit_;
+    limit_ = std::max(1.0, limit_ * kCutFactor);
+    return;
+  }
+  trial_ = Trial::None;
+  noTrialBefore_ = aNow + kTrialPause;
+  threshold_ = limit_;
+  if (rate < kWorthHalving * fullRate_) {
+    limit_ = fullLimit_;
+  }
+}
+
+} // namespace cornelshore::admission
--- /dev/null
+++ b/src/cornelshore/admission/concurrency.hpp
@@ -0,0 +1,61 @@
+#ifndef CORNELSHORE_ADMISSION_CONCURRENCY_HPP
+#define CORNELSHORE_ADMISSION_CONCURRENCY_HPP
+
+#include <cstdint>
+
+#include <cornelshore/admission/internal/hold_estimate.hpp>
+#include <cornelshore/admission/work.hpp>
+#include <cornelshore/core/time.hpp>
+
+namespace cornelshore::admission {
+
+/**
+ * @brief How many of a host's slots are used at once.
+ *
+ * Starts at one slot and doubles with each round of finished work (cold
+ * start), is halved at most once a round when the upstream sheds, and grows by
+ * one a round after that (additive increase, multiplicative decrease; Chiu and
+ * Jain 1989). When work takes three times as long as it used to, half the
+ * slots are tried for a round; they stay only if as much was finished.
+ */
+class Concurrency
+{
+public:
+  /** @brief Sets the host's slots; the limit never exceeds them. */
+  void SetSlots(std::uint16_t aSlots) noexcept;
+
+  /** @brief Takes the end of one work. */
+  void OnFinish(TimePoint aNow, Result aResult, Duration aHold) noexcept;
+
+  /** @brief Present limit; at least 1 when the host has slots. */
+  [[nodiscard]] std::uint32_t Limit() const noexcept;
+
+private:
+  enum class Trial : std::uint8_t
+  {
+    None,
+    Measuring, ///< At the full limit, to compare with.
+    Halved,
+  };
+
+  void Grow() noexcept;
+  void Cut(TimePoint aNow) noexcept;
+  void Compare(TimePoint aNow, double aHold) noexcept;
+
+  std::uint16_t slots_{};
+  double limit_{ 1.0 };
+  double threshold_{}; ///< Doubling below it, single steps above it.
+  TimePoint cutUntil_;
+  internal::MeanTime recent_;
+  double usual_{};
+  Trial trial_{ Trial::None };
+  TimePoint trialStart_;
+  TimePoint noTrialBefore_;
+  std::uint32_t trialFinished_{};
+  double fullRate_{};
+  double fullLimit_{};
+};
+
+} // namespace cornelshore::admission
+
+#endif
--- /dev/null
+++ b/src/cornelshore/admission/fwd.hpp
@@ -0,0 +1,21 @@
+#ifndef CORNELSHORE_ADMISSION_FWD_HPP
+#define CORNELSHORE_ADMISSION_FWD_HPP
+
+namespace cornelshore::admission {
+
+struct FleetCapacity;
+struct FleetSpan;
+struct WholeShare;
+struct Work;
+struct Released;
+struct Offered;
+struct Pushback;
+struct SchedulerDump;
+class SlotScheduler;
+class ConnectionLimiter;
+class Shedder;
+class HostHealth;
+
+} // namespace cornelshore::admission
+
+#endif
--- /dev/null
+++ b/src/cornelshore/admission/shedder.cpp
@@ -0,0 +1,293 @@
+#include <cornelshore/admission/shedder.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include <cornelshore/admission/internal/hold_estimate.hpp>
+#include <cornelshore/core/hash.hpp>
+
+namespace cornelshore::admission {
+
+namespace {
+
+using internal::FromSeconds;
+using internal::Seconds;
+
+constexpr Duration kPeriod = std::chrono::milliseconds{ 200 };
+constexpr Duration kEvidenceAge = std::chrono::seconds{ 1 };
+constexpr Duration kWitnessAge = std::chrono::seconds{ 5 };
+constexpr double kRefusedGoal = 0.1;
+constexpr double kRateGain = 0.4;
+constexpr double kLeastRate = 1.0;
+constexpr double kBurst = 1.5;
+constexpr std::uint32_t kCalmPeriods = 10;
+constexpr std::uint32_t kReseedPeriods = 50;
+constexpr double kMostOverload = 60.0;
+
+/** Level at which the counts, cut to it, add up to the capacity. */
+template<typename Counts>
+double
+FairLevel(const Counts& aCounts, double aCapacity)
+{
+  auto counts = aCounts;
+  std::sort(counts.begin(), counts.end());
+  double left = aCapacity;
+  for (std::size_t index = 0; index < counts.size(); ++index) {
+    const auto sharers = static_cast<double>(counts.size() - index);
+    if (counts[index] * sharers >= left) {
+      return left / sharers;
+    }
+    left -= counts[index];
+  }
+  return static_cast<double>(counts.back()) + left;
+}
+
+} // namespace
+
+Shedder::Shedder(std::uint64_t aSeed)
+  : random_(aSeed)
+{
+}
+
+void
+Shedder::Configure(const Configuration& aConfiguration)
+{
+  absl::flat_hash_map<ClassId, ClassShed> classes;
+  for (const auto& service : aConfiguration.services_) {
+    for (const auto& target : service.classes_) {
+      auto& shed = classes[target.id_];
+      const auto old = classes_.find(target.id_);
+      if (old != classes_.end()) {
+        shed = std::move(old->second);
+      }
+      shed.name_ = target.name_;
+      shed.service_ = service.id_;
+    }
+  }
+  classes_ = std::move(classes);
+}
+
+Admission
+Shedder::Admit(TimePoint aNow,
+               ServiceId aService,
+               ClassId aClass,
+               CallerId aCaller)
+{
+  const auto found = classes_.find(aClass);
+  if (found == classes_.end() || found->second.service_ != aService) {
+    return { false, Refusal::UnknownClass, {} };
+  }
+  auto& shed = found->second;
+  if (aNow >= shed.periodEnd_) {
+    Roll(aNow, shed);
+  }
+  ++shed.arrivedNow_;
+  if (shed.limiting_ && !PassesLimit(shed, aCaller)) {
+    ++shed.shed_;
+    return { false, Refusal::Shed, RetryAfter(shed) };
+  }
+  ++shed.passedNow_;
+  ++shed.passed_;
+  return { true, Refusal::None, {} };
+}
+
+bool
+Shedder::PassesLimit(ClassShed& aClass, CallerId aCaller)
+{
+  const auto bucket = HashPair(aCaller.value_, aClass.seed_) % kCallerCounters;
+  ++aClass.callers_->arrived_[bucket];
+  const auto pass = aClass.callers_->pass_[bucket];
+  return aClass.passedNow_ < aClass.passBound_ &&
+         (pass >= 1.0F || random_.Unit() < pass);
+}
+
+Duration
+Shedder::RetryAfter(const ClassShed& aClass)
+{
+  const auto overload =
+    std::clamp(aClass.arrivedRate_ / std::max(aClass.rate_, kLeastRate),
+               1.0,
+               kMostOverload);
+  return FromSeconds(1.0 + 2.0 * overload * random_.Unit());
+}
+
+void
+Shedder::Roll(TimePoint aNow, ClassShed& aClass)
+{
+  const auto seconds = Seconds(aNow - aClass.periodStart_);
+  const bool first = aClass.periodEnd_ == TimePoint{};
+  if (!first) {
+    const auto gain =
+      1.0 - std::pow(1.0 - kRateGain, seconds / Seconds(kPeriod));
+    aClass.arrivedRate_ +=
+      gain * (aClass.arrivedNow_ / seconds - aClass.arrivedRate_);
+    aClass.passedRate_ +=
+      gain * (aClass.passedNow_ / seconds - aClass.passedRate_);
+    Control(aNow, aClass);
+  }
+  if (aClass.limiting_) {
+    ShareAmongCallers(aClass, seconds);
+  }
+  aClass.arrivedNow_ = 0;
+  aClass.passedNow_ = 0;
+  aClass.periodStart_ = aNow;
+  aClass.periodEnd_ = aNow + kPeriod;
+}
+
+void
+Shedder::Control(TimePoint aNow, ClassShed& aClass)
+{
+  aClass.refused_ = MiddleRefusal(aNow, aClass);
+  const bool overloaded = aClass.refused_ > kRefusedGoal;
+  if (overloaded) {
+    const auto taken = aClass.passedRate_ * (1.0 - aClass.refused_);
+    aClass.rate_ = std::max(taken / (1.0 - kRefusedGoal), kLeastRate);
+    aClass.calmPeriods_ = 0;
+    if (!aClass.limiting_) {
+      StartLimiting(aClass);
+    }
+    return;
+  }
+  if (!aClass.limiting_) {
+    return;
+  }
+  aClass.rate_ *= 1.0 + kRefusedGoal - aClass.refused_;
+  aClass.calmPeriods_ =
+    aClass.arrivedRate_ < aClass.rate_ ? aClass.calmPeriods_ + 1 : 0;
+  if (aClass.calmPeriods_ >= kCalmPeriods) {
+    StopLimiting(aClass);
+  }
+}
+
+void
+Shedder::StartLimiting(ClassShed& aClass)
+{
+  aClass.limiting_ = true;
+  aClass.callers_ = std::make_unique<CallerCounts>();
+  Reseed(aClass);
+}
+
+void
+Shedder::StopLimiting(ClassShed& aClass)
+{
+  aClass.limiting_ = false;
+  aClass.callers_.reset();
+  aClass.calmPeriods_ = 0;
+}
+
+void
+Shedder::Reseed(ClassShed& aClass)
+{
+  aClass.seed_ = random_.Next();
+  aClass.periods_ = 0;
+  aClass.callers_->arrived_.fill(0);
+}
+
+void
+Shedder::ShareAmongCallers(ClassShed& aClass, double aSeconds)
+{
+  auto& callers = *aClass.callers_;
+  const auto allowed = aClass.rate_ * aSeconds;
+  const auto level = FairLevel(callers.arrived_, allowed);
+  const auto arrived = std::max(aClass.arrivedRate_ * aSeconds, 1.0);
+  const auto common = static_cast<float>(std::min(1.0, allowed / arrived));
+  const bool fresh = aClass.periods_ == 0;
+  for (std::size_t index = 0; index < kCallerCounters; ++index) {
+    const auto count = callers.arrived_[index];
+    const auto part =
+      static_cast<float>(count == 0 ? 1.0 : std::min(1.0, level / count));
+    callers.pass_[index] = fresh ? common : part;
+  }
+  callers.arrived_.fill(0);
+  aClass.passBound_ = static_cast<std::uint32_t>(
+                        std::ceil(aClass.rate_ * Seconds(kPeriod) * kBurst)) +
+                      1;
+  ++aClass.periods_;
+  if (aClass.periods_ > kReseedPeriods) {
+    Reseed(aClass);
+  }
+}
+
+double
+Shedder::MiddleRefusal(TimePoint aNow, const ClassShed& aClass)
+{
+  std::array<std::uint16_t, kWitnesses> fresh{};
+  std::size_t count = 0;
+  for (const auto& witness : aClass.witnesses_) {
+    if (aNow - witness.heardAt_ <= kEvidenceAge) {
+      fresh[count++] = witness.refused_;
+    }
+  }
+  if (count == 0) {
+    return 0.0;
+  }
+  const auto middle =
+    fresh.begin() + static_cast<std::ptrdiff_t>((count - 1) / 2);
+  std::nth_element(
+    fresh.begin(), middle, fresh.begin() + static_cast<std::ptrdiff_t>(count));
+  return static_cast<double>(*middle) / kWholeShare;
+}
+
+void
+Shedder::OnPushback(TimePoint aNow, HostId aHost, const Pushback& aPushback)
+{
+  for (const auto& load : aPushback.classes_) {
+    const auto found = classes_.find(load.class_);
+    if (found != classes_.end()) {
+      const auto refused = std::min(load.refused_, kWholeShare);
+      Hear(aNow, aHost, aPushback, refused, found->second);
+    }
+  }
+}
+
+void
+Shedder::Hear(TimePoint aNow,
+              HostId aHost,
+              const Pushback& aPushback,
+              std::uint16_t aRefused,
+              ClassShed& aClass)
+{
+  const Witness heard{
+    aHost, aPushback.incarnation_, aPushback.sequence_, aRefused, aNow
+  };
+  Witness* stalest = nullptr;
+  for (auto& witness : aClass.witnesses_) {
+    if (witness.host_ == aHost) {
+      const auto last = std::pair(witness.incarnation_, witness.sequence_);
+      if (last < std::pair(heard.incarnation_, heard.sequence_)) {
+        witness = heard;
+      }
+      return;
+    }
+    if (stalest == nullptr || witness.heardAt_ < stalest->heardAt_) {
+      stalest = &witness;
+    }
+  }
+  if (aClass.witnesses_.size() < kWitnesses) {
+    aClass.witnesses_.push_back(heard);
+  } else if (aNow - stalest->heardAt_ > kWitnessAge) {
+    *stalest = heard;
+  }
+}
+
+std::vector<ShedDump>
+Shedder::Dump() const
+{
+  std::vector<ShedDump> dump;
+  for (const auto& [id, shed] : classes_) {
+    dump.push_back({ shed.name_,
+                     shed.limiting_,
+                     shed.rate_,
+                     shed.refused_,
+                     shed.passed_,
+                     shed.shed_ });
+  }
+  std::sort(
+    dump.begin(), dump.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.name_ < aRight.name_;
+    });
+  return dump;
+}
+
+} // namespace cornelshore::admission
--- /dev/null
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -0,0 +1,312 @@
+#include <algorithm>
+#include <cmath>
+
+#include <cornelshore/admission/slot_scheduler.hpp>
+
+namespace cornelshore::admission {
+
+namespace {
+
+using internal::ClassState;
+using internal::Seconds;
+
+/** Time over which credits are saved up, and the bound of a lead. */
+constexpr double kCreditSeconds = 2.0;
+constexpr Duration kStarvationBound = std::chrono::seconds{ 5 };
+constexpr double kDebtHolds = 4.0;
+constexpr Duration kHoldEvidenceAge = std::chrono::seconds{ 1 };
+constexpr std::size_t kNoClass = ~std::size_t{};
+
+/** Lowest credit that a class sinks to. */
+double
+MostDebt(const ClassState& aState)
+{
+  return -(kDebtHolds * aState.hold_.Or(0.0) + kCreditSeconds);
+}
+
+} // namespace
+
+void
+SlotScheduler::ApplyShares(const ServiceTarget& aTarget)
+{
+  host_ = ApportionHost(aTarget, span_);
+  const double slots = span_.slots_;
+  for (std::size_t index = 0; index < classes_.size(); ++index) {
+    auto& state = classes_[index];
+    state.whole_ = host_.classes_[index];
+    state.weight_ = std::ldexp(1.0, state.target_.urgency_);
+    state.floorShare_ = slots * state.target_.keeps_ / kWholeShare;
+    state.mostShare_ = slots * state.target_.most_ / kWholeShare;
+  }
+}
+
+void
+SlotScheduler::Accrue(TimePoint aNow)
+{
+  const auto elapsed = std::max(0.0, Seconds(aNow - accruedAt_));
+  accruedAt_ = std::max(accruedAt_, aNow);
+  const auto slots = std::max<double>(span_.slots_, 1.0);
+  const auto inUse = concurrency_.Limit() / slots;
+  for (auto& state : classes_) {
+    const auto floor = state.floorShare_ * inUse;
+    state.floorCredit_ =
+      std::min(state.floorCredit_ + floor * elapsed, floor * kCreditSeconds);
+    state.mostCredit_ = std::min(state.mostCredit_ + state.mostShare_ * elapsed,
+                                 state.mostShare_ * kCreditSeconds);
+  }
+}
+
+bool
+SlotScheduler::IsLong(const ClassState& aState, const Work& aWork) const
+{
+  return aWork.longLived_ || aState.hold_.Or(0.0) > Seconds(lendingBound_);
+}
+
+bool
+SlotScheduler::MayStart(const ClassState& aState, bool aLong) const
+{
+  if (aLong) {
+    return aState.running_ < aState.whole_.most_ && LongMayStart(aState);
+  }
+  return aState.running_ < std::ceil(aState.mostShare_) &&
+         aState.mostCredit_ > 0.0;
+}
+
+bool
+SlotScheduler::LongMayStart(const ClassState& aState) const
+{
+  if (aState.longRunning_ < aState.whole_.keeps_) {
+    return true;
+  }
+  std::uint32_t drawn = 0;
+  for (const auto& state : classes_) {
+    const auto keeps = state.whole_.keeps_;
+    drawn += std::max(state.longRunning_, keeps) - keeps;
+  }
+  return drawn < host_.unreserved_;
+}
+
+bool
+SlotScheduler::CanEverStart(const ClassState& aState, bool aLong) const
+{
+  if (span_.slots_ == 0) {
+    return false;
+  }
+  const bool hasWhole = aState.whole_.keeps_ > 0 || host_.unreserved_ > 0;
+  return !aLong || (aState.whole_.most_ > 0 && hasWhole);
+}
+
+double
+SlotScheduler::ExpectedWait(const ClassState& aState, CallerId aCaller) const
+{
+  if (aState.short_.Empty()) {
+    return 0.0;
+  }
+  const auto slots = std::max(1U, concurrency_.Limit());
+  const auto interval = aState.startInterval_.Or(aState.hold_.Or(0.0) / slots);
+  return static_cast<double>(aState.short_.Ahead(aCaller) + 1) * interval;
+}
+
+bool
+SlotScheduler::Unreachable(TimePoint aNow,
+                           const ClassState& aState,
+                           const Work& aWork,
+                           double aWait) const
+{
+  if (aWork.deadline_ == TimePoint::max()) {
+    return false;
+  }
+  const auto left = Seconds(aWork.deadline_ - aNow);
+  if (left <= aWait) {
+    return true;
+  }
+  const auto hold = aState.hold_.Or(0.0);
+  const bool stale =
+    aState.running_ == 0 &&
+    aNow - aState.lastFinish_ > kHoldEvidenceAge + internal::FromSeconds(hold);
+  return !stale && left < aWait + hold;
+}
+
+bool
+SlotScheduler::Waits(const ClassState& aState, bool aLong) const
+{
+  return !aState.QueueOf(aLong).Empty() && MayStart(aState, aLong);
+}
+
+std::optional<SlotScheduler::Candidate>
+SlotScheduler::PickOwed() const
+{
+  std::optional<Candidate> best;
+  double bestRank = 0.0;
+  for (std::size_t index = 0; index < classes_.size(); ++index) {
+    const auto& state = classes_[index];
+    const bool shortOwed = state.floorCredit_ > 0.0 && Waits(state, false);
+    const bool longOwed =
+      state.longRunning_ < state.whole_.keeps_ && Waits(state, true);
+    if (!shortOwed && !longOwed) {
+      continue;
+    }
+    const auto owed =
+      shortOwed ? state.floorCredit_ / state.floorShare_ : kCreditSeconds;
+    const auto rank = state.target_.urgency_ * 2.0 * kCreditSeconds + owed;
+    if (!best || rank > bestRank) {
+      best = Candidate{ index, !shortOwed, true };
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+std::optional<SlotScheduler::Candidate>
+SlotScheduler::PickStarved(TimePoint aNow) const
+{
+  std::optional<Candidate> best;
+  auto oldest = aNow - kStarvationBound;
+  for (std::size_t index = 0; index < classes_.size(); ++index) {
+    const auto& state = classes_[index];
+    const auto since = std::max(state.lastStart_, state.waitingSince_);
+    if (since < oldest && Waits(state, false)) {
+      best = Candidate{ index, false, false };
+      oldest = since;
+    }
+  }
+  return best;
+}
+
+std::optional<SlotScheduler::Candidate>
+SlotScheduler::PickShared() const
+{
+  std::optional<Candidate> best;
+  double least = 0.0;
+  for (std::size_t index = 0; index < classes_.size(); ++index) {
+    const auto& state = classes_[index];
+    const bool waitsShort = Waits(state, false);
+    if (!waitsShort && !Waits(state, true)) {
+      continue;
+    }
+    const auto tag = std::max(state.virtualTime_, virtualTime_);
+    if (!best || tag < least) {
+      best = Candidate{ index, !waitsShort, false };
+      least = tag;
+    }
+  }
+  return best;
+}
+
+std::optional<SlotScheduler::Candidate>
+SlotScheduler::Pick(TimePoint aNow) const
+{
+  if (running_.size() >= concurrency_.Limit()) {
+    return std::nullopt;
+  }
+  if (const auto owed = PickOwed()) {
+    return owed;
+  }
+  if (const auto starved = PickStarved(aNow)) {
+    return starved;
+  }
+  return PickShared();
+}
+
+Work
+SlotScheduler::Dequeue(const Candidate& aCandidate)
+{
+  auto& state = classes_[aCandidate.class_];
+  const auto work = state.QueueOf(aCandidate.longLived_).Pop();
+  waiting_.erase(work.id_);
+  return work;
+}
+
+void
+SlotScheduler::Dispatch(TimePoint aNow, std::vector<Released>& aReleased)
+{
+  while (const auto candidate = Pick(aNow)) {
+    auto& state = classes_[candidate->class_];
+    const auto work = Dequeue(*candidate);
+    if (Unreachable(aNow, state, work, 0.0)) {
+      aReleased.push_back(
+        Break(aNow, state, work, Refusal::DeadlineUnreachable));
+      continue;
+    }
+    Start(aNow, work, *candidate);
+    aReleased.push_back({ work, Outcome::Started, Refusal::None, {} });
+  }
+}
+
+void
+SlotScheduler::Charge(ClassState& aState,
+                      const Candidate& aCandidate,
+                      double aSeconds)
+{
+  const auto tag = std::max(aState.virtualTime_, virtualTime_);
+  if (!aCandidate.byFloor_) {
+    virtualTime_ = tag;
+  }
+  const auto lead = kCreditSeconds * span_.slots_ / aState.weight_;
+  aState.virtualTime_ =
+    std::min(tag + aSeconds / aState.weight_, virtualTime_ + lead);
+  if (aCandidate.longLived_) {
+    return;
+  }
+  aState.mostCredit_ -= aSeconds;
+  if (aCandidate.byFloor_) {
+    aState.floorCredit_ -= aSeconds;
+  }
+}
+
+void
+SlotScheduler::Start(TimePoint aNow,
+                     const Work& aWork,
+                     const Candidate& aCandidate)
+{
+  auto& state = classes_[aCandidate.class_];
+  const bool isLong = aCandidate.longLived_;
+  const auto seconds = isLong
+                         ? std::min(state.longHold_.Or(0.0), kCreditSeconds)
+                         : state.hold_.Or(0.0);
+  Charge(state, aCandidate, seconds);
+  if (!isLong && state.lastStart_ >= state.waitingSince_) {
+    state.startInterval_.Add(Seconds(aNow - state.lastStart_));
+  }
+  if (state.short_.Empty()) {
+    state.startInterval_.Reset();
+  }
+  state.lastStart_ = aNow;
+  ++state.started_;
+  ++state.running_;
+  state.longRunning_ += isLong ? 1 : 0;
+  running_[aWork.id_] = { aCandidate.class_,  aNow, seconds, isLong, false,
+                          aCandidate.byFloor_ };
+}
+
+void
+SlotScheduler::Settle(TimePoint aNow, const Running& aRunning, Result aResult)
+{
+  const auto hold = Seconds(aNow - aRunning.startedAt_);
+  if (!aRunning.longLived_) {
+    concurrency_.OnFinish(aNow, aResult, aNow - aRunning.startedAt_);
+  }
+  if (aRunning.class_ == kNoClass) {
+    return;
+  }
+  auto& state = classes_[aRunning.class_];
+  --state.running_;
+  state.longRunning_ -= aRunning.longLived_ || aRunning.overlong_ ? 1 : 0;
+  const auto used = aRunning.longLived_ ? std::min(hold, kCreditSeconds) : hold;
+  const auto correction = used - aRunning.charged_;
+  state.virtualTime_ += correction / state.weight_;
+  if (aResult == Result::Done || aResult == Result::Failed) {
+    (aRunning.longLived_ ? state.longHold_ : state.hold_).Add(hold);
+    state.lastFinish_ = aNow;
+  }
+  if (aRunning.longLived_) {
+    return;
+  }
+  state.mostCredit_ = std::max(state.mostCredit_ - correction, MostDebt(state));
+  if (aRunning.byFloor_) {
+    state.floorCredit_ =
+      std::max(state.floorCredit_ - correction, MostDebt(state));
+  }
+}
+
+} // namespace cornelshore::admission
--- /dev/null
+++ b/src/cornelshore/admission/validate.cpp
@@ -0,0 +1,205 @@
+#include <cornelshore/admission/validate.hpp>
+
+#include <algorithm>
+#include <string>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+namespace cornelshore::admission {
+
+namespace {
+
+/** Start of a message that names a class. */
+std::string
+Named(const ServiceTarget& aService, const ClassTarget& aClass)
+{
+  return absl::StrCat(
+    "service=", aService.name_, " class=", aClass.name_, ": ");
+}
+
+absl::Status
+CheckIdentity(const ServiceTarget& aService, const ClassTarget& aClass)
+{
+  if (aClass.name_.empty()) {
+    return absl::InvalidArgumentError(
+      absl::StrCat(Named(aService, aClass), "a class needs a name"));
+  }
+  if (aClass.service_ != aService.id_ ||
+      aClass.id_ != ClassIdOf(aService.name_, aClass.name_)) {
+    return absl::InvalidArgumentError(
+      absl::StrCat(Named(aService, aClass),
+                   "unknown class: its id is not that of this service and "
+                   "name; what fits: id=",
+                   ClassIdOf(aService.name_, aClass.name_).value_));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+CheckRanges(const ServiceTarget& aService, const ClassTarget& aClass)
+{
+  if (aClass.urgency_ > kMostUrgency) {
+    return absl::InvalidArgumentError(absl::StrCat(Named(aService, aClass),
+                                                   "urgency=",
+                                                   aClass.urgency_,
+                                                   "; what fits: 0 to ",
+                                                   kMostUrgency));
+  }
+  if (aClass.most_ == 0 || aClass.most_ > kWholeShare) {
+    return absl::InvalidArgumentError(absl::StrCat(Named(aService, aClass),
+                                                   "most=",
+                                                   aClass.most_,
+                                                   "/1000; what fits: 1 to ",
+                                                   kWholeShare));
+  }
+  if (aClass.keeps_ > aClass.most_) {
+    return absl::InvalidArgumentError(
+      absl::StrCat(Named(aService, aClass),
+                   "keeps=",
+                   aClass.keeps_,
+                   "/1000 is above most=",
+                   aClass.most_,
+                   "/1000; what fits: keeps of at most ",
+                   aClass.most_,
+                   ", or most of at least ",
+                   aClass.keeps_));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+CheckClasses(const ServiceTarget& aService)
+{
+  if (aService.classes_.size() > kMostClasses) {
+    return absl::InvalidArgumentError(absl::StrCat("service=",
+                                                   aService.name_,
+                                                   ": classes=",
+                                                   aService.classes_.size(),
+                                                   "; what fits: at most ",
+                                                   kMostClasses));
+  }
+  absl::flat_hash_set<ClassId> seen;
+  for (const auto& target : aService.classes_) {
+    if (auto status = CheckIdentity(aService, target); !status.ok()) {
+      return status;
+    }
+    if (auto status = CheckRanges(aService, target); !status.ok()) {
+      return status;
+    }
+    if (!seen.insert(target.id_).second) {
+      return absl::InvalidArgumentError(
+        absl::StrCat(Named(aService, target), "the class is named twice"));
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+CheckFloors(const ServiceTarget& aService)
+{
+  std::uint32_t sum = 0;
+  std::string figures;
+  for (const auto& target : aService.classes_) {
+    sum += target.keeps_;
+    if (target.keeps_ > 0) {
+      absl::StrAppend(&figures, " ", target.name_, "=", target.keeps_);
+    }
+  }
+  if (sum <= kWholeShare) {
+    return absl::OkStatus();
+  }
+  return absl::InvalidArgumentError(
+    absl::StrCat("service=",
+                 aService.name_,
+                 ": the classes keep",
+                 figures,
+                 ", together ",
+                 sum,
+                 "/1000 of the fleet; what fits: ",
+                 sum - kWholeShare,
+                 " less"));
+}
+
+absl::Status
+CheckFleet(const ServiceTarget& aService, const FleetCapacity& aFleet)
+{
+  const auto floors =
+    std::count_if(aService.classes_.begin(),
+                  aService.classes_.end(),
+                  [](const ClassTarget& aClass) { return aClass.keeps_ > 0; });
+  if (aFleet.slots_ == 0 || floors <= std::int64_t{ aFleet.slots_ }) {
+    return absl::OkStatus();
+  }
+  return absl::FailedPreconditionError(
+    absl::StrCat("service=",
+                 aService.name_,
+                 ": ",
+                 floors,
+                 " classes keep a part of the fleet, which has hosts=",
+                 aFleet.hosts_,
+                 " slots=",
+                 aFleet.slots_,
+                 "; what fits: ",
+                 aFleet.slots_,
+                 " classes that keep a slot each"));
+}
+
+absl::Status
+CheckService(const ServiceTarget& aService,
+             std::span<const FleetCapacity> aFleet)
+{
+  if (aService.name_.empty() || aService.id_ != ServiceIdOf(aService.name_)) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("service=",
+                   aService.name_,
+                   ": unknown service: its id is not that of its name"));
+  }
+  if (auto status = CheckClasses(aService); !status.ok()) {
+    return status;
+  }
+  if (auto status = CheckFloors(aService); !status.ok()) {
+    return status;
+  }
+  const auto fleet = std::find_if(
+    aFleet.begin(), aFleet.end(), [&aService](const FleetCapacity& aCapacity) {
+      return aCapacity.service_ == aService.id_;
+    });
+  return fleet == aFleet.end() ? absl::OkStatus()
+                               : CheckFleet(aService, *fleet);
+}
+
+} // namespace
+
+absl::Status
+Validate(const Configuration& aConfiguration,
+         std::span<const FleetCapacity> aFleet)
+{
+  if (aConfiguration.services_.size() > kMostServices) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("services=",
+                   aConfiguration.services_.size(),
+                   "; what fits: at most ",
+                   kMostServices));
+  }
+  absl::flat_hash_set<ServiceId> seen;
+  absl::flat_hash_set<ClassId> classes;
+  for (const auto& service : aConfiguration.services_) {
+    if (auto status = CheckService(service, aFleet); !status.ok()) {
+      return status;
+    }
+    if (!seen.insert(service.id_).second) {
+      return absl::InvalidArgumentError(
+        absl::StrCat("service=", service.name_, ": named twice"));
+    }
+    for (const auto& target : service.classes_) {
+      if (!classes.insert(target.id_).second) {
+        return absl::InvalidArgumentError(absl::StrCat(
+          Named(service, target), "its id is taken; choose another name"));
+      }
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace cornelshore::admission
