--- /dev/null
+++ b/src/cornelshore/flow/balancer.hpp
@@ -0,0 +1,118 @@
+#ifndef CORNELSHORE_FLOW_BALANCER_HPP
+#define CORNELSHORE_FLOW_BALANCER_HPP
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/names.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/flow/envelope.hpp>
+#include <cornelshore/routing/table.hpp>
+
+namespace cornelshore::flow {
+
+/** @brief One packet that the fabric handed to a balancer. */
+struct Packet
+{
+  ServiceId service_;
+  FlowKey key_;
+  Opening opening_{ Opening::No };
+  ClassId class_;
+  Address returnPath_;
+  PayloadKind kind_{ PayloadKind::Datagram };
+  std::string payload_;
+};
+
+/** @brief Send the envelope to this host's agent. */
+struct Send
+{
+  HostId to_;
+  Envelope envelope_;
+};
+
+/**
+ * @brief Why a balancer sends a packet nowhere.
+ *
+ * None of them tells that a flow does not exist: the packet is dropped, and
+ * never answered with a reset.
+ */
+enum class Refusal : std::uint8_t
+{
+  UnknownService, ///< No host of the service was ever heard of.
+  NoReadyHost,    ///< No host takes new flows and none holds the bucket.
+};
+
+/** @brief Names of `Refusal`. */
+inline constexpr std::array<EnumName<Refusal>, 2> kRefusalNames{ {
+  { Refusal::UnknownService, "unknown_service" },
+  { Refusal::NoReadyHost, "no_ready_host" },
+} };
+
+/**
+ * @brief A balancer's decisions: which agent gets a packet first.
+ *
+ * Holds the tables of all services and no state of any flow, so that any
+ * balancer can be lost or replaced at any time.
+ */
+class Balancer
+{
+public:
+  using Decision = std::variant<Send, Refusal>;
+
+  /** @brief Most services; records of further ones are left out. */
+  static constexpr std::size_t kMostServices = 8192;
+
+  /** @brief Takes in membership records, all of them or those that changed. */
+  void Update(TimePoint aNow, std::span<const HostRecord> aRecords);
+
+  /** @brief Decides where a packet goes. */
+  [[nodiscard]] Decision OnPacket(TimePoint aNow, Packet&& aPacket) const;
+
+  /** @brief Grows with each update that changed a record. */
+  [[nodiscard]] TableEpoch Epoch() const noexcept { return epoch_; }
+
+  struct State
+  {
+    TableEpoch epoch_;
+    std::size_t services_{};
+    std::size_t hosts_{};
+    std::size_t tableBytes_{};
+    TimePoint lastChange_;
+  };
+
+  [[nodiscard]] State Dump() const;
+
+private:
+  static constexpr std::size_t kOwners = 2;
+
+  struct Service
+  {
+    routing::Table table_{ kOwners };
+    absl::flat_hash_map<HostId, BucketSet> draining_;
+  };
+
+  struct Host
+  {
+    Incarnation incarnation_;
+    std::uint64_t sequence_{};
+    ServiceId service_;
+  };
+
+  bool Take(const HostRecord& aRecord);
+  [[nodiscard]] static HostId Target(const Service& aService, BucketId aBucket);
+
+  TableEpoch epoch_;
+  TimePoint lastChange_;
+  absl::flat_hash_map<ServiceId, Service> services_;
+  absl::flat_hash_map<HostId, Host> hosts_;
+};
+
+} // namespace cornelshore::flow
+
+#endif
--- /dev/null
+++ b/src/cornelshore/flow/envelope.hpp
@@ -0,0 +1,105 @@
+#ifndef CORNELSHORE_FLOW_ENVELOPE_HPP
+#define CORNELSHORE_FLOW_ENVELOPE_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <cornelshore/core/address.hpp>
+#include <cornelshore/core/flow_key.hpp>
+#include <cornelshore/core/names.hpp>
+#include <cornelshore/core/types.hpp>
+
+/**
+ * @brief Ownership of flows: balancers name an owner, agents own the flow.
+ */
+namespace cornelshore::flow {
+
+/** @brief Most hosts that one envelope lists as asked and still to ask. */
+inline constexpr std::size_t kMostListed = 128;
+
+/** @brief Most times that one packet is forwarded between agents. */
+inline constexpr std::uint8_t kMostHops = 200;
+
+/** @brief Most bytes of a payload. */
+inline constexpr std::size_t kMostPayloadBytes = 65535;
+
+/** @brief Whether a packet may open a flow. */
+enum class Opening : std::uint8_t
+{
+  No,    ///< TCP segment other than a SYN.
+  Maybe, ///< UDP: any datagram may be a flow's first.
+  Yes,   ///< TCP SYN.
+};
+
+/** @brief Names of `Opening`. */
+inline constexpr std::array<EnumName<Opening>, 3> kOpeningNames{ {
+  { Opening::No, "no" },
+  { Opening::Maybe, "maybe" },
+  { Opening::Yes, "yes" },
+} };
+
+/** @brief What an envelope asks of the agent that gets it. */
+enum class Phase : std::uint8_t
+{
+  Lookup,   ///< Deliver if the flow is here, else pass on or open it.
+  Claim,    ///< `claimant_` wants to open the flow unless it is here.
+  Place,    ///< `claimant_` may open it and asks a less busy owner to do so.
+  Declined, ///< Answer to `Place`: open it at the claimant.
+  Adopt,    ///< All others were asked; the flow was here before a restart.
+  Found,    ///< No payload: the flow is at `claimant_`.
+};
+
+/** @brief Names of `Phase`. */
+inline constexpr std::array<EnumName<Phase>, 6> kPhaseNames{ {
+  { Phase::Lookup, "lookup" },
+  { Phase::Claim, "claim" },
+  { Phase::Place, "place" },
+  { Phase::Declined, "declined" },
+  { Phase::Adopt, "adopt" },
+  { Phase::Found, "found" },
+} };
+
+/** @brief Form of the payload. */
+enum class PayloadKind : std::uint8_t
+{
+  Datagram, ///< Payload of a UDP datagram.
+  IpPacket, ///< A whole IPv4 or IPv6 packet.
+};
+
+/** @brief Names of `PayloadKind`. */
+inline constexpr std::array<EnumName<PayloadKind>, 2> kPayloadKindNames{ {
+  { PayloadKind::Datagram, "datagram" },
+  { PayloadKind::IpPacket, "ip_packet" },
+} };
+
+/** @brief One packet of a flow on its way to the flow's owner. */
+struct Envelope
+{
+  ServiceId service_; ///< Checked by every agent that gets the envelope.
+  FlowKey key_;
+  BucketId bucket_;
+  ClassId class_;
+  TableEpoch epoch_; ///< Of the balancer's table.
+  Opening opening_{ Opening::No };
+  PayloadKind kind_{ PayloadKind::Datagram };
+  Address returnPath_; ///< Balancer or fabric that answers go through.
+  Phase phase_{ Phase::Lookup };
+  std::uint8_t hops_{};       ///< Times forwarded between agents.
+  bool unsettled_{};          ///< Some agent asked cannot rule the flow out.
+  HostId claimant_;           ///< Zero when none.
+  std::uint64_t claim_{};     ///< The claimant's number of this claim.
+  HostId adopter_;            ///< Restarted host that may have had it; or zero.
+  std::uint32_t load_{};      ///< Sender's flows a slot, in 1/1000.
+  std::vector<HostId> asked_; ///< Hosts that do not have the flow.
+  std::vector<HostId> toAsk_; ///< Hosts still to be asked.
+  std::string payload_;
+
+  bool operator==(const Envelope&) const noexcept = default;
+};
+
+} // namespace cornelshore::flow
+
+#endif
--- /dev/null
+++ b/src/cornelshore/routing/table.cpp
@@ -0,0 +1,225 @@
+#include <cornelshore/routing/table.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <cornelshore/core/check.hpp>
+#include <cornelshore/core/hash.hpp>
+
+namespace cornelshore::routing {
+
+namespace {
+
+constexpr auto kNoIndex = std::numeric_limits<std::uint16_t>::max();
+
+/** Weight over the exponential variate that the pair draws. */
+double
+WeightedScore(std::size_t aBucket, HostId aHost, std::uint16_t aSlots) noexcept
+{
+  const auto hash = HashPair(aHost.value_, aBucket);
+  const auto unit = (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+  return static_cast<double>(aSlots) / -std::log(unit);
+}
+
+} // namespace
+
+BucketId
+BucketOf(const FlowKey& aKey) noexcept
+{
+  return BucketId{ static_cast<std::uint16_t>(HashOf(aKey) % kBuckets) };
+}
+
+Table::Table(std::size_t aOwners)
+  : owners_(std::clamp<std::size_t>(aOwners, 1, kMostOwners))
+  , rows_(kBuckets * owners_, kNoIndex)
+{
+}
+
+Table::Index*
+Table::Row(std::size_t aBucket) noexcept
+{
+  return rows_.data() + aBucket * owners_;
+}
+
+const Table::Index*
+Table::Row(std::size_t aBucket) const noexcept
+{
+  return rows_.data() + aBucket * owners_;
+}
+
+double
+Table::Score(std::size_t aBucket, Index aIndex) const noexcept
+{
+  const auto& member = members_[aIndex];
+  return WeightedScore(aBucket, member.id_, member.slots_);
+}
+
+bool
+Table::Before(std::size_t aBucket, Index aOne, Index aOther) const
+{
+  const auto one = Score(aBucket, aOne);
+  const auto other = Score(aBucket, aOther);
+  return one != other ? one > other : members_[aOne].id_ < members_[aOther].id_;
+}
+
+Table::Index
+Table::FreeIndex()
+{
+  const auto found =
+    std::find_if(members_.begin(), members_.end(), [](const Member& aMember) {
+      return aMember.slots_ == 0;
+    });
+  if (found != members_.end()) {
+    return static_cast<Index>(found - members_.begin());
+  }
+  if (members_.size() >= kNoIndex) {
+    return kNoIndex;
+  }
+  members_.emplace_back();
+  return static_cast<Index>(members_.size() - 1);
+}
+
+void
+Table::Insert(std::size_t aBucket, Index aIndex)
+{
+  auto* row = Row(aBucket);
+  auto rank = owners_;
+  const auto behind = [&](Index aOther) {
+    return aOther == kNoIndex || Before(aBucket, aIndex, aOther);
+  };
+  for (; rank > 0 && behind(row[rank - 1]); --rank) {
+    if (rank < owners_) {
+      row[rank] = row[rank - 1];
+    }
+  }
+  if (rank < owners_) {
+    row[rank] = aIndex;
+  }
+}
+
+void
+Table::Fill(std::size_t aBucket)
+{
+  struct Scored
+  {
+    double score_{};
+    Index index_{ kNoIndex };
+  };
+  std::array<Scored, kMostOwners> best{};
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < members_.size(); ++index) {
+    if (members_[index].slots_ == 0) {
+      continue;
+    }
+    const Scored scored{ Score(aBucket, static_cast<Index>(index)),
+                         static_cast<Index>(index) };
+    const auto before = [this, &scored](const Scored& aOther) {
+      return scored.score_ != aOther.score_
+               ? scored.score_ > aOther.score_
+               : members_[scored.index_].id_ < members_[aOther.index_].id_;
+    };
+    auto* const end = best.begin() + count;
+    auto* const place = std::find_if(best.begin(), end, before);
+    if (count < owners_) {
+      ++count;
+    } else if (place == end) {
+      continue;
+    }
+    auto* const last = best.begin() + count;
+    std::copy_backward(place, last - 1, last);
+    *place = scored;
+  }
+  auto* row = Row(aBucket);
+  for (std::size_t rank = 0; rank < owners_; ++rank) {
+    row[rank] = best[rank].index_;
+  }
+}
+
+void
+Table::Add(HostId aHost, std::uint16_t aSlots)
+{
+  const auto index = FreeIndex();
+  if (index == kNoIndex) {
+    return;
+  }
+  members_[index] = { aHost, aSlots };
+  ++hosts_;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    Insert(bucket, index);
+  }
+}
+
+void
+Table::Remove(Index aIndex)
+{
+  members_[aIndex] = {};
+  --hosts_;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    const auto* row = Row(bucket);
+    if (std::find(row, row + owners_, aIndex) != row + owners_) {
+      Fill(bucket);
+    }
+  }
+}
+
+void
+Table::Set(HostId aHost, std::uint16_t aSlots)
+{
+  const auto found = std::find_if(
+    members_.begin(), members_.end(), [aHost](const Member& aMember) {
+      return aMember.slots_ != 0 && aMember.id_ == aHost;
+    });
+  if (found != members_.end()) {
+    if (found->slots_ == aSlots) {
+      return;
+    }
+    Remove(static_cast<Index>(found - members_.begin()));
+  }
+  if (aSlots != 0) {
+    Add(aHost, aSlots);
+  }
+}
+
+void
+Table::Assign(std::span<const HostRecord> aRecords)
+{
+  members_.clear();
+  for (const auto& record : aRecords) {
+    if (record.state_ == HostState::Ready && record.slots_ != 0 &&
+        members_.size() < kNoIndex) {
+      members_.push_back({ record.id_, record.slots_ });
+    }
+  }
+  hosts_ = members_.size();
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    Fill(bucket);
+  }
+}
+
+HostId
+Table::First(BucketId aBucket) const noexcept
+{
+  const auto index = *Row(aBucket.value_ % kBuckets);
+  return index == kNoIndex ? HostId{} : members_[index].id_;
+}
+
+OwnerList
+Table::Owners(BucketId aBucket) const noexcept
+{
+  OwnerList owners;
+  const auto* row = Row(aBucket.value_ % kBuckets);
+  for (std::size_t rank = 0; rank < owners_ && row[rank] != kNoIndex; ++rank) {
+    owners.Append(members_[row[rank]].id_);
+  }
+  return owners;
+}
+
+std::size_t
+Table::MemoryBytes() const noexcept
+{
+  return rows_.capacity() * sizeof(Index) +
+         members_.capacity() * sizeof(Member);
+}
+
+} // namespace cornelshore::routing
--- /dev/null
+++ b/src/cornelshore/routing/table.hpp
@@ -0,0 +1,107 @@
+#ifndef CORNELSHORE_ROUTING_TABLE_HPP
+#define CORNELSHORE_ROUTING_TABLE_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include <cornelshore/core/flow_key.hpp>
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/types.hpp>
+
+/**
+ * @brief Routing tables: which hosts own which buckets of a service.
+ *
+ * Weighted rendezvous hashing (Thaler and Ravishankar, "Using name-based
+ * mappings to increase hit rates", 1998; weights after Schindelhauer and
+ * Schomaker, 2005) orders the hosts of each bucket. Every process computes
+ * the same order from the membership alone.
+ */
+namespace cornelshore::routing {
+
+/** @brief Most owners that any table keeps for a bucket. */
+inline constexpr std::size_t kMostOwners = 8;
+
+/** @brief Owners of one bucket, the first one first. */
+class OwnerList
+{
+public:
+  [[nodiscard]] const HostId* begin() const noexcept { return hosts_.data(); }
+  [[nodiscard]] const HostId* end() const noexcept { return begin() + size_; }
+  [[nodiscard]] std::size_t size() const noexcept { return size_; }
+  [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
+  [[nodiscard]] HostId operator[](std::size_t aRank) const noexcept
+  {
+    return hosts_[aRank];
+  }
+  void Append(HostId aHost) noexcept { hosts_[size_++] = aHost; }
+
+private:
+  std::array<HostId, kMostOwners> hosts_{};
+  std::size_t size_{};
+};
+
+/** @brief Bucket of a flow; the same at every process. */
+[[nodiscard]] BucketId BucketOf(const FlowKey& aKey) noexcept;
+
+/**
+ * @brief Ordered owners of every bucket of one service.
+ *
+ * Holds two bytes an owner. A change of one host costs about
+ * `kBuckets * owners` hashes, however many hosts there are.
+ */
+class Table
+{
+public:
+  /** @param aOwners Owners kept for a bucket, 1 to `kMostOwners`. */
+  explicit Table(std::size_t aOwners);
+
+  /** @brief Adds a host, or changes its weight. 0 slots remove it. */
+  void Set(HostId aHost, std::uint16_t aSlots);
+
+  /** @brief Replaces all hosts by the ready ones among the records. */
+  void Assign(std::span<const HostRecord> aRecords);
+
+  /** @brief First owner, or the zero id when there is no host. */
+  [[nodiscard]] HostId First(BucketId aBucket) const noexcept;
+
+  [[nodiscard]] OwnerList Owners(BucketId aBucket) const noexcept;
+
+  /** @brief Number of hosts. */
+  [[nodiscard]] std::size_t HostCount() const noexcept { return hosts_; }
+
+  /** @brief Bytes of memory that the table holds. */
+  [[nodiscard]] std::size_t MemoryBytes() const noexcept;
+
+private:
+  struct Member
+  {
+    HostId id_;
+    std::uint16_t slots_{};
+  };
+
+  using Index = std::uint16_t;
+
+  [[nodiscard]] Index* Row(std::size_t aBucket) noexcept;
+  [[nodiscard]] const Index* Row(std::size_t aBucket) const noexcept;
+  [[nodiscard]] double Score(std::size_t aBucket, Index aIndex) const noexcept;
+  [[nodiscard]] bool Before(std::size_t aBucket,
+                            Index aOne,
+                            Index aOther) const;
+  [[nodiscard]] Index FreeIndex();
+  void Insert(std::size_t aBucket, Index aIndex);
+  void Fill(std::size_t aBucket);
+  void Add(HostId aHost, std::uint16_t aSlots);
+  void Remove(Index aIndex);
+
+  std::size_t owners_;
+  std::size_t hosts_{};
+  std::vector<Member> members_;
+  std::vector<Index> rows_;
+};
+
+} // namespace cornelshore::routing
+
+#endif
--- /dev/null
+++ b/src/cornelshore/routing/view.cpp
@@ -0,0 +1,185 @@
+#include <cornelshore/routing/view.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::routing {
+
+View::View(ServiceId aService, Duration aWindow)
+  : service_(aService)
+  , window_(aWindow)
+{
+}
+
+bool
+View::Take(const HostRecord& aRecord)
+{
+  const auto found = hosts_.find(aRecord.id_);
+  const bool known = found != hosts_.end();
+  if (known &&
+      std::pair(aRecord.incarnation_, aRecord.sequence_) <=
+        std::pair(found->second.incarnation_, found->second.sequence_)) {
+    return false;
+  }
+  if (!known && (aRecord.service_ != service_ || hosts_.size() >= kMostHosts)) {
+    return false;
+  }
+  auto& record = hosts_[aRecord.id_];
+  record = aRecord;
+  if (record.service_ != service_) {
+    record.state_ = HostState::Gone;
+    record.held_.reset();
+  }
+  const bool owns = record.state_ == HostState::Ready;
+  table_.Set(record.id_, owns ? record.slots_ : std::uint16_t{ 0 });
+  return true;
+}
+
+bool
+View::Apply(TimePoint aNow, std::span<const HostRecord> aRecords)
+{
+  bool changed = false;
+  for (const auto& record : aRecords) {
+    changed = Take(record) || changed;
+  }
+  if (changed) {
+    since_ = since_.value_or(aNow);
+    Expire(aNow);
+    NoteChanges(aNow);
+  }
+  return changed;
+}
+
+void
+View::NoteChanges(TimePoint aNow)
+{
+  bool moved = false;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    const auto owners =
+      table_.Owners(BucketId{ static_cast<std::uint16_t>(bucket) });
+    const Pair pair{ owners.empty() ? HostId{} : owners[0],
+                     owners.size() < 2 ? HostId{} : owners[1] };
+    const auto old = std::exchange(top_[bucket], pair);
+    if (old == pair) {
+      continue;
+    }
+    moved = true;
+    topSince_[bucket] = aNow;
+    if (old.first_ != pair.first_) {
+      firstSince_[bucket] = aNow;
+    }
+    NoteFormer(aNow, bucket, old.first_);
+    NoteFormer(aNow, bucket, old.second_);
+  }
+  if (moved) {
+    ++epoch_.value_;
+  }
+}
+
+void
+View::NoteFormer(TimePoint aNow, std::size_t aBucket, HostId aHost)
+{
+  if (aHost == HostId{}) {
+    return;
+  }
+  const BucketId bucket{ static_cast<std::uint16_t>(aBucket) };
+  const auto order = [](const Former& aOne, const Former& aOther) {
+    return std::pair(aOne.bucket_, aOne.host_) <
+           std::pair(aOther.bucket_, aOther.host_);
+  };
+  const Former former{ bucket, aHost, aNow + window_ };
+  const auto place =
+    std::lower_bound(former_.begin(), former_.end(), former, order);
+  if (place != former_.end() && place->bucket_ == bucket &&
+      place->host_ == aHost) {
+    place->until_ = former.until_;
+    return;
+  }
+  former_.insert(place, former);
+}
+
+void
+View::Expire(TimePoint aNow)
+{
+  std::erase_if(
+    former_, [aNow](const Former& aFormer) { return aFormer.until_ < aNow; });
+}
+
+bool
+View::Cold(TimePoint aNow) const noexcept
+{
+  return !since_ || *since_ + window_ > aNow;
+}
+
+std::vector<HostId>
+View::NotReady() const
+{
+  std::vector<HostId> hosts;
+  for (const auto& [id, record] : hosts_) {
+    if (record.state_ != HostState::Gone && record.state_ != HostState::Ready) {
+      hosts.push_back(id);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+TimePoint
+View::FirstSince(BucketId aBucket) const noexcept
+{
+  return firstSince_[aBucket.value_ % kBuckets];
+}
+
+bool
+View::Settled(TimePoint aNow, BucketId aBucket) const noexcept
+{
+  return topSince_[aBucket.value_ % kBuckets] + window_ <= aNow;
+}
+
+std::vector<HostId>
+View::FormerOwners(TimePoint aNow, BucketId aBucket) const
+{
+  std::vector<HostId> hosts;
+  auto place = std::lower_bound(former_.begin(),
+                                former_.end(),
+                                aBucket,
+                                [](const Former& aFormer, BucketId aOther) {
+                                  return aFormer.bucket_ < aOther;
+                                });
+  for (; place != former_.end() && place->bucket_ == aBucket; ++place) {
+    if (place->until_ >= aNow && !KnownGone(place->host_)) {
+      hosts.push_back(place->host_);
+    }
+  }
+  return hosts;
+}
+
+std::vector<HostId>
+View::Holders(BucketId aBucket) const
+{
+  std::vector<HostId> hosts;
+  for (const auto& [id, record] : hosts_) {
+    if (record.state_ != HostState::Gone &&
+        record.held_[aBucket.value_ % kBuckets]) {
+      hosts.push_back(id);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+const HostRecord*
+View::Find(HostId aHost) const
+{
+  const auto found = hosts_.find(aHost);
+  return found == hosts_.end() ? nullptr : &found->second;
+}
+
+bool
+View::KnownGone(HostId aHost) const
+{
+  const auto* record = Find(aHost);
+  return record != nullptr && record->state_ == HostState::Gone;
+}
+
+} // namespace cornelshore::routing
--- /dev/null
+++ b/src/cornelshore/routing/view.hpp
@@ -0,0 +1,110 @@
+#ifndef CORNELSHORE_ROUTING_VIEW_HPP
+#define CORNELSHORE_ROUTING_VIEW_HPP
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+#include <cornelshore/routing/table.hpp>
+
+namespace cornelshore::routing {
+
+/** @brief Most hosts of one service; records of further ones are left out. */
+inline constexpr std::size_t kMostHosts = 4096;
+
+/**
+ * @brief One process's view of a service: hosts, table, and recent history.
+ *
+ * Records of a host are ordered by (`incarnation_`, `sequence_`); an older
+ * one changes nothing. A host whose newer record names another service counts
+ * as gone.
+ */
+class View
+{
+public:
+  /**
+   * @param aService Service whose hosts are kept.
+   * @param aWindow How long a former owner is remembered, and how long a
+   * bucket's owners must stay before the bucket is settled.
+   */
+  View(ServiceId aService, Duration aWindow);
+
+  /**
+   * @brief Takes in records, of all hosts or of those that changed.
+   * @return Whether any record was newer than the one held.
+   */
+  bool Apply(TimePoint aNow, std::span<const HostRecord> aRecords);
+
+  [[nodiscard]] const Table& Routes() const noexcept { return table_; }
+
+  /** @brief Grows with each change of the table. */
+  [[nodiscard]] TableEpoch Epoch() const noexcept { return epoch_; }
+
+  /** @brief Whether the process has had records for less than the window. */
+  [[nodiscard]] bool Cold(TimePoint aNow) const noexcept;
+
+  /** @brief Hosts that are neither ready nor gone. */
+  [[nodiscard]] std::vector<HostId> NotReady() const;
+
+  /** @brief Since when the bucket's first owner is the same. */
+  [[nodiscard]] TimePoint FirstSince(BucketId aBucket) const noexcept;
+
+  /** @brief Whether the first two owners stayed for the whole window. */
+  [[nodiscard]] bool Settled(TimePoint aNow, BucketId aBucket) const noexcept;
+
+  /** @brief Hosts that were among the first two owners inside the window. */
+  [[nodiscard]] std::vector<HostId> FormerOwners(TimePoint aNow,
+                                                 BucketId aBucket) const;
+
+  /** @brief Hosts that announced that they hold flows of the bucket. */
+  [[nodiscard]] std::vector<HostId> Holders(BucketId aBucket) const;
+
+  /** @brief Newest record of a host, or null when there is none. */
+  [[nodiscard]] const HostRecord* Find(HostId aHost) const;
+
+  /** @brief Whether the host is known to have ended or changed service. */
+  [[nodiscard]] bool KnownGone(HostId aHost) const;
+
+private:
+  struct Former
+  {
+    BucketId bucket_;
+    HostId host_;
+    TimePoint until_;
+  };
+
+  struct Pair
+  {
+    HostId first_;
+    HostId second_;
+
+    bool operator==(const Pair&) const noexcept = default;
+  };
+
+  bool Take(const HostRecord& aRecord);
+  void NoteChanges(TimePoint aNow);
+  void NoteFormer(TimePoint aNow, std::size_t aBucket, HostId aHost);
+  void Expire(TimePoint aNow);
+
+  ServiceId service_;
+  Duration window_;
+  TableEpoch epoch_;
+  std::optional<TimePoint> since_;
+  Table table_{ kMostOwners };
+  absl::flat_hash_map<HostId, HostRecord> hosts_;
+  std::array<Pair, kBuckets> top_{};
+  std::array<TimePoint, kBuckets> firstSince_{};
+  std::array<TimePoint, kBuckets> topSince_{};
+  std::vector<Former> former_;
+};
+
+} // namespace cornelshore::routing
+
+#endif
