Encode configurations for logs and messages

Cause: the log of control, the deltas to balancers and the operators' tool all carry configurations, and each would write its own encoding. Change: one codec with bounds on services, classes and names. Ids are hashes of names, so only names travel and an id cannot contradict its name.

--- /dev/null
+++ b/src/cornelshore/wire/configuration_codec.cpp
@@ -0,0 +1,88 @@
+#include <cornelshore/wire/configuration_codec.hpp>
+
+#include <cornelshore/wire/reader.hpp>
+#include <cornelshore/wire/writer.hpp>
+
+namespace cornelshore::wire {
+
+namespace {
+
+void
+Encode(Writer& aWriter, const ClassTarget& aClass)
+{
+  aWriter.Bytes(aClass.name_);
+  aWriter.Uint(aClass.urgency_);
+  aWriter.Uint(aClass.most_);
+  aWriter.Uint(aClass.keeps_);
+  aWriter.Bool(aClass.repeatable_);
+}
+
+void
+Decode(Reader& aReader, const ServiceTarget& aService, ClassTarget& aClass)
+{
+  aClass.name_ = aReader.Bytes(kMostNameBytes);
+  aClass.id_ = ClassIdOf(aService.name_, aClass.name_);
+  aClass.service_ = aService.id_;
+  aClass.urgency_ = static_cast<std::uint8_t>(aReader.Uint(kMostUrgency));
+  aClass.most_ = static_cast<std::uint16_t>(aReader.Uint(kWholeShare));
+  aClass.keeps_ = static_cast<std::uint16_t>(aReader.Uint(kWholeShare));
+  aClass.repeatable_ = aReader.Bool();
+}
+
+} // namespace
+
+void
+Encode(Writer& aWriter, const ServiceTarget& aService)
+{
+  aWriter.Bytes(aService.name_);
+  aWriter.List(aService.classes_.size());
+  for (const auto& target : aService.classes_) {
+    Encode(aWriter, target);
+  }
+}
+
+void
+Encode(Writer& aWriter, const Configuration& aConfiguration)
+{
+  aWriter.Write(aConfiguration.version_);
+  aWriter.List(aConfiguration.services_.size());
+  for (const auto& service : aConfiguration.services_) {
+    Encode(aWriter, service);
+  }
+}
+
+void
+Decode(Reader& aReader, ServiceTarget& aService)
+{
+  aService.name_ = aReader.Bytes(kMostNameBytes);
+  aService.id_ = ServiceIdOf(aService.name_);
+  aService.classes_.clear();
+  const auto count = aReader.List(kMostClassesOfService);
+  for (std::size_t index = 0; index < count && aReader.Good(); ++index) {
+    Decode(aReader, aService, aService.classes_.emplace_back());
+  }
+}
+
+void
+Decode(Reader& aReader, Configuration& aConfiguration)
+{
+  aReader.Read(aConfiguration.version_);
+  aConfiguration.services_.clear();
+  const auto count = aReader.List(kMostServices);
+  for (std::size_t index = 0; index < count && aReader.Good(); ++index) {
+    Decode(aReader, aConfiguration.services_.emplace_back());
+  }
+}
+
+absl::StatusOr<Configuration>
+DecodeConfiguration(Reader& aReader)
+{
+  Configuration configuration;
+  Decode(aReader, configuration);
+  if (!aReader.Good()) {
+    return absl::InvalidArgumentError("not a configuration");
+  }
+  return configuration;
+}
+
+} // namespace cornelshore::wire
--- /dev/null
+++ b/src/cornelshore/wire/configuration_codec.hpp
@@ -0,0 +1,50 @@
+#ifndef CORNELSHORE_WIRE_CONFIGURATION_CODEC_HPP
+#define CORNELSHORE_WIRE_CONFIGURATION_CODEC_HPP
+
+#include <cstddef>
+
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/target.hpp>
+#include <cornelshore/wire/fwd.hpp>
+
+namespace cornelshore::wire {
+
+/** @brief Most services in one encoded configuration. */
+inline constexpr std::size_t kMostServices = 4096;
+
+/** @brief Most classes of work of one encoded service. */
+inline constexpr std::size_t kMostClassesOfService = 64;
+
+/** @brief Most bytes of a service's or class's name. */
+inline constexpr std::size_t kMostNameBytes = 128;
+
+/**
+ * @brief Appends the configuration.
+ *
+ * Ids are hashes of names, so only the names travel; `Decode` works the ids
+ * out again.
+ */
+void Encode(Writer& aWriter, const Configuration& aConfiguration);
+
+/** @brief Appends one service with its classes. */
+void Encode(Writer& aWriter, const ServiceTarget& aService);
+
+/**
+ * @brief Reads one configuration; leaves what follows unread.
+ *
+ * Hostile input makes the reader fail: lists and names over the bounds above,
+ * shares over `kWholeShare`, an urgency over `kMostUrgency`.
+ */
+void Decode(Reader& aReader, Configuration& aConfiguration);
+
+/** @brief Reads one service; fails as for a configuration. */
+void Decode(Reader& aReader, ServiceTarget& aService);
+
+/** @brief As `Decode`. @return The configuration, or `InvalidArgument`. */
+[[nodiscard]] absl::StatusOr<Configuration> DecodeConfiguration(
+  Reader& aReader);
+
+} // namespace cornelshore::wire
+
+#endif
