--- a/src/cornelshore/metrics/fwd.hpp
+++ b/src/cornelshore/metrics/fwd.hpp
@@ -3,7 +3,6 @@
 
 namespace cornelshore::metrics {
 
-struct Sample;
 class Publisher;
 
 } // namespace cornelshore::metrics
--- a/src/cornelshore/metrics/publisher.cpp
+++ b/src/cornelshore/metrics/publisher.cpp
@@ -15,22 +15,22 @@
 constexpr std::size_t kThreads = 1;
 
 prometheus::ClientMetric
-ToMetric(const Sample& aSample)
+ToMetric(const Figure& aFigure)
 {
   prometheus::ClientMetric metric;
-  for (const auto& [name, value] : aSample.labels_) {
+  for (const auto& [name, value] : aFigure.labels_) {
     metric.label.push_back({ name, value });
   }
-  if (aSample.kind_ == Kind::Counter) {
-    metric.counter.value = aSample.value_;
+  if (aFigure.kind_ == FigureKind::Counter) {
+    metric.counter.value = aFigure.value_;
   } else {
-    metric.gauge.value = aSample.value_;
+    metric.gauge.value = aFigure.value_;
   }
   return metric;
 }
 
-/** Holds the published samples as families. */
-class Samples : public prometheus::Collectable
+/** Holds the published figures as families. */
+class Figures : public prometheus::Collectable
 {
 public:
   // The name is prometheus-cpp's own.
@@ -40,17 +40,17 @@
     return families_;
   }
 
-  void Set(const std::vector<Sample>& aSamples)
+  void Set(const std::vector<Figure>& aFigures)
   {
     std::map<std::string, prometheus::MetricFamily> byName;
-    for (const auto& sample : aSamples) {
-      auto& family = byName[sample.name_];
-      family.name = sample.name_;
-      family.help = sample.help_;
-      family.type = sample.kind_ == Kind::Counter
+    for (const auto& figure : aFigures) {
+      auto& family = byName[figure.name_];
+      family.name = figure.name_;
+      family.help = figure.help_;
+      family.type = figure.kind_ == FigureKind::Counter
                       ? prometheus::MetricType::Counter
                       : prometheus::MetricType::Gauge;
-      family.metric.push_back(ToMetric(sample));
+      family.metric.push_back(ToMetric(figure));
     }
     std::vector<prometheus::MetricFamily> families;
     for (auto& [name, family] : byName) {
@@ -72,13 +72,13 @@
 public:
   explicit Implementation(const Address& aAddress)
     : exposer_(ToString(aAddress), kThreads)
-    , samples_(std::make_shared<Samples>())
+    , figures_(std::make_shared<Figures>())
   {
-    exposer_.RegisterCollectable(samples_);
+    exposer_.RegisterCollectable(figures_);
   }
 
   prometheus::Exposer exposer_;
-  std::shared_ptr<Samples> samples_;
+  std::shared_ptr<Figures> figures_;
 };
 
 Publisher::Publisher(std::unique_ptr<Implementation> aImplementation)
@@ -101,9 +101,9 @@
 }
 
 void
-Publisher::Publish(std::vector<Sample> aSamples)
+Publisher::Publish(std::vector<Figure> aFigures)
 {
-  implementation_->samples_->Set(aSamples);
+  implementation_->figures_->Set(aFigures);
 }
 
 } // namespace cornelshore::metrics
--- a/src/cornelshore/metrics/publisher.hpp
+++ b/src/cornelshore/metrics/publisher.hpp
@@ -1,37 +1,18 @@
 #ifndef CORNELSHORE_METRICS_PUBLISHER_HPP
 #define CORNELSHORE_METRICS_PUBLISHER_HPP
 
-#include <cstdint>
 #include <memory>
-#include <string>
-#include <utility>
 #include <vector>
 
 #include <absl/status/statusor.h>
 
 #include <cornelshore/core/address.hpp>
+#include <cornelshore/core/figure.hpp>
 
 namespace cornelshore::metrics {
 
-/** @brief Kind of a sample, as Prometheus tells them apart. */
-enum class Kind : std::uint8_t
-{
-  Counter,
-  Gauge,
-};
-
-/** @brief One value of one metric. */
-struct Sample
-{
-  std::string name_; ///< With unit, and `_total` for a counter.
-  std::string help_;
-  Kind kind_{ Kind::Counter };
-  std::vector<std::pair<std::string, std::string>> labels_;
-  double value_{};
-};
-
 /**
- * @brief Serves the samples last published at `/metrics`.
+ * @brief Serves the figures last published at `/metrics`.
  *
  * The deciding thread publishes whole sets; scrapes never wait for it.
  */
@@ -50,7 +31,7 @@
   Publisher& operator=(const Publisher&) = delete;
 
   /** @brief Replaces what is served. */
-  void Publish(std::vector<Sample> aSamples);
+  void Publish(std::vector<Figure> aFigures);
 
 private:
   class Implementation;
--- a/src/cornelshore/net/udp_socket.cpp
+++ b/src/cornelshore/net/udp_socket.cpp
@@ -58,6 +58,63 @@
   return address;
 }
 
+/** Room for one batch; a thread needs one for all its sockets. */
+class Batch
+{
+public:
+  Batch()
+    : buffer_(kBatch * kLargestDatagramBytes)
+  {
+    for (std::size_t index = 0; index < kBatch; ++index) {
+      vectors_[index].iov_base = buffer_.data() + index * kLargestDatagramBytes;
+      vectors_[index].iov_len = kLargestDatagramBytes;
+      messages_[index].msg_hdr.msg_iov = &vectors_[index];
+      messages_[index].msg_hdr.msg_iovlen = 1;
+      messages_[index].msg_hdr.msg_name = &addresses_[index];
+    }
+  }
+
+  Batch(const Batch&) = delete;
+  Batch& operator=(const Batch&) = delete;
+
+  int Receive(int aSocket)
+  {
+    for (auto& message : messages_) {
+      message.msg_hdr.msg_namelen = sizeof(sockaddr_storage);
+    }
+    return ::recvmmsg(aSocket, messages_.data(), kBatch, MSG_DONTWAIT, nullptr);
+  }
+
+  [[nodiscard]] bool Truncated(std::size_t aIndex) const
+  {
+    return (messages_[aIndex].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+  }
+
+  [[nodiscard]] Address From(std::size_t aIndex) const
+  {
+    return FromSocketAddress(addresses_[aIndex]);
+  }
+
+  [[nodiscard]] std::string_view Bytes(std::size_t aIndex) const
+  {
+    return { static_cast<const char*>(vectors_[aIndex].iov_base),
+             messages_[aIndex].msg_len };
+  }
+
+private:
+  std::vector<char> buffer_;
+  std::array<mmsghdr, kBatch> messages_{};
+  std::array<iovec, kBatch> vectors_{};
+  std::array<sockaddr_storage, kBatch> addresses_{};
+};
+
+Batch&
+BatchOfThread()
+{
+  thread_local Batch batch;
+  return batch;
+}
+
 } // namespace
 
 class UdpSocket::Implementation
@@ -66,7 +123,6 @@
 public:
   explicit Implementation(asio::io_context& aContext)
     : socket_(aContext)
-    , buffer_(kBatch * kLargestDatagramBytes)
   {
   }
 
@@ -89,7 +145,6 @@
     socket_.set_option(udp::socket::send_buffer_size(kKernelBufferBytes),
                        error);
     socket_.non_blocking(true, error);
-    PrepareBatch();
     return absl::OkStatus();
   }
 
@@ -151,35 +206,17 @@
   std::atomic<std::uint64_t> sendErrors_{ 0 };
 
 private:
-  void PrepareBatch()
-  {
-    for (std::size_t index = 0; index < kBatch; ++index) {
-      inVectors_[index].iov_base =
-        buffer_.data() + index * kLargestDatagramBytes;
-      inVectors_[index].iov_len = kLargestDatagramBytes;
-      in_[index].msg_hdr.msg_iov = &inVectors_[index];
-      in_[index].msg_hdr.msg_iovlen = 1;
-      in_[index].msg_hdr.msg_name = &inAddresses_[index];
-    }
-  }
-
   int ReceiveBatch()
   {
-    for (auto& message : in_) {
-      message.msg_hdr.msg_namelen = sizeof(sockaddr_storage);
-    }
-    const auto count = ::recvmmsg(
-      socket_.native_handle(), in_.data(), kBatch, MSG_DONTWAIT, nullptr);
-    for (int index = 0; index < count; ++index) {
-      const auto& message = in_[static_cast<std::size_t>(index)];
+    auto& batch = BatchOfThread();
+    const auto count = batch.Receive(socket_.native_handle());
+    for (std::size_t index = 0; static_cast<int>(index) < count; ++index) {
       ++received_;
-      if ((message.msg_hdr.msg_flags & MSG_TRUNC) != 0) {
+      if (batch.Truncated(index)) {
         ++truncated_;
         continue;
       }
-      receive_(FromSocketAddress(inAddresses_[static_cast<std::size_t>(index)]),
-               { static_cast<const char*>(message.msg_hdr.msg_iov->iov_base),
-                 message.msg_len });
+      receive_(batch.From(index), batch.Bytes(index));
     }
     return count;
   }
@@ -223,10 +260,6 @@
   }
 
   bool ipv6_{};
-  std::vector<char> buffer_;
-  std::array<mmsghdr, kBatch> in_{};
-  std::array<iovec, kBatch> inVectors_{};
-  std::array<sockaddr_storage, kBatch> inAddresses_{};
 };
 
 UdpSocket::UdpSocket(std::shared_ptr<Implementation> aImplementation)
--- /dev/null
+++ b/src/cornelshore/role/agent_parts.cpp
@@ -0,0 +1,455 @@
+#include <cornelshore/role/agent_parts.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::role {
+
+namespace {
+
+admission::Result
+ResultOf(UpstreamEnd aEnd) noexcept
+{
+  switch (aEnd) {
+    case UpstreamEnd::Finished:
+      return admission::Result::Done;
+    case UpstreamEnd::Shed:
+      return admission::Result::Shed;
+    case UpstreamEnd::Lost:
+      break;
+  }
+  return admission::Result::Failed;
+}
+
+request::Event
+EventOf(UpstreamRunEnded& aEnded)
+{
+  switch (aEnded.end_) {
+    case UpstreamEnd::Finished:
+      return request::UpstreamFinished{ aEnded.run_,
+                                        std::move(aEnded.answer_) };
+    case UpstreamEnd::Shed:
+      return request::UpstreamShed{ aEnded.run_, Duration::zero() };
+    case UpstreamEnd::Lost:
+      break;
+  }
+  return request::UpstreamLost{ aEnded.run_ };
+}
+
+} // namespace
+
+Agent::Parts::Parts(dissemination::Node aNode,
+                    flow::Agent aFlows,
+                    request::Agent aRequests,
+                    internal::Slots aSlots)
+  : node_(std::move(aNode))
+  , flows_(std::move(aFlows))
+  , requests_(std::move(aRequests))
+  , slots_(std::move(aSlots))
+{
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
+{
+  book_.Learn(aEvent.from_, aEvent.address_);
+  std::visit([&](auto& aMessage) { Receive(aNow, aEvent, aMessage, aOut); },
+             aEvent.message_);
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, UpstreamReady& aEvent, Actions& aOut)
+{
+  aOut.emplace_back(Log{ Weight::Info,
+                         "upstream_readiness",
+                         { { "ready", aEvent.ready_ ? "yes" : "no" } } });
+  upstreamReady_ = aEvent.ready_;
+  CheckReady(aNow, aOut);
+}
+
+void
+Agent::Parts::CheckReady(TimePoint aNow, Actions& aOut)
+{
+  const auto ready = upstreamReady_ && hasTargets_;
+  if (ready != ready_) {
+    ready_ = ready;
+    FeedFlows(aNow, flow::ReadinessChanged{ ready }, aOut);
+  }
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, UpstreamFlowEnded& aEvent, Actions& aOut)
+{
+  FeedFlows(aNow, flow::UpstreamClosed{ aEvent.key_ }, aOut);
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, UpstreamFlowRefused& aEvent, Actions& aOut)
+{
+  FeedFlows(
+    aNow, flow::UpstreamRefused{ aEvent.key_, aEvent.returnPath_ }, aOut);
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, UpstreamRunEnded& aEvent, Actions& aOut)
+{
+  if (runIds_.contains(aEvent.run_)) {
+    slots_.Ended(aEvent.run_, ResultOf(aEvent.end_));
+    FeedRequests(aNow, EventOf(aEvent), aOut);
+  }
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+{
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  FeedFlows(aNow, flow::LeaveRequested{ stopLimit_ }, aOut);
+  FeedRequests(aNow, request::LeaveRequested{}, aOut);
+  CheckEnded(aNow, aOut);
+}
+
+void
+Agent::Parts::Handle(TimePoint aNow, Tick&, Actions& aOut)
+{
+  if (node_.NextTimer() <= aNow) {
+    FeedNode(aNow, dissemination::Tick{}, aOut);
+  }
+  if (flows_.NextTimer() <= aNow) {
+    FeedFlows(aNow, flow::Tick{}, aOut);
+  }
+  if (requests_.NextTimer().value_or(TimePoint::max()) <= aNow) {
+    FeedRequests(aNow, request::Tick{}, aOut);
+  }
+  if (slots_.NextTimer().value_or(TimePoint::max()) <= aNow) {
+    FeedRequests(aNow, slots_.Tick(aNow), aOut);
+  }
+  MaybePublishFirst(aNow, aOut);
+  CheckEnded(aNow, aOut);
+}
+
+void
+Agent::Parts::Receive(TimePoint aNow,
+                      const NodeMessage&,
+                      flow::Envelope& aMessage,
+                      Actions& aOut)
+{
+  FeedFlows(aNow, flow::EnvelopeArrived{ std::move(aMessage) }, aOut);
+}
+
+void
+Agent::Parts::Receive(TimePoint aNow,
+                      const NodeMessage& aFrom,
+                      request::Message& aMessage,
+                      Actions& aOut)
+{
+  FeedRequests(
+    aNow,
+    request::Received{ aFrom.from_, aFrom.incarnation_, std::move(aMessage) },
+    aOut);
+}
+
+void
+Agent::Parts::Receive(TimePoint aNow,
+                      const NodeMessage& aFrom,
+                      dissemination::Message& aMessage,
+                      Actions& aOut)
+{
+  FeedNode(
+    aNow,
+    dissemination::Received{ aFrom.from_, aFrom.address_, std::move(aMessage) },
+    aOut);
+}
+
+void
+Agent::Parts::FeedNode(TimePoint aNow,
+                       const dissemination::Event& aEvent,
+                       Actions& aOut)
+{
+  for (auto& action : node_.On(aNow, aEvent)) {
+    std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+  }
+  CheckConfirmed(aNow, aOut);
+}
+
+void
+Agent::Parts::FeedFlows(TimePoint aNow, flow::Event aEvent, Actions& aOut)
+{
+  for (auto& action : flows_.On(aNow, std::move(aEvent))) {
+    std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+  }
+}
+
+void
+Agent::Parts::FeedRequests(TimePoint aNow, request::Event aEvent, Actions& aOut)
+{
+  for (auto& action : requests_.On(aNow, std::move(aEvent))) {
+    std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+  }
+}
+
+void
+Agent::Parts::FeedRequests(TimePoint aNow,
+                           internal::Slots::Events aEvents,
+                           Actions& aOut)
+{
+  for (auto& event : aEvents) {
+    FeedRequests(aNow, std::move(event), aOut);
+  }
+}
+
+void
+Agent::Parts::Carry(TimePoint, dissemination::Send& aAction, Actions& aOut)
+{
+  aOut.emplace_back(SendNode{ aAction.address_, std::move(aAction.message_) });
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow,
+                    dissemination::HostsChanged& aAction,
+                    Actions& aOut)
+{
+  std::vector<HostRecord> ours;
+  for (const auto& record : aAction.records_) {
+    if (record.service_ == self_.service_ || record.id_ == self_.id_) {
+      ours.push_back(record);
+    }
+    if (record.id_ == self_.id_) {
+      NoteOwnRecord(record);
+    }
+  }
+  if (ours.empty()) {
+    return;
+  }
+  hosts_ = node_.Hosts().OfService(self_.service_);
+  FeedFlows(aNow, flow::MembershipChanged{ std::move(ours) }, aOut);
+  FeedRequests(aNow, request::MembershipChanged{ hosts_ }, aOut);
+  ApplyTargets(aNow, aOut);
+}
+
+void
+Agent::Parts::Carry(TimePoint, dissemination::PeersChanged&, Actions&)
+{
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow,
+                    dissemination::ConfigChanged& aAction,
+                    Actions& aOut)
+{
+  const auto version = std::to_string(aAction.version_.value_);
+  auto configuration = hooks_.decode_(aAction.bytes_);
+  if (!configuration.ok()) {
+    aOut.emplace_back(Log{
+      Weight::Error, "configuration_unreadable", { { "version", version } } });
+    return;
+  }
+  configuration_ = std::move(*configuration);
+  aOut.emplace_back(
+    Log{ Weight::Info,
+         "configuration_in_force",
+         { { "version", version },
+           { "confirmed", aAction.confirmed_ ? "yes" : "no" } } });
+  ApplyTargets(aNow, aOut);
+}
+
+void
+Agent::Parts::Carry(TimePoint, flow::Deliver& aAction, Actions& aOut)
+{
+  aOut.emplace_back(std::move(aAction));
+}
+
+void
+Agent::Parts::Carry(TimePoint, flow::Forward& aAction, Actions& aOut)
+{
+  const auto address = AddressOf(NodeId{ aAction.to_.value_ });
+  if (!address) {
+    ++unreachable_;
+    return;
+  }
+  aOut.emplace_back(SendNode{ *address, std::move(aAction.envelope_) });
+}
+
+void
+Agent::Parts::Carry(TimePoint, flow::Reset& aAction, Actions& aOut)
+{
+  ++resets_;
+  aOut.emplace_back(
+    Log{ Weight::Debug,
+         "flow_reset",
+         { { "reason",
+             std::string(NameIn(flow::kResetReasonNames, aAction.reason_)) },
+           { "caller", ToString(aAction.key_.caller_) } } });
+  aOut.emplace_back(std::move(aAction));
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow, flow::Announce& aAction, Actions& aOut)
+{
+  self_.state_ = aAction.state_;
+  self_.held_ = aAction.held_;
+  if (published_) {
+    Publish(aNow, aOut);
+  }
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow, flow::Stopped& aAction, Actions& aOut)
+{
+  flowsStopped_ = true;
+  flowsLeft_ = aAction.flowsLeft_;
+  CheckEnded(aNow, aOut);
+}
+
+void
+Agent::Parts::Carry(TimePoint, request::SendToHost& aAction, Actions& aOut)
+{
+  const auto address = AddressOf(NodeId{ aAction.to_.value_ });
+  if (!address) {
+    ++unreachable_;
+    return;
+  }
+  aOut.emplace_back(SendNode{ *address, std::move(aAction.message_) });
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow,
+                    request::SendToBalancer& aAction,
+                    Actions& aOut)
+{
+  const auto address = AddressOf(aAction.to_);
+  if (!address) {
+    ++unreachable_;
+    return;
+  }
+  aOut.emplace_back(SendNode{ *address, std::move(aAction.message_) });
+  if (auto pushback = slots_.TakePushback(aNow)) {
+    aOut.emplace_back(SendNode{ *address, std::move(*pushback) });
+  }
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow, request::Offer& aAction, Actions& aOut)
+{
+  FeedRequests(aNow, slots_.Offer(aNow, aAction), aOut);
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow,
+                    request::ReleaseSlot& aAction,
+                    Actions& aOut)
+{
+  runIds_.erase(aAction.run_);
+  FeedRequests(aNow, slots_.Release(aNow, aAction.run_), aOut);
+}
+
+void
+Agent::Parts::Carry(TimePoint, request::StartRun& aAction, Actions& aOut)
+{
+  runIds_[aAction.run_] = aAction.id_;
+  const auto target = classes_->find(aAction.work_.class_);
+  aOut.emplace_back(RunAtUpstream{
+    aAction.run_,
+    aAction.id_,
+    target == classes_->end() ? std::string() : target->second.name_,
+    aAction.timeLeft_,
+    std::move(aAction.body_) });
+}
+
+void
+Agent::Parts::Carry(TimePoint, request::CancelRun& aAction, Actions& aOut)
+{
+  const auto id = runIds_.find(aAction.run_);
+  if (id != runIds_.end()) {
+    aOut.emplace_back(CancelAtUpstream{ id->second });
+  }
+}
+
+void
+Agent::Parts::Carry(TimePoint aNow, request::Drained&, Actions& aOut)
+{
+  requestsDrained_ = true;
+  CheckEnded(aNow, aOut);
+}
+
+void
+Agent::Parts::Publish(TimePoint aNow, Actions& aOut)
+{
+  published_ = true;
+  ++self_.sequence_;
+  FeedNode(aNow, dissemination::HostAnnounced{ self_ }, aOut);
+  hosts_ = node_.Hosts().OfService(self_.service_);
+  ApplyTargets(aNow, aOut);
+}
+
+void
+Agent::Parts::MaybePublishFirst(TimePoint aNow, Actions& aOut)
+{
+  if (!published_ && (node_.ConfirmedAt() || publishBy_ <= aNow)) {
+    Publish(aNow, aOut);
+  }
+}
+
+void
+Agent::Parts::NoteOwnRecord(const HostRecord& aRecord)
+{
+  if (aRecord.incarnation_ == self_.incarnation_) {
+    self_.sequence_ = std::max(self_.sequence_, aRecord.sequence_);
+  }
+}
+
+void
+Agent::Parts::ApplyTargets(TimePoint aNow, Actions& aOut)
+{
+  for (const auto& service : configuration_.services_) {
+    if (service.id_ != self_.service_) {
+      continue;
+    }
+    classes_->clear();
+    for (const auto& target : service.classes_) {
+      classes_->emplace(target.id_, target);
+    }
+    connections_->Configure(service, self_.connectionLimit_);
+    FeedRequests(
+      aNow, slots_.Configure(aNow, service, self_.id_, hosts_), aOut);
+    hasTargets_ = true;
+  }
+  CheckReady(aNow, aOut);
+}
+
+void
+Agent::Parts::CheckConfirmed(TimePoint aNow, Actions& aOut)
+{
+  const auto confirmed = node_.ConfirmedAt();
+  if (confirmed && confirmed != confirmedAt_) {
+    confirmedAt_ = confirmed;
+    FeedFlows(aNow, flow::ViewConfirmed{ *confirmed }, aOut);
+  }
+}
+
+void
+Agent::Parts::CheckEnded(TimePoint aNow, Actions& aOut)
+{
+  if (!stopping_ || !flowsStopped_ || !requestsDrained_ || ended_) {
+    return;
+  }
+  ended_ = true;
+  self_.state_ = HostState::Gone;
+  self_.held_.reset();
+  Publish(aNow, aOut);
+  aOut.emplace_back(Ended{ flowsLeft_ });
+}
+
+std::optional<Address>
+Agent::Parts::AddressOf(NodeId aNode) const
+{
+  if (const auto* host = node_.Hosts().Find(HostId{ aNode.value_ })) {
+    return host->agent_;
+  }
+  const auto known = node_.AddressOf(aNode);
+  return known ? known : book_.Find(aNode);
+}
+
+} // namespace cornelshore::role
--- /dev/null
+++ b/src/cornelshore/role/balancer.cpp
@@ -0,0 +1,406 @@
+#include <cornelshore/role/balancer.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <cornelshore/admission/shedder.hpp>
+#include <cornelshore/role/address_book.hpp>
+#include <cornelshore/role/host_dump.hpp>
+
+namespace cornelshore::role {
+
+namespace {
+
+using Actions = std::vector<BalancerAction>;
+
+/** How long a stopping balancer goes on, so that the fabric can leave it. */
+constexpr Duration kStopLinger = std::chrono::seconds{ 2 };
+
+request::Reason
+ReasonOf(admission::Refusal)
+{
+  return request::Reason::Overloaded;
+}
+
+template<typename Relayed>
+constexpr bool kIsBound = requires(const Relayed& aMessage)
+{
+  aMessage.key_.ticket_;
+};
+
+} // namespace
+
+struct Balancer::Parts
+{
+  Parts(dissemination::Node aNode, request::Balancer aRequests, Hooks aHooks)
+    : node_(std::move(aNode))
+    , requests_(std::move(aRequests))
+    , hooks_(std::move(aHooks))
+  {
+  }
+
+  void Feed(TimePoint aNow, const dissemination::Event& aEvent, Actions& aOut)
+  {
+    for (auto& action : node_.On(aNow, aEvent)) {
+      std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+    }
+  }
+
+  void Carry(TimePoint, dissemination::Send& aSend, Actions& aOut)
+  {
+    aOut.emplace_back(SendNode{ aSend.address_, std::move(aSend.message_) });
+  }
+
+  void Carry(TimePoint aNow, dissemination::HostsChanged& aChange, Actions&)
+  {
+    flows_.Update(aNow, aChange.records_);
+  }
+
+  void Carry(TimePoint, dissemination::PeersChanged&, Actions&) {}
+
+  void Carry(TimePoint, dissemination::ConfigChanged& aChange, Actions& aOut)
+  {
+    const auto configuration = hooks_.decode_(aChange.bytes_);
+    if (!configuration.ok()) {
+      aOut.emplace_back(
+        Log{ Weight::Error,
+             "configuration_unreadable",
+             { { "version", std::to_string(aChange.version_.value_) } } });
+      return;
+    }
+    shedder_->Configure(*configuration);
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           "configuration_in_force",
+           { { "version", std::to_string(aChange.version_.value_) },
+             { "confirmed", aChange.confirmed_ ? "yes" : "no" } } });
+  }
+
+  void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
+  {
+    book_.Learn(aEvent.from_, aEvent.address_);
+    std::visit([&](auto& aMessage) { Receive(aNow, aEvent, aMessage, aOut); },
+               aEvent.message_);
+  }
+
+  void Receive(TimePoint,
+               const NodeMessage&,
+               FlowAnswer& aAnswer,
+               Actions& aOut)
+  {
+    ++flowAnswers_;
+    aOut.emplace_back(SendFlowAnswer{ std::move(aAnswer) });
+  }
+
+  void Receive(TimePoint,
+               const NodeMessage&,
+               request::Message& aMessage,
+               Actions& aOut)
+  {
+    Relay(requests_.FromHost(std::move(aMessage)), aOut);
+  }
+
+  void Receive(TimePoint aNow,
+               const NodeMessage& aFrom,
+               const admission::Pushback& aPushback,
+               Actions&)
+  {
+    shedder_->OnPushback(aNow, HostId{ aFrom.from_.value_ }, aPushback);
+  }
+
+  void Receive(TimePoint aNow,
+               const NodeMessage& aFrom,
+               dissemination::Message& aMessage,
+               Actions& aOut)
+  {
+    Feed(aNow,
+         dissemination::Received{
+           aFrom.from_, aFrom.address_, std::move(aMessage) },
+         aOut);
+  }
+
+  template<typename Other>
+  void Receive(TimePoint, const NodeMessage&, const Other&, Actions&)
+  {
+    ++misplaced_;
+  }
+
+  void Handle(TimePoint aNow, flow::Packet& aEvent, Actions& aOut)
+  {
+    ++packets_;
+    auto decision = flows_.OnPacket(aNow, std::move(aEvent));
+    if (const auto* refusal = std::get_if<flow::Refusal>(&decision)) {
+      ++packetsRefused_[static_cast<std::size_t>(*refusal)];
+      return;
+    }
+    auto& send = std::get<flow::Send>(decision);
+    const auto* host = node_.Hosts().Find(send.to_);
+    if (host == nullptr) {
+      ++packetsRefused_[static_cast<std::size_t>(flow::Refusal::NoReadyHost)];
+      return;
+    }
+    aOut.emplace_back(SendNode{ host->agent_, std::move(send.envelope_) });
+  }
+
+  void Handle(TimePoint aNow, CallerMessage& aEvent, Actions& aOut)
+  {
+    const auto hosts =
+      std::visit([this](const auto& aMessage) { return HostsFor(aMessage); },
+                 aEvent.message_);
+    Relay(requests_.FromCaller(
+            aNow, aEvent.caller_, std::move(aEvent.message_), hosts),
+          aOut);
+  }
+
+  void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+  {
+    if (!stopAt_) {
+      stopAt_ = aNow + kStopLinger;
+      Feed(aNow, dissemination::SelfAnnounced{ self_, true }, aOut);
+    }
+  }
+
+  void Handle(TimePoint aNow, Tick&, Actions& aOut)
+  {
+    if (node_.NextTimer() <= aNow) {
+      Feed(aNow, dissemination::Tick{}, aOut);
+    }
+    if (stopAt_ && *stopAt_ <= aNow) {
+      aOut.emplace_back(Ended{});
+    }
+  }
+
+  [[nodiscard]] std::vector<HostRecord> HostsFor(
+    const request::TicketRequest& aRequest) const
+  {
+    return node_.Hosts().OfService(aRequest.work_.service_);
+  }
+
+  template<typename Relayed>
+  [[nodiscard]] std::vector<HostRecord> HostsFor(const Relayed& aMessage) const
+  {
+    std::vector<HostRecord> hosts;
+    if constexpr (kIsBound<Relayed>) {
+      const auto& ticket = aMessage.key_.ticket_;
+      for (const auto& authority : { ticket.home_, ticket.backup_ }) {
+        if (const auto* record = node_.Hosts().Find(authority.host_)) {
+          hosts.push_back(*record);
+        }
+      }
+    }
+    return hosts;
+  }
+
+  void Relay(std::vector<request::BalancerAction> aActions, Actions& aOut)
+  {
+    for (auto& action : aActions) {
+      if (auto* toHost = std::get_if<request::SendToHost>(&action)) {
+        const auto address = AddressOf(toHost->to_);
+        if (address) {
+          aOut.emplace_back(SendNode{ *address, std::move(toHost->message_) });
+        }
+        continue;
+      }
+      aOut.emplace_back(std::get<request::SendToCaller>(std::move(action)));
+    }
+  }
+
+  [[nodiscard]] std::optional<Address> AddressOf(HostId aHost) const
+  {
+    if (const auto* record = node_.Hosts().Find(aHost)) {
+      return record->agent_;
+    }
+    return book_.Find(NodeId{ aHost.value_ });
+  }
+
+  dissemination::Node node_;
+  request::Balancer requests_;
+  Hooks hooks_;
+  std::unique_ptr<admission::Shedder> shedder_;
+  flow::Balancer flows_;
+  internal::AddressBook book_;
+  Address self_;
+  std::optional<TimePoint> stopAt_;
+  std::uint64_t packets_{};
+  std::array<std::uint64_t, flow::kRefusalNames.size()> packetsRefused_{};
+  std::uint64_t flowAnswers_{};
+  std::uint64_t misplaced_{};
+};
+
+Balancer::Balancer(std::unique_ptr<Parts> aParts)
+  : parts_(std::move(aParts))
+{
+}
+
+Balancer::~Balancer() = default;
+
+std::vector<BalancerAction>
+Balancer::On(TimePoint aNow, BalancerEvent aEvent)
+{
+  Actions out;
+  std::visit([&](auto& aKind) { parts_->Handle(aNow, aKind, out); }, aEvent);
+  return out;
+}
+
+TimePoint
+Balancer::NextTimer() const
+{
+  const auto next = parts_->node_.NextTimer();
+  return parts_->stopAt_ ? std::min(next, *parts_->stopAt_) : next;
+}
+
+Dump
+Balancer::State(TimePoint aNow) const
+{
+  const auto flows = parts_->flows_.Dump();
+  const auto& requests = parts_->requests_.Dump();
+  Dump::Items shed;
+  for (const auto& row : parts_->shedder_->Dump()) {
+    shed.push_back(Dump()
+                     .With("class", row.name_)
+                     .With("limiting", row.limiting_)
+                     .With("passed", row.passed_)
+                     .With("shed", row.shed_));
+  }
+  return Dump()
+    .With("role", "balancer")
+    .With("stopping", parts_->stopAt_.has_value())
+    .With("node", internal::DumpNode(parts_->node_, aNow))
+    .With("flows",
+          Dump()
+            .With("table_epoch", flows.epoch_.value_)
+            .With("services", std::uint64_t{ flows.services_ })
+            .With("hosts", std::uint64_t{ flows.hosts_ })
+            .With("table_bytes", std::uint64_t{ flows.tableBytes_ })
+            .With("packets", parts_->packets_)
+            .With("packets_refused_unknown_service", parts_->packetsRefused_[0])
+            .With("packets_refused_no_ready_host", parts_->packetsRefused_[1])
+            .With("answers", parts_->flowAnswers_))
+    .With("requests",
+          Dump()
+            .With("ticket_requests", requests.ticketRequests_)
+            .With("tickets_refused", requests.ticketsRefused_)
+            .With("to_home", requests.toHome_)
+            .With("to_backup", requests.toBackup_)
+            .With("to_nobody", requests.toNobody_)
+            .With("to_caller", requests.toCaller_)
+            .With("ignored", requests.ignored_))
+    .With("classes", std::move(shed))
+    .With("messages_misplaced", parts_->misplaced_);
+}
+
+Dump
+Balancer::Hosts() const
+{
+  return internal::DumpHosts(parts_->node_);
+}
+
+std::vector<Figure>
+Balancer::Figures(TimePoint aNow) const
+{
+  const auto counter = [](const char* aName, const char* aHelp, auto aValue) {
+    return Figure{
+      aName, aHelp, FigureKind::Counter, {}, static_cast<double>(aValue)
+    };
+  };
+  const auto gauge = [](const char* aName, const char* aHelp, auto aValue) {
+    return Figure{
+      aName, aHelp, FigureKind::Gauge, {}, static_cast<double>(aValue)
+    };
+  };
+  const auto& parts = *parts_;
+  const auto node = parts.node_.Dump(aNow);
+  std::vector<Figure> figures{
+    counter("cornelshore_balancer_packets_total",
+            "Packets received from the fabric.",
+            parts.packets_),
+    counter("cornelshore_balancer_flow_answers_total",
+            "Answers of flows relayed to callers.",
+            parts.flowAnswers_),
+    counter("cornelshore_balancer_requests_relayed_total",
+            "Request messages relayed to hosts.",
+            parts.requests_.Dump().toHome_ + parts.requests_.Dump().toBackup_),
+    gauge("cornelshore_config_version",
+          "Version of the configuration in force.",
+          node.config_.value_),
+    gauge("cornelshore_config_confirmed",
+          "1 when control lately confirmed the configuration in force.",
+          node.confirmed_ ? 1 : 0),
+    gauge("cornelshore_hosts", "Host records known.", node.hosts_),
+    counter("cornelshore_control_sent_bytes_total",
+            "Bytes of control messages sent.",
+            node.bytesSent_),
+  };
+  for (std::size_t index = 0; index < flow::kRefusalNames.size(); ++index) {
+    auto figure = counter("cornelshore_balancer_packets_refused_total",
+                          "Packets sent to no host.",
+                          parts.packetsRefused_[index]);
+    figure.labels_.emplace_back("reason", flow::kRefusalNames[index].name_);
+    figures.push_back(std::move(figure));
+  }
+  for (const auto& row : parts.shedder_->Dump()) {
+    auto figure = counter(
+      "cornelshore_balancer_shed_total", "Requests refused early.", row.shed_);
+    figure.labels_.emplace_back("class", row.name_);
+    figures.push_back(std::move(figure));
+  }
+  return figures;
+}
+
+Balancer::Builder::Builder(dissemination::NodeSettings aNode)
+  : node_(std::move(aNode))
+{
+  node_.role_ = membership::NodeRole::Balancer;
+}
+
+Balancer::Builder&
+Balancer::Builder::WithSeeds(std::vector<Address> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  return *this;
+}
+
+Balancer::Builder&
+Balancer::Builder::WithHooks(Hooks aHooks)
+{
+  hooks_ = std::move(aHooks);
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<Balancer>>
+Balancer::Builder::Build(TimePoint aNow) const
+{
+  auto node = dissemination::Node::Builder(node_).Build();
+  if (!node.ok()) {
+    return node.status();
+  }
+  auto shedder = std::make_unique<admission::Shedder>(node_.seed_);
+  auto* const shed = shedder.get();
+  const auto admit =
+    [shed](TimePoint aAt,
+           const request::Work& aWork) -> std::optional<request::Refusal> {
+    const auto answer = shed->Admit(
+      aAt, aWork.service_, aWork.class_, admission::CallerId{ aWork.caller_ });
+    if (answer.passed_) {
+      return std::nullopt;
+    }
+    return request::Refusal{ ReasonOf(answer.reason_), answer.retryAfter_ };
+  };
+  auto requests = request::BalancerBuilder()
+                    .WithSelf(node_.self_)
+                    .WithAdmission(admit)
+                    .Build();
+  if (!requests.ok()) {
+    return requests.status();
+  }
+  auto parts =
+    std::make_unique<Parts>(std::move(*node), std::move(*requests), hooks_);
+  parts->shedder_ = std::move(shedder);
+  parts->self_ = node_.address_;
+  Actions none;
+  parts->Feed(aNow, dissemination::SeedsKnown{ seeds_ }, none);
+  return std::unique_ptr<Balancer>(new Balancer(std::move(parts)));
+}
+
+} // namespace cornelshore::role
--- /dev/null
+++ b/src/cornelshore/role/balancer.hpp
@@ -0,0 +1,106 @@
+#ifndef CORNELSHORE_ROLE_BALANCER_HPP
+#define CORNELSHORE_ROLE_BALANCER_HPP
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/dump.hpp>
+#include <cornelshore/core/figure.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/flow/balancer.hpp>
+#include <cornelshore/request/balancer.hpp>
+#include <cornelshore/role/event.hpp>
+#include <cornelshore/role/hooks.hpp>
+
+namespace cornelshore::role {
+
+/** @brief A caller's request datagram. */
+struct CallerMessage
+{
+  Address caller_;
+  request::Message message_;
+};
+
+/** @brief What happens to a balancer; a packet is a `flow::Packet`. */
+using BalancerEvent =
+  std::variant<NodeMessage, flow::Packet, CallerMessage, StopRequested, Tick>;
+
+/** @brief Send a flow's answer from the service's address to its caller. */
+struct SendFlowAnswer
+{
+  FlowAnswer answer_;
+};
+
+/** @brief What a balancer wants done, in this order. */
+using BalancerAction =
+  std::variant<SendNode, SendFlowAnswer, request::SendToCaller, Log, Ended>;
+
+/**
+ * @brief A balancer: names an agent for each packet and request.
+ *
+ * Holds no state of any flow or request; any of its kind can take over at any
+ * packet.
+ */
+class Balancer
+{
+public:
+  class Builder;
+
+  ~Balancer();
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+
+  /** @brief Takes one event and says what is to be done. */
+  [[nodiscard]] std::vector<BalancerAction> On(TimePoint aNow,
+                                               BalancerEvent aEvent);
+
+  /** @brief When `Tick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const;
+
+  /** @brief State for the dump on request. */
+  [[nodiscard]] Dump State(TimePoint aNow) const;
+
+  /** @brief Hosts known, for operators. */
+  [[nodiscard]] Dump Hosts() const;
+
+  /** @brief Counters and gauges for the metrics. */
+  [[nodiscard]] std::vector<Figure> Figures(TimePoint aNow) const;
+
+private:
+  struct Parts;
+
+  explicit Balancer(std::unique_ptr<Parts> aParts);
+
+  std::unique_ptr<Parts> parts_;
+};
+
+/** @brief Builds a balancer. */
+class Balancer::Builder
+{
+public:
+  /** @param aNode Who it is; its role is set to balancer. */
+  explicit Builder(dissemination::NodeSettings aNode);
+
+  Builder& WithSeeds(std::vector<Address> aSeeds);
+  Builder& WithHooks(Hooks aHooks);
+
+  /** @return The balancer, or `InvalidArgument` naming the setting. */
+  [[nodiscard]] absl::StatusOr<std::unique_ptr<Balancer>> Build(
+    TimePoint aNow) const;
+
+private:
+  dissemination::NodeSettings node_;
+  std::vector<Address> seeds_;
+  Hooks hooks_;
+};
+
+} // namespace cornelshore::role
+
+#endif
--- /dev/null
+++ b/src/cornelshore/role/control.cpp
@@ -0,0 +1,427 @@
+#include <cornelshore/role/control.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <cornelshore/admission/validate.hpp>
+#include <cornelshore/role/address_book.hpp>
+#include <cornelshore/role/host_dump.hpp>
+
+namespace cornelshore::role {
+
+namespace {
+
+using Actions = std::vector<ControlAction>;
+
+/** How often control says that it stands behind the configuration. */
+constexpr Duration kConfirmEvery = std::chrono::seconds{ 1 };
+
+} // namespace
+
+struct Control::Parts
+{
+  Parts(dissemination::Node aNode, consensus::Replica aReplica)
+    : node_(std::move(aNode))
+    , replica_(std::move(aReplica))
+  {
+  }
+
+  void FeedNode(TimePoint aNow,
+                const dissemination::Event& aEvent,
+                Actions& aOut)
+  {
+    for (auto& action : node_.On(aNow, aEvent)) {
+      std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+    }
+  }
+
+  void FeedReplica(TimePoint aNow, consensus::Event aEvent, Actions& aOut)
+  {
+    for (auto& action : replica_.On(aNow, std::move(aEvent))) {
+      std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+    }
+  }
+
+  void Carry(TimePoint, dissemination::Send& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(
+      SendNode{ aAction.address_, std::move(aAction.message_) });
+  }
+
+  template<typename Ignored>
+  void Carry(TimePoint, const Ignored&, Actions&)
+  {
+  }
+
+  void Carry(TimePoint, dissemination::ConfigChanged& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           "configuration_in_force",
+           { { "version", std::to_string(aAction.version_.value_) },
+             { "confirmed", aAction.confirmed_ ? "yes" : "no" } } });
+  }
+
+  void Carry(TimePoint, consensus::Persist& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(std::move(aAction));
+  }
+
+  void Carry(TimePoint, consensus::Send& aAction, Actions& aOut)
+  {
+    const auto address = AddressOf(aAction.message_.to_.node_);
+    if (address) {
+      aOut.emplace_back(SendNode{ *address, std::move(aAction.message_) });
+    }
+  }
+
+  void Carry(TimePoint, consensus::ProposalAnswered& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(ApplyAnswered{
+      aAction.token_, absl::OkStatus(), aAction.status_, aAction.answer_ });
+  }
+
+  void Carry(TimePoint, consensus::MembershipAnswered& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(GroupAnswered{ aAction.token_, aAction.status_ });
+  }
+
+  void Carry(TimePoint, consensus::ReadAnswered& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(ShowAnswered{
+      aAction.token_, aAction.confirmed_, replica_.Applied().Current() });
+  }
+
+  void Carry(TimePoint aNow, consensus::Applied& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           "configuration_accepted",
+           { { "version", std::to_string(aAction.version_.value_) } } });
+    Spread(aNow, aOut);
+  }
+
+  void Carry(TimePoint, consensus::Faulted& aAction, Actions& aOut)
+  {
+    aOut.emplace_back(Log{
+      Weight::Error,
+      "replica_faulted",
+      { { "fault",
+          std::string(NameIn(consensus::kFaultNames, aAction.fault_)) } } });
+  }
+
+  void Spread(TimePoint aNow, Actions& aOut)
+  {
+    const auto& configuration = replica_.Applied().Current();
+    if (configuration.version_.value_ != 0) {
+      FeedNode(aNow,
+               dissemination::ConfigAccepted{ configuration.version_,
+                                              hooks_.encode_(configuration) },
+               aOut);
+    }
+  }
+
+  void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
+  {
+    book_.Learn(aEvent.from_, aEvent.address_);
+    if (auto* message = std::get_if<dissemination::Message>(&aEvent.message_)) {
+      FeedNode(aNow,
+               dissemination::Received{
+                 aEvent.from_, aEvent.address_, std::move(*message) },
+               aOut);
+      return;
+    }
+    auto* message = std::get_if<consensus::Message>(&aEvent.message_);
+    if (message == nullptr || message->from_.node_ != aEvent.from_) {
+      ++misplaced_;
+      return;
+    }
+    FeedReplica(aNow, consensus::Received{ std::move(*message) }, aOut);
+  }
+
+  void Handle(TimePoint aNow, consensus::Synced& aEvent, Actions& aOut)
+  {
+    FeedReplica(aNow, aEvent, aOut);
+  }
+
+  void Handle(TimePoint aNow, consensus::StorageFailed& aEvent, Actions& aOut)
+  {
+    FeedReplica(aNow, aEvent, aOut);
+  }
+
+  void Handle(TimePoint aNow, ApplyRequested& aEvent, Actions& aOut)
+  {
+    const auto validity = Validity(aEvent.change_);
+    if (!validity.ok()) {
+      aOut.emplace_back(ApplyAnswered{
+        aEvent.token_, validity, consensus::ProposalStatus::Invalid, {} });
+      return;
+    }
+    FeedReplica(aNow,
+                consensus::Propose{ aEvent.token_, std::move(aEvent.change_) },
+                aOut);
+  }
+
+  void Handle(TimePoint aNow, ShowRequested& aEvent, Actions& aOut)
+  {
+    FeedReplica(aNow, consensus::Read{ aEvent.token_ }, aOut);
+  }
+
+  void Handle(TimePoint aNow, GroupRequested& aEvent, Actions& aOut)
+  {
+    FeedReplica(aNow,
+                consensus::ChangeMembership{
+                  aEvent.token_, aEvent.kind_, aEvent.replica_ },
+                aOut);
+  }
+
+  void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+  {
+    FeedNode(aNow, dissemination::SelfAnnounced{ self_, true }, aOut);
+    aOut.emplace_back(Ended{});
+  }
+
+  void Handle(TimePoint aNow, Tick&, Actions& aOut)
+  {
+    if (replica_.NextTimer() <= aNow) {
+      FeedReplica(aNow, consensus::Tick{}, aOut);
+    }
+    if (confirmAt_ <= aNow) {
+      confirmAt_ = aNow + kConfirmEvery;
+      Confirm(aNow, aOut);
+    }
+    if (node_.NextTimer() <= aNow) {
+      FeedNode(aNow, dissemination::Tick{}, aOut);
+    }
+  }
+
+  void Confirm(TimePoint aNow, Actions& aOut)
+  {
+    if (replica_.HoldsLease(aNow)) {
+      FeedNode(
+        aNow,
+        dissemination::ControlConfirmed{ replica_.Applied().Current().version_,
+                                         replica_.Dump(aNow).term_.value_ },
+        aOut);
+    }
+  }
+
+  [[nodiscard]] absl::Status Validity(const consensus::Change& aChange) const
+  {
+    Configuration configuration;
+    configuration.services_ = aChange.services_;
+    std::map<ServiceId, admission::FleetCapacity> byService;
+    for (const auto& host : node_.Hosts().All()) {
+      if (host.state_ != HostState::Ready) {
+        continue;
+      }
+      auto& fleet = byService[host.service_];
+      fleet.service_ = host.service_;
+      ++fleet.hosts_;
+      fleet.slots_ += host.slots_;
+    }
+    std::vector<admission::FleetCapacity> fleet;
+    for (const auto& [service, capacity] : byService) {
+      fleet.push_back(capacity);
+    }
+    return admission::Validate(configuration, fleet);
+  }
+
+  [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const
+  {
+    const auto member = members_.find(aNode);
+    if (member != members_.end()) {
+      return member->second;
+    }
+    const auto known = node_.AddressOf(aNode);
+    return known ? known : book_.Find(aNode);
+  }
+
+  dissemination::Node node_;
+  consensus::Replica replica_;
+  Hooks hooks_;
+  internal::AddressBook book_;
+  std::map<NodeId, Address> members_;
+  Address self_;
+  TimePoint confirmAt_{};
+  std::uint64_t misplaced_{};
+};
+
+Control::Control(std::unique_ptr<Parts> aParts)
+  : parts_(std::move(aParts))
+{
+}
+
+Control::~Control() = default;
+
+std::vector<ControlAction>
+Control::On(TimePoint aNow, ControlEvent aEvent)
+{
+  Actions out;
+  std::visit([&](auto& aKind) { parts_->Handle(aNow, aKind, out); }, aEvent);
+  return out;
+}
+
+TimePoint
+Control::NextTimer() const
+{
+  return std::min({ parts_->replica_.NextTimer(),
+                    parts_->node_.NextTimer(),
+                    parts_->confirmAt_ });
+}
+
+Dump
+Control::State(TimePoint aNow) const
+{
+  const auto replica = parts_->replica_.Dump(aNow);
+  Dump::Items members;
+  for (const auto& member : replica.membership_.members_) {
+    members.push_back(
+      Dump()
+        .With("node", internal::HexOf(member.id_.node_.value_))
+        .With("disk", internal::HexOf(member.id_.disk_.value_))
+        .With("role", NameIn(consensus::kMemberRoleNames, member.role_)));
+  }
+  Dump::Items joining;
+  for (const auto& id : replica.joining_) {
+    joining.push_back(Dump()
+                        .With("node", internal::HexOf(id.node_.value_))
+                        .With("disk", internal::HexOf(id.disk_.value_)));
+  }
+  return Dump()
+    .With("role", "control")
+    .With("node", internal::DumpNode(parts_->node_, aNow))
+    .With("replica",
+          Dump()
+            .With("node", internal::HexOf(replica.id_.node_.value_))
+            .With("disk", internal::HexOf(replica.id_.disk_.value_))
+            .With("role", NameIn(consensus::kRoleNames, replica.role_))
+            .With("fault", NameIn(consensus::kFaultNames, replica.fault_))
+            .With("verified", replica.verified_)
+            .With("holds_lease", replica.holdsLease_)
+            .With("term", replica.term_.value_)
+            .With("leader",
+                  replica.leader_
+                    ? internal::HexOf(replica.leader_->node_.value_)
+                    : std::string())
+            .With("last_index", replica.last_.index_.value_)
+            .With("commit_index", replica.commit_.value_)
+            .With("applied_index", replica.applied_.value_)
+            .With("snapshot_index", replica.snapshot_.value_)
+            .With("version", replica.version_.value_)
+            .With("log_bytes", std::uint64_t{ replica.logBytes_ })
+            .With("members", std::move(members))
+            .With("joining", std::move(joining)))
+    .With("messages_misplaced", parts_->misplaced_);
+}
+
+Dump
+Control::History() const
+{
+  Dump::Items changes;
+  const auto& history = parts_->replica_.Applied().History();
+  for (auto entry = history.rbegin(); entry != history.rend(); ++entry) {
+    changes.push_back(Dump()
+                        .With("version", entry->version_.value_)
+                        .With("change_id",
+                              internal::HexOf(entry->change_.high_) +
+                                internal::HexOf(entry->change_.low_))
+                        .With("operator", entry->operator_)
+                        .With("at", entry->wallMillis_));
+  }
+  return Dump().With("changes", std::move(changes));
+}
+
+Dump
+Control::Hosts() const
+{
+  return internal::DumpHosts(parts_->node_);
+}
+
+std::vector<Figure>
+Control::Figures(TimePoint aNow) const
+{
+  const auto replica = parts_->replica_.Dump(aNow);
+  const auto node = parts_->node_.Dump(aNow);
+  const auto gauge = [](const char* aName, const char* aHelp, double aValue) {
+    return Figure{ aName, aHelp, FigureKind::Gauge, {}, aValue };
+  };
+  return {
+    gauge("cornelshore_control_leader",
+          "1 when this replica leads.",
+          replica.role_ == consensus::Role::Leader ? 1 : 0),
+    gauge("cornelshore_control_holds_lease",
+          "1 when this replica holds the lease.",
+          replica.holdsLease_ ? 1 : 0),
+    gauge("cornelshore_control_term",
+          "Term of the replicated log.",
+          static_cast<double>(replica.term_.value_)),
+    gauge("cornelshore_control_commit_index",
+          "Last committed entry of the log.",
+          static_cast<double>(replica.commit_.value_)),
+    gauge("cornelshore_control_log_bytes",
+          "Bytes of the log in memory.",
+          static_cast<double>(replica.logBytes_)),
+    gauge("cornelshore_control_faulted",
+          "1 when the replica takes no further part.",
+          replica.fault_ == consensus::Fault::None ? 0 : 1),
+    gauge("cornelshore_config_version",
+          "Version of the configuration in force.",
+          static_cast<double>(node.config_.value_)),
+    Figure{ "cornelshore_control_sent_bytes_total",
+            "Bytes of control messages sent.",
+            FigureKind::Counter,
+            {},
+            static_cast<double>(node.bytesSent_) },
+  };
+}
+
+Control::Builder::Builder(dissemination::NodeSettings aNode,
+                          consensus::Replica aReplica)
+  : node_(std::move(aNode))
+  , replica_(std::move(aReplica))
+{
+  node_.role_ = membership::NodeRole::Control;
+}
+
+Control::Builder&
+Control::Builder::WithSeeds(std::vector<Address> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  return *this;
+}
+
+Control::Builder&
+Control::Builder::WithMembers(std::vector<std::pair<NodeId, Address>> aMembers)
+{
+  members_ = std::move(aMembers);
+  return *this;
+}
+
+Control::Builder&
+Control::Builder::WithHooks(Hooks aHooks)
+{
+  hooks_ = std::move(aHooks);
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<Control>>
+Control::Builder::Build(TimePoint aNow)
+{
+  auto node = dissemination::Node::Builder(node_).Build();
+  if (!node.ok()) {
+    return node.status();
+  }
+  auto parts = std::make_unique<Parts>(std::move(*node), std::move(replica_));
+  parts->hooks_ = hooks_;
+  parts->self_ = node_.address_;
+  parts->members_.insert(members_.begin(), members_.end());
+  Actions none;
+  parts->FeedNode(aNow, dissemination::SeedsKnown{ seeds_ }, none);
+  parts->Spread(aNow, none);
+  return std::unique_ptr<Control>(new Control(std::move(parts)));
+}
+
+} // namespace cornelshore::role
--- /dev/null
+++ b/src/cornelshore/role/control.hpp
@@ -0,0 +1,158 @@
+#ifndef CORNELSHORE_ROLE_CONTROL_HPP
+#define CORNELSHORE_ROLE_CONTROL_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cornelshore/consensus/event.hpp>
+#include <cornelshore/consensus/replica.hpp>
+#include <cornelshore/core/dump.hpp>
+#include <cornelshore/core/figure.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/role/event.hpp>
+#include <cornelshore/role/hooks.hpp>
+
+namespace cornelshore::role {
+
+/** @brief An operator proposes targets; answered by `ApplyAnswered`. */
+struct ApplyRequested
+{
+  consensus::Token token_;
+  consensus::Change change_;
+};
+
+/** @brief An operator asks for the configuration; see `ShowAnswered`. */
+struct ShowRequested
+{
+  consensus::Token token_;
+};
+
+/** @brief An operator changes the control group; see `GroupAnswered`. */
+struct GroupRequested
+{
+  consensus::Token token_;
+  consensus::MembershipChangeKind kind_{
+    consensus::MembershipChangeKind::AddLearner
+  };
+  consensus::ReplicaId replica_;
+};
+
+/** @brief What happens to a control process. */
+using ControlEvent = std::variant<NodeMessage,
+                                  consensus::Synced,
+                                  consensus::StorageFailed,
+                                  ApplyRequested,
+                                  ShowRequested,
+                                  GroupRequested,
+                                  StopRequested,
+                                  Tick>;
+
+/** @brief Outcome of a proposal. */
+struct ApplyAnswered
+{
+  consensus::Token token_;
+  /** `InvalidArgument`/`FailedPrecondition` when the targets do not fit. */
+  absl::Status validity_;
+  consensus::ProposalStatus status_{ consensus::ProposalStatus::Unavailable };
+  consensus::ChangeAnswer answer_;
+};
+
+/** @brief Configuration in force. */
+struct ShowAnswered
+{
+  consensus::Token token_;
+  bool confirmed_{}; ///< A lease or a quorum vouches that it is current.
+  Configuration configuration_;
+};
+
+/** @brief Outcome of a change of the control group. */
+struct GroupAnswered
+{
+  consensus::Token token_;
+  consensus::MembershipStatus status_{
+    consensus::MembershipStatus::Unavailable
+  };
+};
+
+/** @brief What a control process wants done, in this order. */
+using ControlAction = std::variant<SendNode,
+                                   consensus::Persist,
+                                   ApplyAnswered,
+                                   ShowAnswered,
+                                   GroupAnswered,
+                                   Log,
+                                   Ended>;
+
+/** @brief A control process: keeps the accepted configuration. */
+class Control
+{
+public:
+  class Builder;
+
+  ~Control();
+  Control(const Control&) = delete;
+  Control& operator=(const Control&) = delete;
+
+  /** @brief Takes one event and says what is to be done. */
+  [[nodiscard]] std::vector<ControlAction> On(TimePoint aNow,
+                                              ControlEvent aEvent);
+
+  /** @brief When `Tick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const;
+
+  /** @brief State for the dump on request. */
+  [[nodiscard]] Dump State(TimePoint aNow) const;
+
+  /** @brief The last accepted changes, the newest first. */
+  [[nodiscard]] Dump History() const;
+
+  /** @brief Hosts known, for operators. */
+  [[nodiscard]] Dump Hosts() const;
+
+  /** @brief Counters and gauges for the metrics. */
+  [[nodiscard]] std::vector<Figure> Figures(TimePoint aNow) const;
+
+private:
+  struct Parts;
+
+  explicit Control(std::unique_ptr<Parts> aParts);
+
+  std::unique_ptr<Parts> parts_;
+};
+
+/** @brief Builds a control process. */
+class Control::Builder
+{
+public:
+  /**
+   * @param aNode Who it is; its role is set to control.
+   * @param aReplica The replica, built from what its disk holds.
+   */
+  Builder(dissemination::NodeSettings aNode, consensus::Replica aReplica);
+
+  Builder& WithSeeds(std::vector<Address> aSeeds);
+  /** @brief Addresses of the control processes, by node. */
+  Builder& WithMembers(std::vector<std::pair<NodeId, Address>> aMembers);
+  Builder& WithHooks(Hooks aHooks);
+
+  /** @return The process, or `InvalidArgument` naming the setting. */
+  [[nodiscard]] absl::StatusOr<std::unique_ptr<Control>> Build(TimePoint aNow);
+
+private:
+  dissemination::NodeSettings node_;
+  consensus::Replica replica_;
+  std::vector<Address> seeds_;
+  std::vector<std::pair<NodeId, Address>> members_;
+  Hooks hooks_;
+};
+
+} // namespace cornelshore::role
+
+#endif
