--- a/src/cornelshore/flow/balancer.cpp
+++ b/src/cornelshore/flow/balancer.cpp
@@ -5,7 +5,17 @@
 namespace cornelshore::flow {
 
 bool
-Balancer::Take(const HostRecord& aRecord)
+Balancer::MakeRoom()
+{
+  if (hosts_.size() >= kMostHosts) {
+    absl::erase_if(hosts_,
+                   [](const auto& aHost) { return aHost.second.gone_; });
+  }
+  return hosts_.size() < kMostHosts;
+}
+
+bool
+Balancer::Take(const HostRecord& aRecord, Changes& aChanges)
 {
   const auto found = hosts_.find(aRecord.id_);
   if (found != hosts_.end()) {
@@ -15,21 +25,25 @@
       return false;
     }
     if (known.service_ != aRecord.service_) {
-      auto& former = services_[known.service_];
-      former.table_.Set(aRecord.id_, 0);
-      former.draining_.erase(aRecord.id_);
+      aChanges[known.service_].push_back({ aRecord.id_, 0 });
+      services_[known.service_].draining_.erase(aRecord.id_);
     }
   }
   if (!services_.contains(aRecord.service_) &&
       services_.size() >= kMostServices) {
     return false;
   }
+  if (found == hosts_.end() && !MakeRoom()) {
+    return false;
+  }
   hosts_[aRecord.id_] = { aRecord.incarnation_,
                           aRecord.sequence_,
-                          aRecord.service_ };
+                          aRecord.service_,
+                          aRecord.state_ == HostState::Gone };
   auto& service = services_[aRecord.service_];
   const bool ready = aRecord.state_ == HostState::Ready;
-  service.table_.Set(aRecord.id_, ready ? aRecord.slots_ : std::uint16_t{ 0 });
+  aChanges[aRecord.service_].push_back(
+    { aRecord.id_, ready ? aRecord.slots_ : std::uint16_t{ 0 } });
   const bool drains =
     aRecord.state_ == HostState::Leaving ||
     (aRecord.state_ == HostState::Starting && aRecord.held_.any());
@@ -45,8 +59,12 @@
 Balancer::Update(TimePoint aNow, std::span<const HostRecord> aRecords)
 {
   bool changed = false;
+  Changes changes;
   for (const auto& record : aRecords) {
-    changed = Take(record) || changed;
+    changed = Take(record, changes) || changed;
+  }
+  for (const auto& [service, weights] : changes) {
+    services_[service].table_.Apply(weights);
   }
   if (changed) {
     ++epoch_.value_;
--- a/src/cornelshore/flow/balancer.hpp
+++ b/src/cornelshore/flow/balancer.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -68,6 +69,12 @@
   /** @brief Most services; records of further ones are left out. */
   static constexpr std::size_t kMostServices = 8192;
 
+  /**
+   * @brief Most hosts of all services. Hosts that are gone are forgotten when
+   * more come; records of further ones are left out.
+   */
+  static constexpr std::size_t kMostHosts = 65536;
+
   /** @brief Takes in membership records, all of them or those that changed. */
   void Update(TimePoint aNow, std::span<const HostRecord> aRecords);
 
@@ -102,9 +109,13 @@
     Incarnation incarnation_;
     std::uint64_t sequence_{};
     ServiceId service_;
+    bool gone_{};
   };
 
-  bool Take(const HostRecord& aRecord);
+  using Changes = absl::flat_hash_map<ServiceId, std::vector<routing::Weight>>;
+
+  [[nodiscard]] bool MakeRoom();
+  bool Take(const HostRecord& aRecord, Changes& aChanges);
   [[nodiscard]] static HostId Target(const Service& aService, BucketId aBucket);
 
   TableEpoch epoch_;
--- a/src/cornelshore/routing/table.cpp
+++ b/src/cornelshore/routing/table.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t kMostSingleChanges = 3;
 constexpr auto kNoIndex = std::numeric_limits<std::uint16_t>::max();
 
 /** Weight over the exponential variate that the pair draws. */
@@ -52,7 +53,7 @@
 Table::Score(std::size_t aBucket, Index aIndex) const noexcept
 {
   const auto& member = members_[aIndex];
-  return WeightedScore(aBucket, member.id_, member.slots_);
+  return WeightedScore(aBucket, member.host_, member.slots_);
 }
 
 bool
@@ -60,14 +61,15 @@
 {
   const auto one = Score(aBucket, aOne);
   const auto other = Score(aBucket, aOther);
-  return one != other ? one > other : members_[aOne].id_ < members_[aOther].id_;
+  return one != other ? one > other
+                      : members_[aOne].host_ < members_[aOther].host_;
 }
 
 Table::Index
 Table::FreeIndex()
 {
   const auto found =
-    std::find_if(members_.begin(), members_.end(), [](const Member& aMember) {
+    std::find_if(members_.begin(), members_.end(), [](const Weight& aMember) {
       return aMember.slots_ == 0;
     });
   if (found != members_.end()) {
@@ -117,7 +119,7 @@
     const auto before = [this, &scored](const Scored& aOther) {
       return scored.score_ != aOther.score_
                ? scored.score_ > aOther.score_
-               : members_[scored.index_].id_ < members_[aOther.index_].id_;
+               : members_[scored.index_].host_ < members_[aOther.index_].host_;
     };
     auto* const end = best.begin() + count;
     auto* const place = std::find_if(best.begin(), end, before);
@@ -136,62 +138,76 @@
   }
 }
 
-void
-Table::Add(HostId aHost, std::uint16_t aSlots)
+Table::Index
+Table::IndexOf(HostId aHost) const noexcept
 {
-  const auto index = FreeIndex();
-  if (index == kNoIndex) {
-    return;
+  for (std::size_t index = 0; index < members_.size(); ++index) {
+    if (members_[index].slots_ != 0 && members_[index].host_ == aHost) {
+      return static_cast<Index>(index);
+    }
   }
-  members_[index] = { aHost, aSlots };
-  ++hosts_;
-  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    Insert(bucket, index);
+  return kNoIndex;
+}
+
+Table::Index
+Table::Put(const Weight& aWeight)
+{
+  const auto index = FreeIndex();
+  if (index != kNoIndex) {
+    members_[index] = aWeight;
+    ++hosts_;
   }
+  return index;
 }
 
 void
-Table::Remove(Index aIndex)
+Table::Drop(Index aIndex)
 {
   members_[aIndex] = {};
   --hosts_;
-  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    const auto* row = Row(bucket);
-    if (std::find(row, row + owners_, aIndex) != row + owners_) {
-      Fill(bucket);
-    }
-  }
 }
 
 void
-Table::Set(HostId aHost, std::uint16_t aSlots)
+Table::Change(const Weight& aWeight)
 {
-  const auto found = std::find_if(
-    members_.begin(), members_.end(), [aHost](const Member& aMember) {
-      return aMember.slots_ != 0 && aMember.id_ == aHost;
-    });
-  if (found != members_.end()) {
-    if (found->slots_ == aSlots) {
+  const auto old = IndexOf(aWeight.host_);
+  if (old != kNoIndex) {
+    if (members_[old].slots_ == aWeight.slots_) {
       return;
     }
-    Remove(static_cast<Index>(found - members_.begin()));
+    Drop(old);
+    for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+      const auto* row = Row(bucket);
+      if (std::find(row, row + owners_, old) != row + owners_) {
+        Fill(bucket);
+      }
+    }
   }
-  if (aSlots != 0) {
-    Add(aHost, aSlots);
+  const auto added = aWeight.slots_ == 0 ? kNoIndex : Put(aWeight);
+  for (std::size_t bucket = 0; added != kNoIndex && bucket < kBuckets;
+       ++bucket) {
+    Insert(bucket, added);
   }
 }
 
 void
-Table::Assign(std::span<const HostRecord> aRecords)
+Table::Apply(std::span<const Weight> aChanges)
 {
-  members_.clear();
-  for (const auto& record : aRecords) {
-    if (record.state_ == HostState::Ready && record.slots_ != 0 &&
-        members_.size() < kNoIndex) {
-      members_.push_back({ record.id_, record.slots_ });
+  if (aChanges.size() <= kMostSingleChanges) {
+    for (const auto& change : aChanges) {
+      Change(change);
+    }
+    return;
+  }
+  for (const auto& change : aChanges) {
+    const auto old = IndexOf(change.host_);
+    if (old != kNoIndex) {
+      Drop(old);
+    }
+    if (change.slots_ != 0) {
+      Put(change);
     }
   }
-  hosts_ = members_.size();
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
     Fill(bucket);
   }
@@ -201,7 +217,7 @@
 Table::First(BucketId aBucket) const noexcept
 {
   const auto index = *Row(aBucket.value_ % kBuckets);
-  return index == kNoIndex ? HostId{} : members_[index].id_;
+  return index == kNoIndex ? HostId{} : members_[index].host_;
 }
 
 OwnerList
@@ -210,7 +226,7 @@
   OwnerList owners;
   const auto* row = Row(aBucket.value_ % kBuckets);
   for (std::size_t rank = 0; rank < owners_ && row[rank] != kNoIndex; ++rank) {
-    owners.Append(members_[row[rank]].id_);
+    owners.Append(members_[row[rank]].host_);
   }
   return owners;
 }
@@ -219,7 +235,7 @@
 Table::MemoryBytes() const noexcept
 {
   return rows_.capacity() * sizeof(Index) +
-         members_.capacity() * sizeof(Member);
+         members_.capacity() * sizeof(Weight);
 }
 
 } // namespace cornelshore::routing
--- a/src/cornelshore/routing/table.hpp
+++ b/src/cornelshore/routing/table.hpp
@@ -43,6 +43,13 @@
   std::size_t size_{};
 };
 
+/** @brief A host's weight in a table: its slots; 0 when it owns nothing. */
+struct Weight
+{
+  HostId host_;
+  std::uint16_t slots_{};
+};
+
 /** @brief Bucket of a flow; the same at every process. */
 [[nodiscard]] BucketId BucketOf(const FlowKey& aKey) noexcept;
 
@@ -58,11 +65,12 @@
   /** @param aOwners Owners kept for a bucket, 1 to `kMostOwners`. */
   explicit Table(std::size_t aOwners);
 
-  /** @brief Adds a host, or changes its weight. 0 slots remove it. */
-  void Set(HostId aHost, std::uint16_t aSlots);
-
-  /** @brief Replaces all hosts by the ready ones among the records. */
-  void Assign(std::span<const HostRecord> aRecords);
+  /**
+   * @brief Sets the weights of hosts; other hosts stay as they are.
+   *
+   * A few changes are worked in one by one, many by computing all buckets.
+   */
+  void Apply(std::span<const Weight> aChanges);
 
   /** @brief First owner, or the zero id when there is no host. */
   [[nodiscard]] HostId First(BucketId aBucket) const noexcept;
@@ -76,12 +84,6 @@
   [[nodiscard]] std::size_t MemoryBytes() const noexcept;
 
 private:
-  struct Member
-  {
-    HostId id_;
-    std::uint16_t slots_{};
-  };
-
   using Index = std::uint16_t;
 
   [[nodiscard]] Index* Row(std::size_t aBucket) noexcept;
@@ -93,12 +95,14 @@
   [[nodiscard]] Index FreeIndex();
   void Insert(std::size_t aBucket, Index aIndex);
   void Fill(std::size_t aBucket);
-  void Add(HostId aHost, std::uint16_t aSlots);
-  void Remove(Index aIndex);
+  [[nodiscard]] Index IndexOf(HostId aHost) const noexcept;
+  Index Put(const Weight& aWeight);
+  void Drop(Index aIndex);
+  void Change(const Weight& aWeight);
 
   std::size_t owners_;
   std::size_t hosts_{};
-  std::vector<Member> members_;
+  std::vector<Weight> members_;
   std::vector<Index> rows_;
 };
 
--- a/src/cornelshore/routing/view.cpp
+++ b/src/cornelshore/routing/view.cpp
@@ -12,7 +12,18 @@
 }
 
 bool
-View::Take(const HostRecord& aRecord)
+View::MakeRoom()
+{
+  if (hosts_.size() >= kMostHosts) {
+    absl::erase_if(hosts_, [](const auto& aHost) {
+      return aHost.second.state_ == HostState::Gone;
+    });
+  }
+  return hosts_.size() < kMostHosts;
+}
+
+bool
+View::Take(const HostRecord& aRecord, std::vector<Weight>& aChanges)
 {
   const auto found = hosts_.find(aRecord.id_);
   const bool known = found != hosts_.end();
@@ -31,7 +42,7 @@
     record.held_.reset();
   }
   const bool owns = record.state_ == HostState::Ready;
-  table_.Set(record.id_, owns ? record.slots_ : std::uint16_t{ 0 });
+  aChanges.push_back({ record.id_, owns ? record.slots_ : std::uint16_t{ 0 } });
   return true;
 }
 
@@ -39,10 +50,12 @@
 View::Apply(TimePoint aNow, std::span<const HostRecord> aRecords)
 {
   bool changed = false;
+  std::vector<Weight> weights;
   for (const auto& record : aRecords) {
-    changed = Take(record) || changed;
+    changed = Take(record, weights) || changed;
   }
   if (changed) {
+    table_.Apply(weights);
     since_ = since_.value_or(aNow);
     Expire(aNow);
     NoteChanges(aNow);
--- a/src/cornelshore/routing/view.hpp
+++ b/src/cornelshore/routing/view.hpp
@@ -16,7 +16,10 @@
 
 namespace cornelshore::routing {
 
-/** @brief Most hosts of one service; records of further ones are left out. */
+/**
+ * @brief Most hosts of one service. Hosts that are gone are forgotten when
+ * more come; records of further ones are left out.
+ */
 inline constexpr std::size_t kMostHosts = 4096;
 
 /**
@@ -88,7 +91,8 @@
     bool operator==(const Pair&) const noexcept = default;
   };
 
-  bool Take(const HostRecord& aRecord);
+  [[nodiscard]] bool MakeRoom();
+  bool Take(const HostRecord& aRecord, std::vector<Weight>& aChanges);
   void NoteChanges(TimePoint aNow);
   void NoteFormer(TimePoint aNow, std::size_t aBucket, HostId aHost);
   void Expire(TimePoint aNow);
