--- /dev/null
+++ b/src/cornelshore/request/outcome.hpp
@@ -0,0 +1,113 @@
+#ifndef CORNELSHORE_REQUEST_OUTCOME_HPP
+#define CORNELSHORE_REQUEST_OUTCOME_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include <cornelshore/core/names.hpp>
+
+namespace cornelshore::request {
+
+/** @brief What became of a request. */
+enum class Verdict : std::uint8_t
+{
+  Answered, ///< It ran, and this is its whole answer.
+  NotRun,   ///< It did not run, and no copy of it can run any more.
+  Unknown,  ///< It may have run; nobody left can tell.
+};
+
+/** @brief Names of `Verdict`. */
+inline constexpr std::array<EnumName<Verdict>, 3> kVerdictNames{ {
+  { Verdict::Answered, "answered" },
+  { Verdict::NotRun, "not_run" },
+  { Verdict::Unknown, "unknown" },
+} };
+
+/** @brief Why a request has the verdict that it has. */
+enum class Reason : std::uint8_t
+{
+  None,            ///< It was answered.
+  NoHost,          ///< No host of the service takes work.
+  Overloaded,      ///< Its class has no capacity now.
+  UpstreamShed,    ///< Every upstream that was asked refused it.
+  DeadlinePassed,  ///< Its deadline passed before it was dispatched.
+  Cancelled,       ///< The cancel came before the dispatch.
+  Leaving,         ///< The home takes no new work.
+  TableFull,       ///< A table of ids, bodies or answers is full.
+  TicketExpired,   ///< The ticket is too old to be submitted.
+  HomeLost,        ///< The home is gone.
+  BackupSilent,    ///< The backup did not consent in time.
+  TooLarge,        ///< Body or answer is larger than the limit.
+  NoTicket,        ///< No ticket came before the deadline.
+  UpstreamLost,    ///< The upstream ended while it ran.
+  ExecutorLost,    ///< The agent that ran it is gone.
+  CancelledInRun,  ///< The cancel came after the dispatch.
+  RetentionPassed, ///< The id is older than ids are kept.
+  InvalidTicket,   ///< The agent named in the ticket never gave it.
+  IdReused,        ///< The id belongs to another submission.
+  NoAnswer,        ///< No outcome came before the deadline.
+};
+
+/** @brief Names of `Reason`. */
+inline constexpr std::array<EnumName<Reason>, 20> kReasonNames{ {
+  { Reason::None, "none" },
+  { Reason::NoHost, "no_host" },
+  { Reason::Overloaded, "overloaded" },
+  { Reason::UpstreamShed, "upstream_shed" },
+  { Reason::DeadlinePassed, "deadline_passed" },
+  { Reason::Cancelled, "cancelled" },
+  { Reason::Leaving, "leaving" },
+  { Reason::TableFull, "table_full" },
+  { Reason::TicketExpired, "ticket_expired" },
+  { Reason::HomeLost, "home_lost" },
+  { Reason::BackupSilent, "backup_silent" },
+  { Reason::TooLarge, "too_large" },
+  { Reason::NoTicket, "no_ticket" },
+  { Reason::UpstreamLost, "upstream_lost" },
+  { Reason::ExecutorLost, "executor_lost" },
+  { Reason::CancelledInRun, "cancelled_in_run" },
+  { Reason::RetentionPassed, "retention_passed" },
+  { Reason::InvalidTicket, "invalid_ticket" },
+  { Reason::IdReused, "id_reused" },
+  { Reason::NoAnswer, "no_answer" },
+} };
+
+/** @brief Counts of outcomes by verdict and reason. */
+class OutcomeCounts
+{
+public:
+  void Add(Verdict aVerdict, Reason aReason) noexcept
+  {
+    ++counts_[Index(aVerdict)][static_cast<std::size_t>(aReason)];
+  }
+
+  [[nodiscard]] std::uint64_t Of(Verdict aVerdict,
+                                 Reason aReason) const noexcept
+  {
+    return counts_[Index(aVerdict)][static_cast<std::size_t>(aReason)];
+  }
+
+  [[nodiscard]] std::uint64_t Of(Verdict aVerdict) const noexcept
+  {
+    std::uint64_t sum = 0;
+    for (const auto count : counts_[Index(aVerdict)]) {
+      sum += count;
+    }
+    return sum;
+  }
+
+private:
+  static constexpr std::size_t Index(Verdict aVerdict) noexcept
+  {
+    return static_cast<std::size_t>(aVerdict);
+  }
+
+  std::array<std::array<std::uint64_t, kReasonNames.size()>,
+             kVerdictNames.size()>
+    counts_{};
+};
+
+} // namespace cornelshore::request
+
+#endif
