--- /dev/null
+++ b/src/cornelshore/dissemination/byte_budget.hpp
@@ -0,0 +1,76 @@
+#ifndef CORNELSHORE_DISSEMINATION_BYTE_BUDGET_HPP
+#define CORNELSHORE_DISSEMINATION_BYTE_BUDGET_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+#include <cornelshore/core/time.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief What gives way first when the byte budget is short. */
+enum class Priority : std::uint8_t
+{
+  Urgent, ///< Changes of state and configurations; may borrow a little.
+  Normal, ///< Rounds and short answers.
+  Bulk,   ///< Catch-up; leaves a reserve for the others.
+};
+
+/** @brief Token bucket over the bytes a node sends. */
+class ByteBudget
+{
+public:
+  /** @param aPerSecond Bytes a second on average; @param aBurst at once. */
+  ByteBudget(std::uint32_t aPerSecond, std::uint32_t aBurst) noexcept
+    : perSecond_(aPerSecond)
+    , burst_(aBurst)
+    , tokens_(aBurst)
+  {
+  }
+
+  /** @brief Takes the bytes when their priority allows it. */
+  [[nodiscard]] bool TrySpend(TimePoint aNow,
+                              std::size_t aBytes,
+                              Priority aPriority) noexcept
+  {
+    Refill(aNow);
+    const auto left = tokens_ - static_cast<double>(aBytes);
+    if (left < FloorOf(aPriority)) {
+      return false;
+    }
+    tokens_ = left;
+    return true;
+  }
+
+private:
+  [[nodiscard]] double FloorOf(Priority aPriority) const noexcept
+  {
+    switch (aPriority) {
+      case Priority::Urgent:
+        return -burst_ / 4;
+      case Priority::Bulk:
+        return burst_ / 4;
+      default:
+        return 0;
+    }
+  }
+
+  void Refill(TimePoint aNow) noexcept
+  {
+    if (aNow > refilledAt_) {
+      const std::chrono::duration<double> passed = aNow - refilledAt_;
+      tokens_ = std::min(burst_, tokens_ + passed.count() * perSecond_);
+      refilledAt_ = aNow;
+    }
+  }
+
+  double perSecond_;
+  double burst_;
+  double tokens_;
+  TimePoint refilledAt_;
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- /dev/null
+++ b/src/cornelshore/dissemination/message.hpp
@@ -0,0 +1,170 @@
+#ifndef CORNELSHORE_DISSEMINATION_MESSAGE_HPP
+#define CORNELSHORE_DISSEMINATION_MESSAGE_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/names.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+#include <cornelshore/membership/record.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief Most bytes of an encoded message, before it is sealed. */
+inline constexpr std::size_t kMostMessageBytes = 1200;
+
+/** @brief Bytes of a configuration or delta that one piece carries. */
+inline constexpr std::size_t kPieceBytes = 900;
+
+/** @brief Most bytes of an encoded configuration or delta. */
+inline constexpr std::size_t kMostConfigBytes = 4 * 1024 * 1024;
+
+/** @brief Most entries of one leaf. */
+inline constexpr std::size_t kMostLeafEntries = 40;
+
+/** @brief Most items of each list of a message. */
+inline constexpr std::size_t kMostItems = 128;
+
+/**
+ * @brief Control's statement that a version was the accepted one.
+ *
+ * Made by a control VM that holds its lease and passed on by every process;
+ * its age grows on the way.
+ */
+struct Confirmation
+{
+  ConfigVersion version_;
+  std::uint64_t term_{}; ///< Term of the leader that made it.
+  Duration age_{};       ///< Time since it was made.
+
+  bool operator==(const Confirmation&) const noexcept = default;
+};
+
+/** @brief Why a message is sent. */
+enum class MessageKind : std::uint8_t
+{
+  Round,  ///< A periodic exchange; always answered.
+  Answer, ///< Answers another message.
+  Push,   ///< Carries news at once; asks for no answer.
+};
+
+/** @brief Names of `MessageKind`. */
+inline constexpr std::array<EnumName<MessageKind>, 3> kMessageKindNames{ {
+  { MessageKind::Round, "round" },
+  { MessageKind::Answer, "answer" },
+  { MessageKind::Push, "push" },
+} };
+
+/** @brief What every message says of its sender. */
+struct Header
+{
+  Incarnation incarnation_; ///< The sender's.
+  Incarnation receiver_;    ///< The receiver's, 0 when not known.
+  membership::NodeRole role_{ membership::NodeRole::Balancer };
+  DataCentreId dataCentre_;
+  ServiceId scope_; ///< Service the digest is over; 0 for all.
+  MessageKind kind_{ MessageKind::Round };
+  bool compare_{};         ///< Asks the receiver to compare the digest.
+  std::uint64_t digest_{}; ///< Of the records in the scope.
+  ConfigVersion config_;   ///< Held by the sender, whole.
+  bool inForce_{};         ///< Whether that is in force at the sender.
+  Duration inStepAge_{};   ///< Time since it was in step with others.
+  std::optional<Confirmation> confirmation_;
+
+  bool operator==(const Header&) const noexcept = default;
+};
+
+/** @brief A host's record on its way. */
+struct HostUpdate
+{
+  HostRecord record_;
+  Duration age_{}; ///< Of a `Gone` record: time since it was declared.
+
+  bool operator==(const HostUpdate&) const noexcept = default;
+};
+
+/** @brief A peer's record on its way. */
+struct PeerUpdate
+{
+  membership::PeerRecord record_;
+  Duration age_{}; ///< Time since the peer made it.
+
+  bool operator==(const PeerUpdate&) const noexcept = default;
+};
+
+/** @brief One part of an encoded configuration, or of a delta to it. */
+struct ConfigPiece
+{
+  ConfigVersion base_; ///< Version the delta starts from; 0: no delta.
+  ConfigVersion version_;
+  std::uint32_t size_{};     ///< Bytes of the whole.
+  std::uint64_t checksum_{}; ///< Of the configuration that results.
+  std::uint32_t offset_{};   ///< Where this part belongs.
+  std::string bytes_;
+
+  bool operator==(const ConfigPiece&) const noexcept = default;
+};
+
+/** @brief Asks for the pieces that lead to a newer configuration. */
+struct ConfigWant
+{
+  ConfigVersion held_;     ///< Held by the sender, whole.
+  ConfigVersion base_;     ///< Of what it assembles.
+  ConfigVersion version_;  ///< Of what it assembles; 0: nothing.
+  std::uint32_t offset_{}; ///< First byte that is missing of it.
+
+  bool operator==(const ConfigWant&) const noexcept = default;
+};
+
+/** @brief Hash of one node of the digest tree. */
+struct TreeHash
+{
+  std::uint8_t level_{}; ///< 1 is below the root, 3 are the leaves.
+  std::uint16_t index_{};
+  std::uint32_t hash_{};
+
+  bool operator==(const TreeHash&) const noexcept = default;
+};
+
+/** @brief Version of one record of a leaf of the digest tree. */
+struct LeafEntry
+{
+  NodeId id_;
+  membership::RecordVersion version_;
+
+  bool operator==(const LeafEntry&) const noexcept = default;
+};
+
+/** @brief All records of one leaf of the digest tree, by version. */
+struct Leaf
+{
+  std::uint16_t index_{};
+  std::vector<LeafEntry> entries_;
+
+  bool operator==(const Leaf&) const noexcept = default;
+};
+
+/** @brief A message between two processes; empty lists cost a byte each. */
+struct Message
+{
+  Header header_;
+  std::vector<HostUpdate> hosts_;
+  std::vector<PeerUpdate> peers_;
+  std::vector<ConfigPiece> pieces_;
+  std::optional<ConfigWant> want_;
+  std::vector<TreeHash> hashes_;
+  std::vector<Leaf> leaves_;
+  std::vector<NodeId> wants_; ///< Subjects whose records are asked for.
+
+  bool operator==(const Message&) const noexcept = default;
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- /dev/null
+++ b/src/cornelshore/dissemination/node.hpp
@@ -0,0 +1,223 @@
+#ifndef CORNELSHORE_DISSEMINATION_NODE_HPP
+#define CORNELSHORE_DISSEMINATION_NODE_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+#include <cornelshore/dissemination/message.hpp>
+#include <cornelshore/membership/record.hpp>
+#include <cornelshore/membership/view.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief A message came in and was authentic. */
+struct Received
+{
+  NodeId from_;
+  Address address_; ///< Where it came from.
+  Message message_;
+};
+
+/**
+ * @brief A record to spread: the agent's own, or a `Gone` record declared by
+ * a `membership::HealthWatcher`.
+ */
+struct HostAnnounced
+{
+  HostRecord record_;
+};
+
+/** @brief This process's own peer record: leaving, or another address. */
+struct SelfAnnounced
+{
+  Address address_;
+  bool gone_{};
+};
+
+/** @brief A configuration was accepted; only at control VMs. */
+struct ConfigAccepted
+{
+  ConfigVersion version_;
+  std::string bytes_; ///< Encoded; opaque here.
+};
+
+/** @brief Control holds its lease and this version is the accepted one. */
+struct ControlConfirmed
+{
+  ConfigVersion version_;
+  std::uint64_t term_{};
+};
+
+/** @brief Addresses from the settings, to start from. */
+struct SeedsKnown
+{
+  std::vector<Address> addresses_;
+};
+
+/** @brief Time has passed; see `Node::NextTimer()`. */
+struct Tick
+{};
+
+using Event = std::variant<Received,
+                           HostAnnounced,
+                           SelfAnnounced,
+                           ConfigAccepted,
+                           ControlConfirmed,
+                           SeedsKnown,
+                           Tick>;
+
+/** @brief Send a message; `to_` is 0 for a seed whose id is not known yet. */
+struct Send
+{
+  NodeId to_;
+  Address address_;
+  Message message_;
+};
+
+/** @brief Host records that are new in the view, tombstones included. */
+struct HostsChanged
+{
+  std::vector<HostRecord> records_;
+};
+
+/** @brief Peer records that are new here. */
+struct PeersChanged
+{
+  std::vector<membership::PeerRecord> records_;
+};
+
+/** @brief A configuration is in force; whole and checked. */
+struct ConfigChanged
+{
+  ConfigVersion version_;
+  std::string bytes_;
+  bool confirmed_{}; ///< Whether control stands behind it at this time.
+};
+
+using Action = std::variant<Send, HostsChanged, PeersChanged, ConfigChanged>;
+
+/** @brief State of a node for the state dump. */
+struct NodeDump
+{
+  ConfigVersion config_;
+  bool confirmed_{};
+  std::optional<Confirmation> confirmation_;
+  Duration inStepAge_{};
+  std::uint64_t digest_{};
+  std::size_t hosts_{};
+  std::size_t peers_{};
+  std::size_t rumors_{};
+  std::uint64_t bytesSent_{};
+  std::uint64_t sendsHeldBack_{};
+  std::uint64_t recordsRefused_{};
+  std::uint64_t configsRefused_{};
+};
+
+/**
+ * @brief Spreads host records, peer records and the accepted configuration.
+ *
+ * Runs at every process. News travels by epidemic push (Demers et al., 1987)
+ * and is mended by comparing digest trees; configurations travel as deltas,
+ * or whole in pieces, and come in force only when complete and checked.
+ * Balancers and control VMs follow every host; an agent follows the hosts of
+ * its own service, with a few balancers as its partners.
+ */
+class Node
+{
+public:
+  class Builder;
+
+  Node(Node&&) noexcept;
+  Node& operator=(Node&&) noexcept;
+  ~Node();
+
+  /** @brief Takes one event; the actions are to be carried out in order. */
+  [[nodiscard]] std::vector<Action> On(TimePoint aNow, const Event& aEvent);
+
+  /** @brief When the next `Tick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const noexcept;
+
+  /** @brief Host records known here. */
+  [[nodiscard]] const membership::View& Hosts() const noexcept;
+
+  /** @brief Peer records known here that are not gone, by id. */
+  [[nodiscard]] std::vector<membership::PeerRecord> Peers() const;
+
+  /** @brief Where a process is reached, as far as known here. */
+  [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const;
+
+  /** @brief Version in force; 0 before the first. */
+  [[nodiscard]] ConfigVersion Config() const noexcept;
+
+  /**
+   * @brief Whether control stood behind the version in force a short while
+   * ago; otherwise it is unconfirmed.
+   */
+  [[nodiscard]] bool Confirmed(TimePoint aNow) const noexcept;
+
+  /**
+   * @brief When the host records here were last known to be in step with
+   * those of other processes; nothing before the first time.
+   */
+  [[nodiscard]] std::optional<TimePoint> ConfirmedAt() const noexcept;
+
+  /** @brief State for the state dump. */
+  [[nodiscard]] NodeDump Dump(TimePoint aNow) const;
+
+private:
+  struct State;
+
+  explicit Node(std::unique_ptr<State> aState) noexcept;
+
+  std::unique_ptr<State> state_;
+};
+
+/** @brief Least burst that lets single messages through. */
+inline constexpr std::uint32_t kLeastBurstBytes = 8 * 1024;
+
+/** @brief Settings of a `Node`. */
+struct NodeSettings
+{
+  NodeId self_;
+  Incarnation incarnation_;
+  membership::NodeRole role_{ membership::NodeRole::Balancer };
+  DataCentreId dataCentre_;
+  Address address_;
+  ServiceId interest_;   ///< Of an agent: its service.
+  std::uint64_t seed_{}; ///< Of its pseudo-random choices.
+  Duration round_{ std::chrono::seconds(1) };
+  Duration confirmationLife_{ std::chrono::seconds(30) };
+  Duration peerRefresh_{ std::chrono::hours(1) };
+  Duration tombstoneLife_{ std::chrono::hours(6) };
+  std::uint32_t bytesPerSecond_{ 2000 }; ///< Sent on average, at most.
+  std::uint32_t burstBytes_{ 64 * 1024 };
+  std::size_t mostHosts_{ 32 * 1024 };
+  std::size_t mostPeers_{ 4096 };
+};
+
+/** @brief Builds a `Node`. */
+class Node::Builder
+{
+public:
+  /** @param aSettings Who it is, and its bounds. */
+  explicit Builder(NodeSettings aSettings);
+
+  /** @return The node, or `InvalidArgument` naming the bad setting. */
+  [[nodiscard]] absl::StatusOr<Node> Build() const;
+
+private:
+  NodeSettings settings_;
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- /dev/null
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -0,0 +1,204 @@
+#include <cornelshore/dissemination/node_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::dissemination {
+
+using membership::NodeRole;
+
+namespace {
+
+constexpr std::size_t kMostNodesCompared = 8;
+constexpr std::size_t kMostLeavesCompared = 64;
+constexpr std::size_t kManyDifferences = 24;
+constexpr std::size_t kAnswerPieceBytes = 1000;
+constexpr std::size_t kWantedPieceBytes = 4200;
+constexpr std::size_t kSampledPeers = 2;
+constexpr std::uint64_t kSampleOneIn = 8;
+constexpr std::size_t kRumorsAnAnswer = 6;
+constexpr Duration kWantAgainAfter = std::chrono::milliseconds(300);
+
+} // namespace
+
+void
+Node::State::Answer(TimePoint aNow, const Received& aEvent, bool aProgress)
+{
+  const auto& message = aEvent.message_;
+  const auto& header = message.header_;
+  const bool round = header.kind_ == MessageKind::Round;
+  Packer packer(HeaderFor(aNow, aEvent.from_, MessageKind::Answer));
+  const bool strange = header.receiver_ != settings_.incarnation_;
+  if (round && strange) {
+    AddSubject(aNow, settings_.self_, packer);
+  }
+  if (round && header.role_ == NodeRole::Agent) {
+    AddSample(aNow, strange, packer);
+  } else if (round) {
+    for (const auto subject : rumors_.Take(kRumorsAnAnswer)) {
+      AddSubject(aNow, subject, packer);
+    }
+  }
+  AddPieces(message, packer);
+  for (const auto subject : message.wants_) {
+    AddSubject(aNow, subject, packer);
+  }
+  CompareDigest(message, packer);
+  CompareHashes(aNow, aEvent, packer);
+  CompareLeaves(aNow, message, packer);
+  const bool behind = header.config_ > config_.Version();
+  if (behind && (aProgress || aNow - wantedAt_ >= kWantAgainAfter)) {
+    packer.Add(config_.Missing());
+    wantedAt_ = aNow;
+  }
+  if (!round && packer.Empty()) {
+    return;
+  }
+  auto messages = std::move(packer).Finish();
+  const auto priority = messages.size() > 1 ? Priority::Bulk : Priority::Normal;
+  SendTo(aNow, aEvent.from_, aEvent.address_, std::move(messages), priority);
+}
+
+void
+Node::State::AddPieces(const Message& aMessage, Packer& aPacker) const
+{
+  const auto& header = aMessage.header_;
+  if (header.config_ >= config_.Version()) {
+    return;
+  }
+  ConfigWant want;
+  want.held_ = header.config_;
+  if (!aMessage.want_ && header.kind_ != MessageKind::Round) {
+    return;
+  }
+  const auto most = aMessage.want_ ? kWantedPieceBytes : kAnswerPieceBytes;
+  for (auto& piece : config_.PiecesFor(aMessage.want_.value_or(want), most)) {
+    aPacker.Add(std::move(piece));
+  }
+}
+
+void
+Node::State::AddSample(TimePoint aNow, bool aStrange, Packer& aPacker)
+{
+  if (!aStrange && partners_.Randomness().Below(kSampleOneIn) != 0) {
+    return;
+  }
+  for (const auto peer : partners_.Pick(ledger_, kSampledPeers)) {
+    if (ledger_.LivePeer(peer)->role_ == NodeRole::Balancer) {
+      AddSubject(aNow, peer, aPacker);
+    }
+  }
+}
+
+void
+Node::State::CompareDigest(const Message& aMessage, Packer& aPacker)
+{
+  const auto& header = aMessage.header_;
+  if (!header.compare_ || IsAgent() ||
+      header.digest_ == DigestOf(header.scope_)) {
+    return;
+  }
+  if (header.scope_ == ServiceId{}) {
+    for (const auto& hash : ledger_.Tree().ChildrenOf(0, 0)) {
+      aPacker.Add(hash);
+    }
+    return;
+  }
+  Leaf versions;
+  for (const auto& record : ledger_.Hosts().OfServiceWithGone(header.scope_)) {
+    versions.entries_.push_back(
+      { SubjectOf(record.id_), membership::VersionOf(record) });
+    if (versions.entries_.size() == kMostLeafEntries) {
+      aPacker.Add(std::exchange(versions, {}));
+    }
+  }
+  aPacker.Add(std::move(versions));
+}
+
+void
+Node::State::CompareHashes(TimePoint aNow,
+                           const Received& aEvent,
+                           Packer& aPacker)
+{
+  if (IsAgent() || aEvent.message_.hashes_.empty()) {
+    return;
+  }
+  std::vector<TreeHash> differing;
+  for (const auto& hash : aEvent.message_.hashes_) {
+    if (ledger_.Tree().At(hash.level_, hash.index_) != hash) {
+      differing.push_back(hash);
+    }
+  }
+  const bool atLeaves =
+    aEvent.message_.hashes_.front().level_ == DigestTree::kLeafLevel;
+  const auto most = atLeaves ? kMostLeavesCompared : kMostNodesCompared;
+  mending_ = differing.size() > (atLeaves ? kManyDifferences : most);
+  if (differing.size() > most) {
+    auto& random = partners_.Randomness();
+    for (std::size_t index = 0; index < most; ++index) {
+      const auto other = index + random.Below(differing.size() - index);
+      std::swap(differing[index], differing[other]);
+    }
+    differing.resize(most);
+  }
+  for (const auto& hash : differing) {
+    if (hash.level_ == DigestTree::kLeafLevel) {
+      aPacker.Add(ledger_.LeafAt(hash.index_));
+      continue;
+    }
+    for (const auto& child :
+         ledger_.Tree().ChildrenOf(hash.level_, hash.index_)) {
+      aPacker.Add(child);
+    }
+  }
+  if (atLeaves && !mending_) {
+    inStep_.Note(aEvent.from_, aNow);
+    joined_ = true;
+  }
+}
+
+void
+Node::State::CompareLeaves(TimePoint aNow,
+                           const Message& aMessage,
+                           Packer& aPacker)
+{
+  for (const auto& leaf : aMessage.leaves_) {
+    for (const auto& entry : leaf.entries_) {
+      const auto held = ledger_.VersionOf(entry.id_);
+      if (!held || *held < entry.version_) {
+        aPacker.AddWanted(entry.id_);
+      } else if (*held > entry.version_) {
+        AddSubject(aNow, entry.id_, aPacker);
+      }
+    }
+    if (IsAgent()) {
+      continue;
+    }
+    for (const auto& own : ledger_.LeafAt(leaf.index_).entries_) {
+      const auto listed = std::any_of(
+        leaf.entries_.begin(), leaf.entries_.end(), [&own](const auto& aEntry) {
+          return aEntry.id_ == own.id_;
+        });
+      if (!listed) {
+        AddSubject(aNow, own.id_, aPacker);
+      }
+    }
+  }
+}
+
+void
+Node::State::NoteInStep(TimePoint aNow, const Received& aEvent)
+{
+  const auto& header = aEvent.message_.header_;
+  const bool fullyFollows =
+    IsAgent() || header.role_ != membership::NodeRole::Agent;
+  if (!fullyFollows || header.scope_ != ScopeWith(aEvent.from_) ||
+      header.digest_ != DigestOf(header.scope_) ||
+      header.receiver_ != settings_.incarnation_) {
+    return;
+  }
+  inStep_.Note(aEvent.from_, IsAgent() ? aNow - header.inStepAge_ : aNow);
+  joined_ = true;
+}
+
+} // namespace cornelshore::dissemination
--- /dev/null
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -0,0 +1,530 @@
+#include <cornelshore/dissemination/node_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::dissemination {
+
+using membership::MergeOutcome;
+using membership::NodeRole;
+
+namespace {
+
+constexpr std::size_t kUrgentFanout = 5;
+constexpr std::size_t kConfigFanout = 6;
+constexpr std::size_t kMostPushedAgents = 64;
+constexpr std::uint32_t kFreshCopies = 4;
+constexpr std::uint32_t kMendedCopies = 2;
+constexpr std::size_t kRumorsARound = 12;
+constexpr std::size_t kSeedsARound = 3;
+constexpr std::size_t kJoiningPartners = 3;
+constexpr std::uint64_t kCompareEvery = 4;
+constexpr std::uint64_t kAgentRoundEvery = 2;
+constexpr std::uint64_t kExpireEvery = 10;
+constexpr std::int64_t kAttachedRounds = 20;
+constexpr std::int64_t kPeerLives = 3;
+constexpr std::int64_t kUnconfirmedWaitRounds = 10;
+constexpr std::size_t kVouchersNeeded = 2;
+constexpr Duration kNeverInStep = std::chrono::hours(24);
+
+membership::PeerRecord
+SelfRecord(const NodeSettings& aSettings, std::uint64_t aSequence, bool aGone)
+{
+  return {
+    aSettings.self_,       aSettings.incarnation_, aSequence, aSettings.role_,
+    aSettings.dataCentre_, aSettings.address_,     aGone
+  };
+}
+
+} // namespace
+
+Node::State::State(const NodeSettings& aSettings, membership::View aHosts)
+  : settings_(aSettings)
+  , ledger_(std::move(aHosts),
+            { aSettings.mostPeers_, aSettings.peerRefresh_ * kPeerLives })
+  , confirmation_(aSettings.confirmationLife_)
+  , partners_(aSettings.self_, aSettings.dataCentre_, aSettings.seed_)
+  , budget_(aSettings.bytesPerSecond_, aSettings.burstBytes_)
+{
+}
+
+bool
+Node::State::IsAgent() const noexcept
+{
+  return settings_.role_ == NodeRole::Agent;
+}
+
+ConfigVersion
+Node::State::InForce() const noexcept
+{
+  return released_ ? config_.Version() : ConfigVersion{};
+}
+
+std::optional<Address>
+Node::State::AddressOf(NodeId aNode) const
+{
+  if (const auto* peer = ledger_.LivePeer(aNode)) {
+    return peer->address_;
+  }
+  const auto attached = partners_.Attached().find(aNode);
+  if (attached != partners_.Attached().end()) {
+    return attached->second.address_;
+  }
+  if (const auto* host = ledger_.Hosts().Find(HostId{ aNode.value_ })) {
+    return host->agent_;
+  }
+  return std::nullopt;
+}
+
+std::size_t
+Node::State::OthersNeeded() const noexcept
+{
+  const auto& live = ledger_.LivePeers();
+  if (IsAgent()) {
+    return 1;
+  }
+  const auto others = live.empty() ? 0 : live.size() - 1;
+  return others == 0 ? 0 : std::clamp<std::size_t>(others / 2, 1, 2);
+}
+
+std::optional<TimePoint>
+Node::State::ConfirmedAt() const noexcept
+{
+  const auto needed = OthersNeeded();
+  if (needed == 0) {
+    return seeds_.empty() ? std::optional(now_) : std::nullopt;
+  }
+  return inStep_.Since(needed);
+}
+
+ServiceId
+Node::State::ScopeWith(NodeId aTo) const
+{
+  if (IsAgent()) {
+    return settings_.interest_;
+  }
+  const auto attached = partners_.Attached().find(aTo);
+  return attached == partners_.Attached().end() ? ServiceId{}
+                                                : attached->second.interest_;
+}
+
+std::uint64_t
+Node::State::DigestOf(ServiceId aScope) const
+{
+  return aScope == ServiceId{} ? ledger_.Tree().Root()
+                               : ledger_.DigestOf(aScope);
+}
+
+Header
+Node::State::HeaderFor(TimePoint aNow, NodeId aTo, MessageKind aKind) const
+{
+  Header header;
+  header.incarnation_ = settings_.incarnation_;
+  header.role_ = settings_.role_;
+  header.dataCentre_ = settings_.dataCentre_;
+  header.kind_ = aKind;
+  header.scope_ = ScopeWith(aTo);
+  header.digest_ = DigestOf(header.scope_);
+  header.config_ = config_.Version();
+  header.inForce_ = released_;
+  header.confirmation_ = confirmation_.Held(aNow);
+  const auto inStep = ConfirmedAt();
+  header.inStepAge_ = inStep ? aNow - *inStep : kNeverInStep;
+  const auto attached = partners_.Attached().find(aTo);
+  if (const auto* peer = ledger_.LivePeer(aTo)) {
+    header.receiver_ = peer->incarnation_;
+  } else if (attached != partners_.Attached().end()) {
+    header.receiver_ = attached->second.incarnation_;
+  }
+  return header;
+}
+
+void
+Node::State::SendTo(TimePoint aNow,
+                    NodeId aTo,
+                    const Address& aAddress,
+                    std::vector<Message> aMessages,
+                    Priority aPriority)
+{
+  for (auto& message : aMessages) {
+    const auto bytes = DatagramBytesOf(message);
+    if (!budget_.TrySpend(aNow, bytes, aPriority)) {
+      ++heldBack_;
+      continue;
+    }
+    bytesSent_ += bytes;
+    sends_.emplace_back(Send{ aTo, aAddress, std::move(message) });
+  }
+}
+
+void
+Node::State::AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const
+{
+  if (auto host = ledger_.HostOf(aNow, aSubject)) {
+    aPacker.Add(*std::move(host));
+  } else if (const auto peer = ledger_.PeerOf(aNow, aSubject)) {
+    aPacker.Add(*peer);
+  }
+}
+
+void
+Node::State::AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker)
+{
+  for (const auto subject : rumors_.Take(aMost)) {
+    AddSubject(aNow, subject, aPacker);
+  }
+}
+
+void
+Node::State::AnnounceSelf(TimePoint aNow)
+{
+  if (selfSequence_ == 0 && !IsAgent()) {
+    Renew(aNow);
+  }
+}
+
+void
+Node::State::Renew(TimePoint aNow)
+{
+  ++selfSequence_;
+  renewAt_ = aNow + settings_.peerRefresh_;
+  static_cast<void>(ledger_.Merge(
+    aNow, PeerUpdate{ SelfRecord(settings_, selfSequence_, selfGone_), {} }));
+  rumors_.Add(settings_.self_, Priority::Normal, kFreshCopies);
+}
+
+void
+Node::State::Handle(TimePoint aNow, const HostAnnounced& aEvent)
+{
+  TakeHost(aNow, { aEvent.record_, {} }, false);
+}
+
+void
+Node::State::Handle(TimePoint aNow, const SelfAnnounced& aEvent)
+{
+  settings_.address_ = aEvent.address_;
+  selfGone_ = aEvent.gone_;
+  if (!IsAgent()) {
+    Renew(aNow);
+    urgentSubjects_.push_back(settings_.self_);
+  }
+}
+
+void
+Node::State::Handle(TimePoint aNow, const ConfigAccepted& aEvent)
+{
+  if (config_.Accept(aEvent.version_, aEvent.bytes_)) {
+    released_ = true;
+  }
+  static_cast<void>(aNow);
+}
+
+void
+Node::State::Handle(TimePoint aNow, const ControlConfirmed& aEvent)
+{
+  confirmation_.Take(aNow, { aEvent.version_, aEvent.term_, {} });
+}
+
+void
+Node::State::Handle(TimePoint /*aNow*/, const SeedsKnown& aEvent)
+{
+  seeds_ = aEvent.addresses_;
+}
+
+void
+Node::State::Handle(TimePoint aNow, const Tick& /*aEvent*/)
+{
+  if (aNow < nextRound_) {
+    return;
+  }
+  nextRound_ = aNow + settings_.round_;
+  ++round_;
+  if (!IsAgent() && aNow >= renewAt_) {
+    Renew(aNow);
+  }
+  if (round_ % kExpireEvery == 0) {
+    ledger_.Expire(aNow);
+    partners_.Expire(aNow, settings_.round_ * kAttachedRounds, ledger_);
+  }
+  Round(aNow);
+}
+
+void
+Node::State::Round(TimePoint aNow)
+{
+  std::vector<NodeId> peers;
+  if (!IsAgent()) {
+    const bool behind = !joined_ || config_.Assembling();
+    peers = partners_.Pick(ledger_, behind ? kJoiningPartners : 1);
+  } else if (!joined_ || round_ % kAgentRoundEvery == 0) {
+    peers = partners_.PickForAgent(ledger_);
+    if (!peers.empty()) {
+      peers = { peers[round_ / kAgentRoundEvery % peers.size()] };
+    }
+  }
+  for (const auto peer : peers) {
+    RoundWith(aNow, peer);
+  }
+  const bool alone = IsAgent() ? partners_.PickForAgent(ledger_).empty()
+                               : ledger_.LivePeers().size() <= 1;
+  if (!alone || seeds_.empty()) {
+    return;
+  }
+  for (std::size_t seed = 0; seed < std::min(kSeedsARound, seeds_.size());
+       ++seed) {
+    Packer packer(HeaderFor(aNow, {}, MessageKind::Round));
+    AddSubject(aNow, settings_.self_, packer);
+    SendTo(aNow,
+           {},
+           seeds_[(round_ * kSeedsARound + seed) % seeds_.size()],
+           std::move(packer).Finish(),
+           Priority::Normal);
+  }
+}
+
+void
+Node::State::RoundWith(TimePoint aNow, NodeId aPeer)
+{
+  auto header = HeaderFor(aNow, aPeer, MessageKind::Round);
+  header.compare_ =
+    IsAgent() || !joined_ || mending_ || round_ % kCompareEvery == 0;
+  Packer packer(std::move(header));
+  AddRumors(aNow, kRumorsARound, packer);
+  if (config_.Assembling()) {
+    packer.Add(config_.Missing());
+  }
+  const auto address = AddressOf(aPeer);
+  partners_.Asked(aPeer);
+  SendTo(aNow, aPeer, *address, std::move(packer).Finish(), Priority::Normal);
+}
+
+void
+Node::State::Handle(TimePoint aNow, const Received& aEvent)
+{
+  if (aEvent.from_ == settings_.self_) {
+    return;
+  }
+  const auto& message = aEvent.message_;
+  partners_.Heard(aNow, aEvent.from_, aEvent.address_, message.header_);
+  Adopt(aNow, aEvent);
+  for (const auto& update : message.hosts_) {
+    const bool mended = message.header_.kind_ == MessageKind::Answer &&
+                        SubjectOf(update.record_.id_) != aEvent.from_;
+    TakeHost(aNow, update, mended);
+  }
+  for (const auto& update : message.peers_) {
+    TakePeer(aNow, update, message.header_.kind_ == MessageKind::Answer);
+  }
+  const auto before = config_.Missing();
+  for (const auto& piece : message.pieces_) {
+    static_cast<void>(config_.Take(piece));
+  }
+  Release(aNow);
+  NoteInStep(aNow, aEvent);
+  Answer(aNow, aEvent, config_.Missing() != before);
+}
+
+void
+Node::State::Adopt(TimePoint aNow, const Received& aEvent)
+{
+  const auto& header = aEvent.message_.header_;
+  const bool forThisRun = header.receiver_ == settings_.incarnation_;
+  if (header.confirmation_ && forThisRun) {
+    confirmation_.Take(aNow, *header.confirmation_);
+  }
+  if (!released_ && header.inForce_ && forThisRun &&
+      header.role_ != NodeRole::Control && vouchers_.size() < kMostItems) {
+    vouchers_[aEvent.from_] = header.config_;
+  }
+}
+
+void
+Node::State::Release(TimePoint aNow)
+{
+  if (released_ || config_.Version() == ConfigVersion{}) {
+    return;
+  }
+  if (!candidateSince_) {
+    candidateSince_ = aNow;
+  }
+  std::size_t vouching = 0;
+  for (const auto& [voucher, version] : vouchers_) {
+    if (version > config_.Version()) {
+      return;
+    }
+    ++vouching;
+  }
+  const bool waited =
+    aNow - *candidateSince_ >= settings_.round_ * kUnconfirmedWaitRounds;
+  released_ = confirmation_.Covers(aNow, config_.Version()) ||
+              vouching >= kVouchersNeeded || (vouching > 0 && waited);
+  if (released_) {
+    vouchers_.clear();
+  }
+}
+
+void
+Node::State::TakeHost(TimePoint aNow, const HostUpdate& aUpdate, bool aMended)
+{
+  const auto& record = aUpdate.record_;
+  if (IsAgent() && record.service_ != settings_.interest_) {
+    return;
+  }
+  const auto* held = ledger_.Hosts().Find(record.id_);
+  const bool urgent = held == nullptr || held->state_ != record.state_ ||
+                      held->incarnation_ != record.incarnation_;
+  const auto outcome = ledger_.Merge(aNow, aUpdate);
+  if (outcome == MergeOutcome::Full) {
+    ++recordsRefused_;
+  }
+  if (outcome != MergeOutcome::Changed) {
+    return;
+  }
+  changedHosts_.push_back(record);
+  const auto subject = SubjectOf(record.id_);
+  if (IsAgent() && subject != settings_.self_) {
+    return;
+  }
+  if (urgent && !aMended) {
+    urgentSubjects_.push_back(subject);
+  }
+  if (!aMended || joined_) {
+    rumors_.Add(subject,
+                urgent ? Priority::Urgent : Priority::Bulk,
+                aMended ? kMendedCopies : kFreshCopies);
+  }
+}
+
+void
+Node::State::TakePeer(TimePoint aNow, const PeerUpdate& aUpdate, bool aMended)
+{
+  const auto& record = aUpdate.record_;
+  if (record.id_ == settings_.self_) {
+    const membership::RecordVersion own{ settings_.incarnation_,
+                                         selfSequence_,
+                                         selfGone_ };
+    const bool newer = membership::VersionOf(record) > own;
+    if (newer && record.incarnation_ == settings_.incarnation_ && !IsAgent()) {
+      selfSequence_ = record.sequence_;
+      Renew(aNow);
+    }
+    return;
+  }
+  const auto* held = ledger_.LivePeer(record.id_);
+  const bool urgent = record.gone_ && held != nullptr;
+  const auto outcome = ledger_.Merge(aNow, aUpdate);
+  if (outcome == MergeOutcome::Full) {
+    ++recordsRefused_;
+  }
+  if (outcome != MergeOutcome::Changed) {
+    return;
+  }
+  changedPeers_.push_back(record);
+  if (IsAgent()) {
+    return;
+  }
+  if (urgent && !aMended) {
+    urgentSubjects_.push_back(record.id_);
+  }
+  if (!aMended || joined_) {
+    rumors_.Add(
+      record.id_, Priority::Bulk, aMended ? kMendedCopies : kFreshCopies);
+  }
+}
+
+std::vector<Action>
+Node::State::TakeActions(TimePoint aNow)
+{
+  Release(aNow);
+  Spread(aNow);
+  std::vector<Action> actions;
+  if (InForce() != announcedConfig_) {
+    announcedConfig_ = InForce();
+    actions.emplace_back(
+      ConfigChanged{ announcedConfig_,
+                     config_.Bytes(),
+                     confirmation_.Covers(aNow, announcedConfig_) });
+  }
+  if (!changedHosts_.empty()) {
+    actions.emplace_back(HostsChanged{ std::exchange(changedHosts_, {}) });
+  }
+  if (!changedPeers_.empty()) {
+    actions.emplace_back(PeersChanged{ std::exchange(changedPeers_, {}) });
+  }
+  for (auto& send : sends_) {
+    actions.push_back(std::move(send));
+  }
+  sends_.clear();
+  return actions;
+}
+
+void
+Node::State::Spread(TimePoint aNow)
+{
+  if (!urgentSubjects_.empty()) {
+    SpreadRecords(aNow, std::exchange(urgentSubjects_, {}));
+  }
+  if (config_.Version() != spreadConfig_) {
+    const auto before = std::exchange(spreadConfig_, config_.Version());
+    if (!IsAgent() && released_) {
+      SpreadConfig(aNow, before);
+    }
+  }
+}
+
+void
+Node::State::SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects)
+{
+  const auto push = [&](NodeId aTo, const Address& aAddress, auto aWanted) {
+    Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
+    for (const auto subject : aSubjects) {
+      if (aWanted(subject)) {
+        AddSubject(aNow, subject, packer);
+      }
+    }
+    if (!packer.Empty()) {
+      SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
+    }
+  };
+  const auto all = [](NodeId) { return true; };
+  const auto peers = IsAgent() ? partners_.PickForAgent(ledger_)
+                               : partners_.Pick(ledger_, kUrgentFanout);
+  for (const auto peer : peers) {
+    push(peer, *AddressOf(peer), all);
+  }
+  for (const auto& [agent, attached] : partners_.Attached()) {
+    const auto followed = [&](NodeId aSubject) {
+      const auto* host = ledger_.Hosts().Find(HostId{ aSubject.value_ });
+      return host != nullptr && host->service_ == attached.interest_;
+    };
+    push(agent, attached.address_, followed);
+  }
+}
+
+void
+Node::State::SpreadConfig(TimePoint aNow, ConfigVersion aBefore)
+{
+  ConfigWant step;
+  step.held_ = config_.Base() == ConfigVersion{} ? aBefore : config_.Base();
+  const auto pieces = config_.PiecesFor(step, kMostMessageBytes);
+  const bool small =
+    pieces.size() == 1 && pieces.front().size_ == pieces.front().bytes_.size();
+  const auto push = [&](NodeId aTo, const Address& aAddress) {
+    Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
+    if (small) {
+      packer.Add(pieces.front());
+    }
+    SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
+  };
+  for (const auto peer : partners_.Pick(ledger_, kConfigFanout)) {
+    push(peer, *AddressOf(peer));
+  }
+  std::size_t pushed = 0;
+  for (const auto& [agent, attached] : partners_.Attached()) {
+    if (pushed++ < kMostPushedAgents) {
+      push(agent, attached.address_);
+    }
+  }
+}
+
+} // namespace cornelshore::dissemination
--- /dev/null
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -0,0 +1,114 @@
+#ifndef CORNELSHORE_DISSEMINATION_NODE_STATE_HPP
+#define CORNELSHORE_DISSEMINATION_NODE_STATE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cornelshore/dissemination/byte_budget.hpp>
+#include <cornelshore/dissemination/config_store.hpp>
+#include <cornelshore/dissemination/freshness.hpp>
+#include <cornelshore/dissemination/ledger.hpp>
+#include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/dissemination/packer.hpp>
+#include <cornelshore/dissemination/partners.hpp>
+#include <cornelshore/dissemination/rumors.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief The parts of a node and what joins them. */
+struct Node::State
+{
+  State(const NodeSettings& aSettings, membership::View aHosts);
+
+  void Handle(TimePoint aNow, const Received& aEvent);
+  void Handle(TimePoint aNow, const HostAnnounced& aEvent);
+  void Handle(TimePoint aNow, const SelfAnnounced& aEvent);
+  void Handle(TimePoint aNow, const ConfigAccepted& aEvent);
+  void Handle(TimePoint aNow, const ControlConfirmed& aEvent);
+  void Handle(TimePoint aNow, const SeedsKnown& aEvent);
+  void Handle(TimePoint aNow, const Tick& aEvent);
+
+  /** @brief Announces this process when it has not been announced yet. */
+  void AnnounceSelf(TimePoint aNow);
+  /** @brief Takes what the handling of an event left to do. */
+  std::vector<Action> TakeActions(TimePoint aNow);
+
+  [[nodiscard]] bool IsAgent() const noexcept;
+  [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const;
+  [[nodiscard]] ConfigVersion InForce() const noexcept;
+  [[nodiscard]] std::optional<TimePoint> ConfirmedAt() const noexcept;
+
+  NodeSettings settings_;
+  Ledger ledger_;
+  ConfigStore config_;
+  ConfirmationTracker confirmation_;
+  InStep inStep_;
+  Partners partners_;
+  Rumors rumors_;
+  ByteBudget budget_;
+  std::vector<Address> seeds_;
+  TimePoint now_;
+  TimePoint nextRound_;
+  std::uint64_t bytesSent_{};
+  std::uint64_t heldBack_{};
+  std::uint64_t recordsRefused_{};
+
+private:
+  [[nodiscard]] Header HeaderFor(TimePoint aNow,
+                                 NodeId aTo,
+                                 MessageKind aKind) const;
+  [[nodiscard]] ServiceId ScopeWith(NodeId aTo) const;
+  [[nodiscard]] std::uint64_t DigestOf(ServiceId aScope) const;
+  [[nodiscard]] std::size_t OthersNeeded() const noexcept;
+
+  void SendTo(TimePoint aNow,
+              NodeId aTo,
+              const Address& aAddress,
+              std::vector<Message> aMessages,
+              Priority aPriority);
+  void Spread(TimePoint aNow);
+  void SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects);
+  void SpreadConfig(TimePoint aNow, ConfigVersion aBefore);
+  void Round(TimePoint aNow);
+  void RoundWith(TimePoint aNow, NodeId aPeer);
+  void Renew(TimePoint aNow);
+  void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
+  void AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const;
+
+  void TakeHost(TimePoint aNow, const HostUpdate& aUpdate, bool aMended);
+  void TakePeer(TimePoint aNow, const PeerUpdate& aUpdate, bool aMended);
+  void Adopt(TimePoint aNow, const Received& aEvent);
+  void Answer(TimePoint aNow, const Received& aEvent, bool aProgress);
+  void Release(TimePoint aNow);
+
+  void CompareHashes(TimePoint aNow, const Received& aEvent, Packer& aPacker);
+  void CompareLeaves(TimePoint aNow, const Message& aMessage, Packer& aPacker);
+  void CompareDigest(const Message& aMessage, Packer& aPacker);
+  void AddPieces(const Message& aMessage, Packer& aPacker) const;
+  void AddSample(TimePoint aNow, bool aStrange, Packer& aPacker);
+  void NoteInStep(TimePoint aNow, const Received& aEvent);
+
+  std::uint64_t selfSequence_{};
+  bool selfGone_{};
+  bool joined_{};   ///< Was in step once.
+  bool mending_{};  ///< The last comparison found much to mend.
+  bool released_{}; ///< The held configuration is in force.
+  std::uint64_t round_{};
+  TimePoint renewAt_;
+  TimePoint wantedAt_;
+  std::optional<TimePoint> candidateSince_;
+  absl::flat_hash_map<NodeId, ConfigVersion> vouchers_;
+  ConfigVersion announcedConfig_;
+  ConfigVersion spreadConfig_;
+  std::vector<HostRecord> changedHosts_;
+  std::vector<NodeId> urgentSubjects_;
+  std::vector<membership::PeerRecord> changedPeers_;
+  std::vector<Action> sends_;
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- /dev/null
+++ b/src/cornelshore/dissemination/packer.hpp
@@ -0,0 +1,101 @@
+#ifndef CORNELSHORE_DISSEMINATION_PACKER_HPP
+#define CORNELSHORE_DISSEMINATION_PACKER_HPP
+
+#include <utility>
+#include <vector>
+
+#include <cornelshore/dissemination/message.hpp>
+#include <cornelshore/dissemination/size.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief Fills as few messages as it takes, each within the size bound. */
+class Packer
+{
+public:
+  /** @param aHeader Of each message. */
+  explicit Packer(Header aHeader)
+    : header_(std::move(aHeader))
+  {
+    Open();
+  }
+
+  void Add(HostUpdate aUpdate)
+  {
+    Reserve(BytesOf(aUpdate.record_), Last().hosts_.size());
+    Last().hosts_.push_back(std::move(aUpdate));
+  }
+
+  void Add(const PeerUpdate& aUpdate)
+  {
+    Reserve(BytesOfPeer(), Last().peers_.size());
+    Last().peers_.push_back(aUpdate);
+  }
+
+  void Add(ConfigPiece aPiece)
+  {
+    Reserve(BytesOf(aPiece), Last().pieces_.size());
+    Last().pieces_.push_back(std::move(aPiece));
+  }
+
+  void Add(const ConfigWant& aWant) { Last().want_ = aWant; }
+
+  void Add(const TreeHash& aHash)
+  {
+    Reserve(kHashBytes, Last().hashes_.size());
+    Last().hashes_.push_back(aHash);
+  }
+
+  void Add(Leaf aLeaf)
+  {
+    Reserve(BytesOf(aLeaf), Last().leaves_.size());
+    Last().leaves_.push_back(std::move(aLeaf));
+  }
+
+  void AddWanted(NodeId aSubject)
+  {
+    Reserve(kSubjectBytes, Last().wants_.size());
+    Last().wants_.push_back(aSubject);
+  }
+
+  /** @brief Whether anything was added. */
+  [[nodiscard]] bool Empty() const
+  {
+    return messages_.size() == 1 &&
+           messages_.front() == Message{ header_, {}, {}, {}, {}, {}, {}, {} };
+  }
+
+  /** @brief The messages; at least one. */
+  [[nodiscard]] std::vector<Message> Finish() &&
+  {
+    return std::move(messages_);
+  }
+
+private:
+  Message& Last() { return messages_.back(); }
+
+  void Open()
+  {
+    messages_.emplace_back();
+    Last().header_ = header_;
+    bytes_ = PayloadBytesOf(Last()) + kWantReserveBytes;
+  }
+
+  void Reserve(std::size_t aBytes, std::size_t aItems)
+  {
+    if (bytes_ + aBytes > kMostMessageBytes || aItems >= kMostItems) {
+      Open();
+    }
+    bytes_ += aBytes;
+  }
+
+  static constexpr std::size_t kWantReserveBytes = 40;
+
+  Header header_;
+  std::vector<Message> messages_;
+  std::size_t bytes_{};
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- /dev/null
+++ b/src/cornelshore/wire/dissemination_codec.cpp
@@ -0,0 +1,270 @@
+#include <cornelshore/wire/dissemination_codec.hpp>
+
+#include <algorithm>
+
+#include <cornelshore/dissemination/digest_tree.hpp>
+#include <cornelshore/wire/membership_codec.hpp>
+
+namespace cornelshore::wire {
+
+using dissemination::ConfigPiece;
+using dissemination::ConfigWant;
+using dissemination::Confirmation;
+using dissemination::DigestTree;
+using dissemination::Header;
+using dissemination::HostUpdate;
+using dissemination::Leaf;
+using dissemination::LeafEntry;
+using dissemination::Message;
+using dissemination::MessageKind;
+using dissemination::PeerUpdate;
+using dissemination::TreeHash;
+
+namespace {
+
+constexpr Duration kMostAge = std::chrono::hours(24 * 365);
+
+void
+Put(Writer& aWriter, Duration aAge)
+{
+  aWriter.Uint(static_cast<std::uint64_t>(
+    std::clamp(aAge, Duration::zero(), kMostAge).count()));
+}
+
+void
+Take(Reader& aReader, Duration& aAge)
+{
+  aAge = Duration{ static_cast<std::int64_t>(
+    aReader.Uint(static_cast<std::uint64_t>(kMostAge.count()))) };
+}
+
+void
+Put(Writer& aWriter, const Header& aHeader)
+{
+  aWriter.Write(aHeader.incarnation_);
+  aWriter.Write(aHeader.receiver_);
+  aWriter.Uint(static_cast<std::uint8_t>(aHeader.role_));
+  aWriter.Write(aHeader.dataCentre_);
+  aWriter.Write(aHeader.scope_);
+  aWriter.Uint(static_cast<std::uint8_t>(aHeader.kind_));
+  aWriter.Bool(aHeader.compare_);
+  aWriter.Uint(aHeader.digest_);
+  aWriter.Write(aHeader.config_);
+  aWriter.Bool(aHeader.inForce_);
+  Put(aWriter, aHeader.inStepAge_);
+  aWriter.Bool(aHeader.confirmation_.has_value());
+  if (aHeader.confirmation_) {
+    aWriter.Write(aHeader.confirmation_->version_);
+    aWriter.Uint(aHeader.confirmation_->term_);
+    Put(aWriter, aHeader.confirmation_->age_);
+  }
+}
+
+void
+Take(Reader& aReader, Header& aHeader)
+{
+  aReader.Read(aHeader.incarnation_);
+  aReader.Read(aHeader.receiver_);
+  aHeader.role_ = aReader.Enumerator(membership::NodeRole::Control);
+  aReader.Read(aHeader.dataCentre_);
+  aReader.Read(aHeader.scope_);
+  aHeader.kind_ = aReader.Enumerator(MessageKind::Push);
+  aHeader.compare_ = aReader.Bool();
+  aHeader.digest_ = aReader.Uint();
+  aReader.Read(aHeader.config_);
+  aHeader.inForce_ = aReader.Bool();
+  Take(aReader, aHeader.inStepAge_);
+  if (aReader.Bool()) {
+    Confirmation confirmation;
+    aReader.Read(confirmation.version_);
+    confirmation.term_ = aReader.Uint();
+    Take(aReader, confirmation.age_);
+    aHeader.confirmation_ = confirmation;
+  }
+}
+
+void
+Put(Writer& aWriter, const HostUpdate& aUpdate)
+{
+  Encode(aWriter, aUpdate.record_);
+  Put(aWriter, aUpdate.age_);
+}
+
+void
+Take(Reader& aReader, HostUpdate& aUpdate)
+{
+  Decode(aReader, aUpdate.record_);
+  Take(aReader, aUpdate.age_);
+}
+
+void
+Put(Writer& aWriter, const PeerUpdate& aUpdate)
+{
+  Encode(aWriter, aUpdate.record_);
+  Put(aWriter, aUpdate.age_);
+}
+
+void
+Take(Reader& aReader, PeerUpdate& aUpdate)
+{
+  Decode(aReader, aUpdate.record_);
+  Take(aReader, aUpdate.age_);
+}
+
+void
+Put(Writer& aWriter, const ConfigPiece& aPiece)
+{
+  aWriter.Write(aPiece.base_);
+  aWriter.Write(aPiece.version_);
+  aWriter.Uint(aPiece.size_);
+  aWriter.Uint(aPiece.checksum_);
+  aWriter.Uint(aPiece.offset_);
+  aWriter.Bytes(aPiece.bytes_);
+}
+
+void
+Take(Reader& aReader, ConfigPiece& aPiece)
+{
+  aReader.Read(aPiece.base_);
+  aReader.Read(aPiece.version_);
+  aPiece.size_ = aReader.Number<std::uint32_t>();
+  aPiece.checksum_ = aReader.Uint();
+  aPiece.offset_ = aReader.Number<std::uint32_t>();
+  aPiece.bytes_ = aReader.Bytes(dissemination::kPieceBytes);
+}
+
+void
+Put(Writer& aWriter, const TreeHash& aHash)
+{
+  aWriter.Uint(aHash.level_);
+  aWriter.Uint(aHash.index_);
+  aWriter.Uint(aHash.hash_);
+}
+
+void
+Take(Reader& aReader, TreeHash& aHash)
+{
+  aHash.level_ =
+    static_cast<std::uint8_t>(aReader.Uint(DigestTree::kLeafLevel));
+  aHash.index_ = static_cast<std::uint16_t>(
+    aReader.Uint(DigestTree::SizeOf(aHash.level_) - 1U));
+  aHash.hash_ = aReader.Number<std::uint32_t>();
+}
+
+void
+Put(Writer& aWriter, const LeafEntry& aEntry)
+{
+  aWriter.Write(aEntry.id_);
+  aWriter.Write(aEntry.version_.incarnation_);
+  aWriter.Uint(aEntry.version_.sequence_);
+  aWriter.Bool(aEntry.version_.gone_);
+}
+
+void
+Take(Reader& aReader, LeafEntry& aEntry)
+{
+  aReader.Read(aEntry.id_);
+  aReader.Read(aEntry.version_.incarnation_);
+  aEntry.version_.sequence_ = aReader.Uint();
+  aEntry.version_.gone_ = aReader.Bool();
+}
+
+void
+Put(Writer& aWriter, NodeId aSubject)
+{
+  aWriter.Write(aSubject);
+}
+
+void
+Take(Reader& aReader, NodeId& aSubject)
+{
+  aReader.Read(aSubject);
+}
+
+void Put(Writer& aWriter, const Leaf& aLeaf);
+void Take(Reader& aReader, Leaf& aLeaf);
+
+template<typename Item>
+void
+PutList(Writer& aWriter, const std::vector<Item>& aItems)
+{
+  aWriter.List(aItems.size());
+  for (const auto& item : aItems) {
+    Put(aWriter, item);
+  }
+}
+
+template<typename Item>
+void
+TakeList(Reader& aReader, std::vector<Item>& aItems, std::size_t aMost)
+{
+  const auto count = aReader.List(aMost);
+  for (std::size_t index = 0; index < count && aReader.Good(); ++index) {
+    Take(aReader, aItems.emplace_back());
+  }
+}
+
+void
+Put(Writer& aWriter, const Leaf& aLeaf)
+{
+  aWriter.Uint(aLeaf.index_);
+  PutList(aWriter, aLeaf.entries_);
+}
+
+void
+Take(Reader& aReader, Leaf& aLeaf)
+{
+  aLeaf.index_ =
+    static_cast<std::uint16_t>(aReader.Uint(DigestTree::kLeaves - 1U));
+  TakeList(aReader, aLeaf.entries_, dissemination::kMostLeafEntries);
+}
+
+} // namespace
+
+void
+Encode(Writer& aWriter, const Message& aMessage)
+{
+  Put(aWriter, aMessage.header_);
+  PutList(aWriter, aMessage.hosts_);
+  PutList(aWriter, aMessage.peers_);
+  PutList(aWriter, aMessage.pieces_);
+  aWriter.Bool(aMessage.want_.has_value());
+  if (aMessage.want_) {
+    aWriter.Write(aMessage.want_->held_);
+    aWriter.Write(aMessage.want_->base_);
+    aWriter.Write(aMessage.want_->version_);
+    aWriter.Uint(aMessage.want_->offset_);
+  }
+  PutList(aWriter, aMessage.hashes_);
+  PutList(aWriter, aMessage.leaves_);
+  PutList(aWriter, aMessage.wants_);
+}
+
+absl::StatusOr<Message>
+DecodeDissemination(Reader& aReader)
+{
+  constexpr auto kMost = dissemination::kMostItems;
+  Message message;
+  Take(aReader, message.header_);
+  TakeList(aReader, message.hosts_, kMost);
+  TakeList(aReader, message.peers_, kMost);
+  TakeList(aReader, message.pieces_, kMost);
+  if (aReader.Bool()) {
+    ConfigWant want;
+    aReader.Read(want.held_);
+    aReader.Read(want.base_);
+    aReader.Read(want.version_);
+    want.offset_ = aReader.Number<std::uint32_t>();
+    message.want_ = want;
+  }
+  TakeList(aReader, message.hashes_, kMost);
+  TakeList(aReader, message.leaves_, kMost);
+  TakeList(aReader, message.wants_, kMost);
+  const auto status = aReader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return message;
+}
+
+} // namespace cornelshore::wire
--- /dev/null
+++ b/test/cornelshore/dissemination/fleet.hpp
@@ -0,0 +1,203 @@
+#ifndef CORNELSHORE_TEST_DISSEMINATION_FLEET_HPP
+#define CORNELSHORE_TEST_DISSEMINATION_FLEET_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <cornelshore/core/random.hpp>
+#include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/dissemination/size.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief Fake network of nodes: a queue of messages and a loss function. */
+class Fleet
+{
+public:
+  /** @brief What happens to one message. */
+  struct Fate
+  {
+    std::uint32_t copies_{ 1 }; ///< 0: lost.
+    Duration delay_{ std::chrono::milliseconds(1) };
+  };
+
+  struct Member
+  {
+    NodeSettings settings_;
+    Node node_;
+    bool up_{ true };
+    std::uint64_t sent_{};
+    std::uint64_t received_{};
+    std::vector<ConfigChanged> configs_;
+  };
+
+  explicit Fleet(std::uint64_t aSeed)
+    : random_(aSeed)
+  {
+  }
+
+  /** @brief Fate of each message, from and to by index. */
+  std::function<Fate(std::size_t, std::size_t)> fate_ =
+    [](std::size_t, std::size_t) { return Fate{}; };
+
+  static Address AddressAt(std::size_t aIndex)
+  {
+    return MakeIpv4(0x0A000000U + static_cast<std::uint32_t>(aIndex), 7000);
+  }
+
+  static NodeId IdAt(std::size_t aIndex) { return NodeId{ aIndex + 1 }; }
+
+  std::size_t Add(NodeSettings aSettings)
+  {
+    const auto index = members_.size();
+    aSettings.self_ = IdAt(index);
+    aSettings.incarnation_ = Incarnation{ 1 };
+    aSettings.address_ = AddressAt(index);
+    aSettings.seed_ = random_.Next();
+    members_.push_back(
+      { aSettings, *Node::Builder(aSettings).Build(), true, 0, 0, {} });
+    Start(index);
+    return index;
+  }
+
+  /** @brief A new run of the process: nothing is kept. */
+  void Restart(std::size_t aIndex)
+  {
+    auto& member = members_[aIndex];
+    ++member.settings_.incarnation_.value_;
+    member.settings_.seed_ = random_.Next();
+    member.node_ = *Node::Builder(member.settings_).Build();
+    member.up_ = true;
+    Start(aIndex);
+  }
+
+  void Feed(std::size_t aIndex, const Event& aEvent)
+  {
+    if (!members_[aIndex].up_) {
+      return;
+    }
+    for (auto& action : members_[aIndex].node_.On(now_, aEvent)) {
+      if (auto* send = std::get_if<Send>(&action)) {
+        Carry(aIndex, std::move(*send));
+      } else if (auto* config = std::get_if<ConfigChanged>(&action)) {
+        members_[aIndex].configs_.push_back(std::move(*config));
+      }
+    }
+  }
+
+  void RunFor(Duration aLength)
+  {
+    RunUntil(now_ + aLength, [] { return false; });
+  }
+
+  /** @brief Runs until the condition holds; whether it did in time. */
+  bool RunUntil(TimePoint aEnd, const std::function<bool()>& aDone)
+  {
+    while (!queue_.empty() && queue_.top().at_ <= aEnd) {
+      const auto next = queue_.top();
+      queue_.pop();
+      now_ = next.at_;
+      Deliver(next);
+      if (aDone()) {
+        return true;
+      }
+    }
+    now_ = aEnd;
+    return aDone();
+  }
+
+  [[nodiscard]] TimePoint Now() const { return now_; }
+  [[nodiscard]] std::vector<Member>& Members() { return members_; }
+  [[nodiscard]] Node& At(std::size_t aIndex) { return members_[aIndex].node_; }
+  [[nodiscard]] Random& Randomness() { return random_; }
+
+  /** @brief Seeds every node with the first few addresses. */
+  std::size_t seeds_{ 3 };
+
+private:
+  struct Item
+  {
+    TimePoint at_;
+    std::uint64_t order_{};
+    std::size_t to_{};
+    std::uint64_t slot_{}; ///< 0: a tick.
+
+    bool operator<(const Item& aOther) const
+    {
+      return std::tie(aOther.at_, aOther.order_) < std::tie(at_, order_);
+    }
+  };
+
+  void Start(std::size_t aIndex)
+  {
+    SeedsKnown seeds;
+    for (std::size_t seed = 0; seed < seeds_; ++seed) {
+      if (seed != aIndex) {
+        seeds.addresses_.push_back(AddressAt(seed));
+      }
+    }
+    Feed(aIndex, seeds);
+    if (!ticking_[aIndex]) {
+      ticking_[aIndex] = true;
+      const auto offset = random_.Below(1'000'000);
+      Push(now_ + Duration{ static_cast<std::int64_t>(offset) }, aIndex, 0);
+    }
+  }
+
+  void Push(TimePoint aAt, std::size_t aTo, std::uint64_t aSlot)
+  {
+    queue_.push({ aAt, ++order_, aTo, aSlot });
+  }
+
+  void Carry(std::size_t aFrom, Send aSend)
+  {
+    const auto to = static_cast<std::size_t>(aSend.address_.ip_[13]) << 16U |
+                    static_cast<std::size_t>(aSend.address_.ip_[14]) << 8U |
+                    aSend.address_.ip_[15];
+    const auto bytes = DatagramBytesOf(aSend.message_);
+    members_[aFrom].sent_ += bytes;
+    const auto fate = fate_(aFrom, to);
+    for (std::uint32_t copy = 0; copy < fate.copies_; ++copy) {
+      const auto slot = ++slots_;
+      inFlight_[slot] = { IdAt(aFrom), AddressAt(aFrom), aSend.message_ };
+      Push(now_ + fate.delay_, to, slot);
+    }
+  }
+
+  void Deliver(const Item& aItem)
+  {
+    auto& member = members_[aItem.to_];
+    if (aItem.slot_ == 0) {
+      Feed(aItem.to_, Tick{});
+      Push(now_ + member.settings_.round_, aItem.to_, 0);
+      return;
+    }
+    const auto found = inFlight_.find(aItem.slot_);
+    const auto event = std::move(found->second);
+    inFlight_.erase(found);
+    if (member.up_) {
+      member.received_ += DatagramBytesOf(event.message_);
+      Feed(aItem.to_, event);
+    }
+  }
+
+  Random random_;
+  TimePoint now_{ std::chrono::hours(1) };
+  std::vector<Member> members_;
+  std::priority_queue<Item> queue_;
+  std::map<std::uint64_t, Received> inFlight_;
+  std::map<std::size_t, bool> ticking_;
+  std::uint64_t order_{};
+  std::uint64_t slots_{};
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
