--- /dev/null
+++ b/src/cornelshore/consensus/entry.cpp
@@ -0,0 +1,196 @@
+#include <cornelshore/consensus/entry.hpp>
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace cornelshore::consensus {
+
+namespace {
+
+constexpr std::size_t kEntryBytes = 64;
+constexpr std::size_t kNamedBytes = 24;
+constexpr std::size_t kMemberBytes = 24;
+
+std::size_t
+SizeOf(const Change& aChange) noexcept
+{
+  auto size = kEntryBytes + aChange.operator_.size();
+  for (const auto& service : aChange.services_) {
+    size += kNamedBytes + service.name_.size();
+    for (const auto& target : service.classes_) {
+      size += kNamedBytes + target.name_.size();
+    }
+  }
+  return size;
+}
+
+template<typename Value>
+bool
+SameValue(const std::shared_ptr<const Value>& aLeft,
+          const std::shared_ptr<const Value>& aRight) noexcept
+{
+  return aLeft == aRight ||
+         (aLeft != nullptr && aRight != nullptr && *aLeft == *aRight);
+}
+
+absl::Status
+CheckClass(const ServiceTarget& aService, const ClassTarget& aClass)
+{
+  if (aClass.name_.empty() || aClass.name_.size() > kMostNameBytes) {
+    return absl::InvalidArgumentError("a class's name is empty or too long");
+  }
+  if (aClass.service_ != aService.id_ ||
+      aClass.id_ != ClassIdOf(aService.name_, aClass.name_)) {
+    return absl::InvalidArgumentError("a class's id does not fit its name");
+  }
+  if (aClass.urgency_ > kMostUrgency || aClass.most_ > kWholeShare ||
+      aClass.keeps_ > kWholeShare) {
+    return absl::InvalidArgumentError("a class's target is out of range");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+CheckService(const ServiceTarget& aService)
+{
+  if (aService.name_.empty() || aService.name_.size() > kMostNameBytes) {
+    return absl::InvalidArgumentError("a service's name is empty or too long");
+  }
+  if (aService.id_ != ServiceIdOf(aService.name_)) {
+    return absl::InvalidArgumentError("a service's id does not fit its name");
+  }
+  if (aService.classes_.size() > kMostClassesOfService) {
+    return absl::InvalidArgumentError("a service has too many classes");
+  }
+  for (const auto& target : aService.classes_) {
+    if (auto status = CheckClass(aService, target); !status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+bool
+Entry::operator==(const Entry& aOther) const noexcept
+{
+  if (At() != aOther.At() || payload_.index() != aOther.payload_.index()) {
+    return false;
+  }
+  if (const auto* change =
+        std::get_if<std::shared_ptr<const Change>>(&payload_)) {
+    return SameValue(*change,
+                     std::get<std::shared_ptr<const Change>>(aOther.payload_));
+  }
+  if (const auto* members =
+        std::get_if<std::shared_ptr<const Membership>>(&payload_)) {
+    return SameValue(
+      *members, std::get<std::shared_ptr<const Membership>>(aOther.payload_));
+  }
+  return true;
+}
+
+std::size_t
+SizeOf(const Entry& aEntry) noexcept
+{
+  if (const auto* change =
+        std::get_if<std::shared_ptr<const Change>>(&aEntry.payload_)) {
+    return kEntryBytes + SizeOf(**change);
+  }
+  if (const auto* members =
+        std::get_if<std::shared_ptr<const Membership>>(&aEntry.payload_)) {
+    return kEntryBytes + (*members)->members_.size() * kMemberBytes;
+  }
+  return kEntryBytes;
+}
+
+void
+DurableState::Apply(const Persist& aPersist)
+{
+  if (aPersist.snapshot_ != nullptr) {
+    const auto last = aPersist.snapshot_->last_;
+    const auto kept =
+      std::find_if(entries_.begin(), entries_.end(), [&](const Entry& aEntry) {
+        return aEntry.At() == last;
+      });
+    entries_.erase(entries_.begin(),
+                   kept == entries_.end() ? kept : std::next(kept));
+    snapshot_ = aPersist.snapshot_;
+  }
+  if (!aPersist.entries_.empty()) {
+    const auto first = aPersist.entries_.front().index_;
+    while (!entries_.empty() && entries_.back().index_ >= first) {
+      entries_.pop_back();
+    }
+    entries_.insert(
+      entries_.end(), aPersist.entries_.begin(), aPersist.entries_.end());
+  }
+  if (aPersist.hard_) {
+    hard_ = *aPersist.hard_;
+  }
+}
+
+absl::Status
+DurableState::Check() const
+{
+  auto last = snapshot_ == nullptr ? Position{} : snapshot_->last_;
+  for (const auto& entry : entries_) {
+    if (entry.index_.value_ != last.index_.value_ + 1 ||
+        entry.term_ < last.term_) {
+      return absl::DataLossError(
+        absl::StrCat("entry ", entry.index_.value_, " does not follow"));
+    }
+    last = entry.At();
+  }
+  if (last.term_ > hard_.term_ || hard_.commit_ > last.index_) {
+    return absl::DataLossError("the hard state is older than the log");
+  }
+  return absl::OkStatus();
+}
+
+DurableState
+FirstState(const ReplicaId& aId, const std::vector<ReplicaId>& aVoters)
+{
+  const Position first{ Term{ 1 }, LogIndex{ 1 } };
+  Snapshot snapshot{ first, { first.index_, {} }, {} };
+  for (const auto& voter : aVoters) {
+    snapshot.membership_.Set(voter, MemberRole::Voter);
+  }
+  DurableState state;
+  state.id_ = aId;
+  state.hard_ = { first.term_, std::nullopt, first.index_ };
+  state.snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
+  return state;
+}
+
+DurableState
+JoiningState(const ReplicaId& aId)
+{
+  DurableState state;
+  state.id_ = aId;
+  return state;
+}
+
+absl::Status
+CheckChange(const Change& aChange)
+{
+  if (aChange.operator_.size() > kMostOperatorBytes) {
+    return absl::InvalidArgumentError("the operator's name is too long");
+  }
+  if (aChange.services_.size() > kMostServicesOfChange) {
+    return absl::InvalidArgumentError("too many services");
+  }
+  for (const auto& service : aChange.services_) {
+    if (auto status = CheckService(service); !status.ok()) {
+      return status;
+    }
+  }
+  if (SizeOf(aChange) > kMostChangeBytes) {
+    return absl::InvalidArgumentError("the configuration is too large");
+  }
+  return absl::OkStatus();
+}
+
+} // namespace cornelshore::consensus
--- /dev/null
+++ b/src/cornelshore/consensus/register.cpp
@@ -0,0 +1,112 @@
+#include <cornelshore/consensus/register.hpp>
+
+#include <utility>
+
+#include <cornelshore/core/hash.hpp>
+
+namespace cornelshore::consensus {
+
+namespace {
+
+std::uint64_t
+FingerprintOf(const ClassTarget& aClass) noexcept
+{
+  const auto numbers = (std::uint64_t{ aClass.urgency_ } << 40U) |
+                       (std::uint64_t{ aClass.most_ } << 24U) |
+                       (std::uint64_t{ aClass.keeps_ } << 8U) |
+                       (aClass.repeatable_ ? 1U : 0U);
+  return HashPair(HashText(aClass.name_), numbers);
+}
+
+std::uint64_t
+FingerprintOf(const ServiceTarget& aService) noexcept
+{
+  auto hash = HashText(aService.name_);
+  for (const auto& target : aService.classes_) {
+    hash = HashPair(hash, FingerprintOf(target));
+  }
+  return hash;
+}
+
+} // namespace
+
+std::uint64_t
+FingerprintOf(const Change& aChange) noexcept
+{
+  auto hash = HashPair(aChange.expected_.value_, HashText(aChange.operator_));
+  for (const auto& service : aChange.services_) {
+    hash = HashPair(hash, FingerprintOf(service));
+  }
+  return hash;
+}
+
+Register::Register(RegisterState aState)
+  : state_(std::move(aState))
+{
+  std::uint64_t place = 0;
+  for (const auto& remembered : state_.answers_) {
+    places_[remembered.change_] = place++;
+  }
+}
+
+ChangeAnswer
+Register::Apply(const Change& aChange)
+{
+  const auto* remembered = Remembered(aChange.id_);
+  if (remembered == nullptr) {
+    const auto answer = Decide(aChange);
+    Remember(aChange, answer);
+    return answer;
+  }
+  auto answer = remembered->answer_;
+  if (remembered->fingerprint_ != FingerprintOf(aChange)) {
+    answer.outcome_ = ChangeOutcome::IdReused;
+    answer.version_ = state_.configuration_.version_;
+    answer.winner_ = state_.winner_;
+    return answer;
+  }
+  answer.repeated_ = true;
+  return answer;
+}
+
+const RememberedAnswer*
+Register::Remembered(const RequestId& aChange) const
+{
+  const auto found = places_.find(aChange);
+  if (found == places_.end()) {
+    return nullptr;
+  }
+  return &state_.answers_[found->second - dropped_];
+}
+
+ChangeAnswer
+Register::Decide(const Change& aChange)
+{
+  auto& current = state_.configuration_;
+  if (aChange.expected_ != current.version_) {
+    return { ChangeOutcome::Conflict, current.version_, state_.winner_ };
+  }
+  ++current.version_.value_;
+  current.services_ = aChange.services_;
+  state_.winner_ = aChange.id_;
+  state_.history_.push_back(
+    { current.version_, aChange.id_, aChange.operator_, aChange.wallMillis_ });
+  if (state_.history_.size() > kHistoryLength) {
+    state_.history_.pop_front();
+  }
+  return { ChangeOutcome::Accepted, current.version_, aChange.id_ };
+}
+
+void
+Register::Remember(const Change& aChange, const ChangeAnswer& aAnswer)
+{
+  places_[aChange.id_] = dropped_ + state_.answers_.size();
+  state_.answers_.push_back({ aChange.id_, FingerprintOf(aChange), aAnswer });
+  if (state_.answers_.size() > kRememberedAnswers) {
+    places_.erase(state_.answers_.front().change_);
+    state_.answers_.pop_front();
+    ++dropped_;
+  }
+}
+
+} // namespace cornelshore::consensus
--- /dev/null
+++ b/src/cornelshore/consensus/replica.cpp
@@ -0,0 +1,376 @@
+#include <cornelshore/consensus/replica.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <cornelshore/core/check.hpp>
+
+namespace cornelshore::consensus {
+
+namespace {
+
+constexpr std::uint32_t kMillion = 1000000;
+
+absl::Status
+CheckSettings(const ReplicaSettings& aSettings)
+{
+  if (aSettings.heartbeat_ <= Duration::zero() ||
+      aSettings.electionTimeout_ < 4 * aSettings.heartbeat_) {
+    return absl::InvalidArgumentError(
+      "the election timeout must be at least four heartbeats");
+  }
+  if (aSettings.clockDriftPpm_ >= kMillion / 2) {
+    return absl::InvalidArgumentError("the bound on clock drift is too large");
+  }
+  if (aSettings.compactEntries_ == 0 || aSettings.entriesInMessage_ == 0 ||
+      aSettings.entriesInFlight_ == 0 || aSettings.pendingProposals_ == 0) {
+    return absl::InvalidArgumentError("a bound is zero");
+  }
+  return absl::OkStatus();
+}
+
+/** Whether a body of a later term makes its receiver follow that term. */
+bool
+MovesTerm(const Body& aBody)
+{
+  return std::holds_alternative<VoteRequest>(aBody) ||
+         std::holds_alternative<VoteReply>(aBody) ||
+         std::holds_alternative<AppendRequest>(aBody) ||
+         std::holds_alternative<SnapshotRequest>(aBody) ||
+         std::holds_alternative<AppendReply>(aBody);
+}
+
+/** Time on the own clock in which any clock's `aLength` has passed. */
+Duration
+LongEnough(Duration aLength, std::uint32_t aDriftPpm)
+{
+  return Duration{
+    aLength.count() * (kMillion + aDriftPpm) / (kMillion - aDriftPpm) + 1
+  };
+}
+
+} // namespace
+
+Replica::Replica(ReplicaSettings aSettings,
+                 DurableState aState,
+                 Verification aVerification,
+                 std::vector<NodeId> aSeeds,
+                 std::uint64_t aSeed,
+                 TimePoint aNow)
+  : settings_(aSettings)
+  , id_(aState.id_)
+  , seeds_(std::move(aSeeds))
+  , random_(aSeed)
+  , verifier_(
+      id_,
+      aVerification,
+      aNow + LongEnough(aSettings.electionTimeout_, aSettings.clockDriftPpm_),
+      random_.Next())
+  , hard_(std::move(aState.hard_))
+  , log_(std::move(aState.snapshot_), std::move(aState.entries_))
+  , nextToken_(random_.Next())
+  , now_(aNow)
+  , heartbeatDue_(aNow)
+  , upkeepDue_(aNow)
+{
+  if (log_.Newest() != nullptr) {
+    register_ = Register(log_.Newest()->register_);
+    commit_ = applied_ = log_.Newest()->last_.index_;
+  }
+  syncedIndex_ = log_.Last().index_;
+  commit_ = std::max(commit_, hard_.commit_);
+  ApplyCommitted();
+  ResetElectionTimer();
+}
+
+std::vector<Action>
+Replica::On(TimePoint aNow, Event aEvent)
+{
+  now_ = std::max(now_, aNow);
+  std::visit([this](const auto& aKind) { Handle(aKind); }, aEvent);
+  if (fault_ == Fault::None) {
+    verifier_.Learn(log_.MembersAt(commit_), log_.Members());
+    verifier_.Update(now_);
+    Flush();
+  }
+  return std::exchange(actions_, {});
+}
+
+void
+Replica::Handle(const Received& aEvent)
+{
+  const auto& message = aEvent.message_;
+  if (!Accepts(message)) {
+    return;
+  }
+  TakeTerm(message);
+  std::visit([&](const auto& aBody) { On(message, aBody); }, message.body_);
+}
+
+bool
+Replica::Accepts(const Message& aMessage)
+{
+  const auto forThis =
+    aMessage.to_ == id_ ||
+    (aMessage.to_.node_ == id_.node_ && aMessage.to_.disk_.value_ == 0);
+  if (fault_ != Fault::None || !forThis || aMessage.from_ == id_) {
+    return false;
+  }
+  if (log_.Members().Find(aMessage.from_) != nullptr) {
+    witnesses_.HeardTerm(aMessage.from_, aMessage.term_);
+  }
+  return true;
+}
+
+void
+Replica::TakeTerm(const Message& aMessage)
+{
+  if (aMessage.term_ <= hard_.term_) {
+    return;
+  }
+  if (const auto* request = std::get_if<VoteRequest>(&aMessage.body_)) {
+    const auto disturbs = KnowsOtherLeader() || !verifier_.Verified();
+    if (request->ballot_ == Ballot::PreVote || disturbs) {
+      return;
+    }
+  }
+  if (MovesTerm(aMessage.body_)) {
+    BecomeFollower(aMessage.term_, std::nullopt);
+  }
+}
+
+void
+Replica::Handle(const Synced& aEvent)
+{
+  if (fault_ != Fault::None || aEvent.id_ <= synced_) {
+    return;
+  }
+  synced_ = aEvent.id_;
+  while (!pendingSyncs_.empty() && pendingSyncs_.front().id_ <= synced_) {
+    syncedIndex_ = pendingSyncs_.front().last_;
+    pendingSyncs_.pop_front();
+  }
+  if (role_ == Role::Candidate) {
+    CountVotes();
+  } else if (role_ == Role::Leader) {
+    AdvanceCommit();
+  } else if (leader_) {
+    ReplyToLeader();
+  }
+}
+
+void
+Replica::Handle(const StorageFailed& aEvent)
+{
+  Fail(aEvent.fault_);
+}
+
+void
+Replica::Fail(Fault aFault)
+{
+  if (fault_ != Fault::None) {
+    return;
+  }
+  AbandonRequests();
+  ExpireRequests(Duration::zero(), Duration::zero());
+  fault_ = aFault;
+  role_ = Role::Follower;
+  leader_.reset();
+  deferred_.clear();
+  actions_.emplace_back(Faulted{ aFault });
+}
+
+void
+Replica::Handle(const Tick&)
+{
+  if (fault_ != Fault::None) {
+    return;
+  }
+  ExpireRequests(settings_.electionTimeout_, settings_.answerTimeout_);
+  if (upkeepDue_ <= now_) {
+    upkeepDue_ = now_ + settings_.heartbeat_ * 2;
+    SendHellos();
+    SendJoins();
+  }
+  if (role_ == Role::Leader) {
+    TickLeader();
+  } else if (electionDue_ <= now_) {
+    TickElection();
+  }
+}
+
+void
+Replica::TickLeader()
+{
+  const auto acked = std::max(QuorumAckedAt().value_or(Duration{}),
+                              ledSince_.time_since_epoch());
+  if (Clock() >= acked + settings_.electionTimeout_) {
+    BecomeFollower(hard_.term_, std::nullopt);
+    return;
+  }
+  if (heartbeatDue_ <= now_) {
+    heartbeatDue_ = now_ + settings_.heartbeat_;
+    AdvanceMembers();
+    SendHeartbeats();
+  }
+}
+
+TimePoint
+Replica::NextTimer() const
+{
+  if (fault_ != Fault::None) {
+    return TimePoint::max();
+  }
+  return std::min(role_ == Role::Leader ? heartbeatDue_ : electionDue_,
+                  upkeepDue_);
+}
+
+void
+Replica::SendTo(const ReplicaId& aTo, Body aBody)
+{
+  SendAfterSync(aTo, std::move(aBody), PersistId{});
+}
+
+void
+Replica::SendAfterSync(const ReplicaId& aTo, Body aBody, PersistId aAfter)
+{
+  Message message{ id_, aTo, hard_.term_, std::move(aBody) };
+  deferred_.push_back({ aAfter, std::move(message) });
+}
+
+void
+Replica::Flush()
+{
+  if (hardChanged_ || snapshotChanged_ || entriesFrom_) {
+    Persist persist;
+    persist.id_ = PersistId{ ++lastPersist_.value_ };
+    if (hardChanged_ || entriesFrom_) {
+      hard_.commit_ =
+        std::max(hard_.commit_, std::min(commit_, OwnLast().index_));
+      persist.hard_ = hard_;
+    }
+    if (snapshotChanged_) {
+      persist.snapshot_ = log_.Newest();
+    }
+    if (entriesFrom_) {
+      const LogIndex afterSnapshot{ log_.SnapshotIndex().value_ + 1 };
+      persist.entries_ = log_.From(std::max(*entriesFrom_, afterSnapshot));
+    }
+    if (hardChanged_) {
+      hardPersist_ = lastPersist_;
+    }
+    pendingSyncs_.push_back({ lastPersist_, OwnLast().index_ });
+    hardChanged_ = snapshotChanged_ = false;
+    entriesFrom_.reset();
+    PutFirst(std::move(persist));
+  }
+  ReleaseDeferred();
+}
+
+void
+Replica::PutFirst(Persist aPersist)
+{
+  std::vector<Action> ordered;
+  ordered.reserve(actions_.size() + 1);
+  ordered.emplace_back(std::move(aPersist));
+  for (auto& action : actions_) {
+    ordered.emplace_back(std::move(action));
+  }
+  actions_ = std::move(ordered);
+}
+
+void
+Replica::ReleaseDeferred()
+{
+  std::vector<Deferred> kept;
+  for (auto& row : deferred_) {
+    if (row.message_.term_ < hard_.term_) {
+      continue;
+    }
+    if (std::max(row.after_, hardPersist_) > synced_) {
+      kept.push_back(std::move(row));
+    } else {
+      actions_.emplace_back(Send{ std::move(row.message_) });
+    }
+  }
+  deferred_ = std::move(kept);
+}
+
+ReplicaDump
+Replica::Dump(TimePoint aNow) const
+{
+  ReplicaDump dump;
+  dump.id_ = id_;
+  dump.role_ = role_;
+  dump.fault_ = fault_;
+  dump.verified_ = verifier_.Verified();
+  dump.holdsLease_ = HoldsLease(aNow);
+  dump.term_ = hard_.term_;
+  dump.leader_ = role_ == Role::Leader ? id_ : leader_;
+  dump.last_ = OwnLast();
+  dump.synced_ = syncedIndex_;
+  dump.commit_ = commit_;
+  dump.applied_ = applied_;
+  dump.snapshot_ = log_.SnapshotIndex();
+  dump.version_ = register_.Current().version_;
+  dump.membership_ = log_.Members();
+  dump.joining_ = joining_;
+  dump.pendingProposals_ = requesters_.size() + forwards_.size();
+  dump.pendingReads_ =
+    unconfirmedReads_.size() + unappliedReads_.size() + askedReads_.size();
+  dump.logBytes_ = log_.Bytes();
+  return dump;
+}
+
+ReplicaBuilder&
+ReplicaBuilder::Settings(ReplicaSettings aSettings)
+{
+  settings_ = aSettings;
+  return *this;
+}
+
+ReplicaBuilder&
+ReplicaBuilder::State(DurableState aState)
+{
+  state_ = std::move(aState);
+  return *this;
+}
+
+ReplicaBuilder&
+ReplicaBuilder::HowVerified(Verification aVerification)
+{
+  verification_ = aVerification;
+  return *this;
+}
+
+ReplicaBuilder&
+ReplicaBuilder::Seeds(std::vector<NodeId> aNodes)
+{
+  seeds_ = std::move(aNodes);
+  return *this;
+}
+
+ReplicaBuilder&
+ReplicaBuilder::Seed(std::uint64_t aSeed)
+{
+  seed_ = aSeed;
+  return *this;
+}
+
+absl::StatusOr<Replica>
+ReplicaBuilder::Build(TimePoint aNow) const
+{
+  if (auto status = CheckSettings(settings_); !status.ok()) {
+    return status;
+  }
+  if (state_.id_.disk_.value_ == 0) {
+    return absl::InvalidArgumentError("the replica's disk id is zero");
+  }
+  if (auto status = state_.Check(); !status.ok()) {
+    return status;
+  }
+  return Replica(settings_, state_, verification_, seeds_, seed_, aNow);
+}
+
+} // namespace cornelshore::consensus
--- /dev/null
+++ b/src/cornelshore/consensus/replica.hpp
@@ -0,0 +1,361 @@
+#ifndef CORNELSHORE_CONSENSUS_REPLICA_HPP
+#define CORNELSHORE_CONSENSUS_REPLICA_HPP
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/statusor.h>
+
+#include <cornelshore/consensus/entry_log.hpp>
+#include <cornelshore/consensus/event.hpp>
+#include <cornelshore/consensus/register.hpp>
+#include <cornelshore/consensus/verifier.hpp>
+#include <cornelshore/core/random.hpp>
+#include <cornelshore/core/time.hpp>
+
+namespace cornelshore::consensus {
+
+/** @brief What a replica is in its present term. */
+enum class Role : std::uint8_t
+{
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader,
+};
+
+/** @brief Names of `Role`. */
+inline constexpr std::array<EnumName<Role>, 4> kRoleNames{ {
+  { Role::Follower, "follower" },
+  { Role::PreCandidate, "pre_candidate" },
+  { Role::Candidate, "candidate" },
+  { Role::Leader, "leader" },
+} };
+
+/** @brief Times and bounds of a replica; the same at all of a group. */
+struct ReplicaSettings
+{
+  Duration heartbeat_{ std::chrono::milliseconds{ 150 } };
+  /** Least time without a leader before an election; at most twice it. */
+  Duration electionTimeout_{ std::chrono::milliseconds{ 1500 } };
+  /** Bound on how far any clock's rate is off, in parts per million. */
+  std::uint32_t clockDriftPpm_{ 10000 };
+  /** After it a proposal's fate is given as unknown. */
+  Duration answerTimeout_{ std::chrono::seconds{ 6 } };
+  std::size_t compactEntries_{ 1024 };      ///< Snapshot after so many.
+  std::size_t compactBytes_{ 16U << 20U };  ///< Snapshot after so much.
+  std::size_t trailingEntries_{ 128 };      ///< Kept before a snapshot.
+  std::size_t entriesInMessage_{ 64 };      ///< Most in one message.
+  std::size_t bytesInMessage_{ 1U << 20U }; ///< Unless one is larger.
+  std::size_t entriesInFlight_{ 256 };      ///< Most sent ahead of a reply.
+  std::size_t pendingProposals_{ 256 };     ///< Most under way.
+  std::size_t pendingReads_{ 1024 };        ///< Most under way.
+};
+
+/** @brief State of a replica as the state dump shows it. */
+struct ReplicaDump
+{
+  ReplicaId id_;
+  Role role_{ Role::Follower };
+  Fault fault_{ Fault::None };
+  bool verified_{};
+  bool holdsLease_{};
+  Term term_;
+  std::optional<ReplicaId> leader_;
+  Position last_;
+  LogIndex synced_;
+  LogIndex commit_;
+  LogIndex applied_;
+  LogIndex snapshot_;
+  ConfigVersion version_;
+  Membership membership_;
+  std::vector<ReplicaId> joining_; ///< Ask to join; nobody added them yet.
+  std::size_t pendingProposals_{};
+  std::size_t pendingReads_{};
+  std::size_t logBytes_{};
+};
+
+/**
+ * @brief One replica of the control group's log.
+ *
+ * A state machine without input or output: the host hands in events with the
+ * present time and carries out the actions, in order. A `Persist` may be
+ * batched with later ones, but `Synced` is reported only once it is on the
+ * disk; whatever depends on it is held back until then.
+ */
+class Replica
+{
+public:
+  /** @brief Carries out one event. @return What the host must do. */
+  [[nodiscard]] std::vector<Action> On(TimePoint aNow, Event aEvent);
+
+  /** @brief When `Tick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const;
+
+  /** @brief The configuration and history as far as this replica knows. */
+  [[nodiscard]] const Register& AppliedRegister() const noexcept
+  {
+    return register_;
+  }
+
+  /** @brief Tells whether the lease holds at the given time. */
+  [[nodiscard]] bool HoldsLease(TimePoint aNow) const;
+
+  [[nodiscard]] ReplicaDump Dump(TimePoint aNow) const;
+
+private:
+  friend class ReplicaBuilder;
+
+  /** Who asked for what the entry at an index does. */
+  struct Requester
+  {
+    Token token_;
+    std::optional<ReplicaId> forwarder_; ///< None: the host itself.
+    bool membership_{};
+  };
+
+  /** What a leader knows of another member. */
+  struct Progress
+  {
+    LogIndex match_;
+    LogIndex next_;
+    std::optional<Duration> matchSentAt_; ///< Of the proof of `match_`.
+    std::optional<Duration> ackSentAt_;   ///< Of the last answered message.
+    std::optional<Duration> snapshotSentAt_;
+    LogIndex matchAtHeartbeat_; ///< `match_` at the last heartbeat.
+    bool probing_{ true };      ///< Not known where the logs part.
+  };
+
+  /** A read that waits for a quorum, or for the index to be applied. */
+  struct PendingRead
+  {
+    Token token_;
+    std::optional<ReplicaId> asker_; ///< None: the host itself.
+    TimePoint since_;
+    LogIndex index_; ///< Must be applied first.
+  };
+
+  /** A request of the host that another replica is to answer. */
+  struct AskedLeader
+  {
+    Token token_;
+    TimePoint since_;
+  };
+
+  /** A message that waits for a sync. */
+  struct Deferred
+  {
+    PersistId after_;
+    Message message_;
+  };
+
+  /** A write that is not synced yet. */
+  struct PendingSync
+  {
+    PersistId id_;
+    LogIndex last_;
+  };
+
+  Replica(ReplicaSettings aSettings,
+          DurableState aState,
+          Verification aVerification,
+          std::vector<NodeId> aSeeds,
+          std::uint64_t aSeed,
+          TimePoint aNow);
+
+  void Handle(const Received& aEvent);
+  void Handle(const Synced& aEvent);
+  void Handle(const StorageFailed& aEvent);
+  void Handle(const Tick& aEvent);
+  void Handle(const Propose& aEvent);
+  void Handle(const ChangeMembership& aEvent);
+  void Handle(const Read& aEvent);
+
+  void On(const Message& aMessage, const VoteRequest& aBody);
+  void On(const Message& aMessage, const VoteReply& aBody);
+  void On(const Message& aMessage, const AppendRequest& aBody);
+  void On(const Message& aMessage, const SnapshotRequest& aBody);
+  void On(const Message& aMessage, const AppendReply& aBody);
+  void On(const Message& aMessage, const Hello& aBody);
+  void On(const Message& aMessage, const HelloReply& aBody);
+  void On(const Message& aMessage, const Join& aBody);
+  void On(const Message& aMessage, const Forward& aBody);
+  void On(const Message& aMessage, const ForwardReply& aBody);
+  void On(const Message& aMessage, const ReadIndexRequest& aBody);
+  void On(const Message& aMessage, const ReadIndexReply& aBody);
+  void On(const Message& aMessage, const Refusal& aBody);
+
+  [[nodiscard]] bool Accepts(const Message& aMessage);
+  void TakeTerm(const Message& aMessage);
+
+  // Elections.
+  [[nodiscard]] Position OwnLast() const noexcept { return log_.Last(); }
+  [[nodiscard]] bool KnowsOtherLeader() const;
+  [[nodiscard]] bool MayGrant(const Message& aMessage,
+                              const VoteRequest& aBody) const;
+  void StartPreVote();
+  void StartElection();
+  void AskForVotes(Ballot aBallot, Term aTerm);
+  void CountVotes();
+  void EnterTerm(Term aTerm);
+  void BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader);
+  void BecomeLeader();
+  void AbandonRequests();
+  void ResetElectionTimer();
+  void Fail(Fault aFault);
+  void SendHellos();
+  void SendJoins();
+
+  // Replication.
+  void AppendOwn(Payload aPayload);
+  void Replicate(const ReplicaId& aTo, Progress& aProgress);
+  void ReplicateAll();
+  void SendHeartbeats();
+  void Heartbeat(const ReplicaId& aTo, Progress& aProgress);
+  void SendEntries(const ReplicaId& aTo, Progress& aProgress, LogIndex aFrom);
+  void SendSnapshot(const ReplicaId& aTo, Progress& aProgress);
+  void FollowLeader(const Message& aMessage, Duration aSentAt);
+  [[nodiscard]] bool HasEntry(const Position& aPosition) const;
+  void AcceptEntry(const Entry& aEntry);
+  void Truncate(LogIndex aFrom);
+  void Install(const std::shared_ptr<const Snapshot>& aSnapshot);
+  void ReplyToLeader();
+  void OnMatch(const Message& aMessage,
+               Progress& aProgress,
+               const AppendReply& aBody);
+  void OnMismatch(const Message& aMessage,
+                  Progress& aProgress,
+                  const AppendReply& aBody);
+  void AdvanceCommit();
+  void ApplyCommitted();
+  void ApplyEntry(const Entry& aEntry);
+  void ApplyMembership(const Membership& aMembership);
+  void Compact();
+  void SyncMembers();
+  [[nodiscard]] Duration LeaseLength() const;
+  /** Latest time at which a quorum was known to follow this leader. */
+  [[nodiscard]] std::optional<Duration> QuorumAckedAt() const;
+  [[nodiscard]] bool IsRecent(const std::optional<Duration>& aSentAt) const;
+
+  // Requests.
+  void AnswerProposal(Token aToken,
+                      ProposalStatus aStatus,
+                      const ChangeAnswer& aAnswer = {});
+  void AnswerMembership(Token aToken, MembershipStatus aStatus);
+  void AnswerRequester(const Requester& aRequester,
+                       const std::optional<ChangeAnswer>& aAnswer,
+                       bool aCommitted);
+  void AppendRequested(Payload aPayload, const Requester& aRequester);
+  void AskLeader(const Propose& aEvent);
+  [[nodiscard]] MembershipStatus TryMembership(const ChangeMembership& aEvent);
+  [[nodiscard]] MembershipStatus TryAppend(
+    Membership aMembership,
+    const std::optional<Requester>& aRequester);
+  [[nodiscard]] std::size_t ActiveVoters(const Membership& aMembership) const;
+  [[nodiscard]] bool CommittedInTerm() const;
+  void AdvanceMembers();
+  [[nodiscard]] bool AdvanceLearner(const Member& aLearner);
+  [[nodiscard]] bool IsCaughtUp(const ReplicaId& aId) const;
+  [[nodiscard]] const Member* Predecessor(const ReplicaId& aId) const;
+  [[nodiscard]] bool AdmitJoining();
+  void ServeReads();
+  void FinishRead(const PendingRead& aRead, bool aConfirmed);
+  void ServeApplied();
+  void ExpireRequests(Duration aReadAge, Duration aProposalAge);
+
+  void SendTo(const ReplicaId& aTo, Body aBody);
+  void SendAfterSync(const ReplicaId& aTo, Body aBody, PersistId aAfter);
+  void Flush();
+  void PutFirst(Persist aPersist);
+  void ReleaseDeferred();
+  void TickElection();
+  void TickLeader();
+  [[nodiscard]] Duration Clock() const { return now_.time_since_epoch(); }
+
+  ReplicaSettings settings_;
+  ReplicaId id_;
+  std::vector<NodeId> seeds_;
+  Random random_;
+  internal::Verifier verifier_;
+  internal::Witnesses witnesses_;
+
+  HardState hard_;
+  internal::EntryLog log_;
+  Register register_;
+  LogIndex commit_;
+  LogIndex applied_;
+  Fault fault_{ Fault::None };
+
+  Role role_{ Role::Follower };
+  std::optional<ReplicaId> leader_;
+  std::optional<TimePoint> heardLeader_;
+  Duration leaderSentAt_{ Duration::min() };
+  LogIndex verifiedMatch_; ///< Same as the present leader's up to here.
+
+  absl::flat_hash_set<ReplicaId> votes_;
+  TimePoint campaignStart_;
+  TimePoint ledSince_;
+  std::map<ReplicaId, Progress> progress_;
+
+  std::map<LogIndex, Requester> requesters_;
+  absl::flat_hash_map<Token, AskedLeader> forwards_; ///< By own token.
+  std::vector<PendingRead> unconfirmedReads_;        ///< Wait for a quorum.
+  std::vector<PendingRead> unappliedReads_;          ///< Wait for their index.
+  absl::flat_hash_map<Token, AskedLeader> askedReads_; ///< By own token.
+  std::uint64_t nextToken_; ///< Other than in any earlier run.
+  std::vector<ReplicaId> joining_;
+
+  TimePoint now_;
+  TimePoint electionDue_;
+  TimePoint heartbeatDue_;
+  TimePoint upkeepDue_;
+
+  bool hardChanged_{};
+  bool snapshotChanged_{};
+  std::optional<LogIndex> entriesFrom_;
+  PersistId lastPersist_;
+  PersistId hardPersist_;
+  PersistId synced_;
+  LogIndex syncedIndex_;
+  std::deque<PendingSync> pendingSyncs_;
+  std::vector<Deferred> deferred_;
+  std::vector<Action> actions_;
+};
+
+/** @brief Builds a replica from what its disk holds. */
+class ReplicaBuilder
+{
+public:
+  ReplicaBuilder& Settings(ReplicaSettings aSettings);
+  /** @brief What the storage recovered, `FirstState` or `JoiningState`. */
+  ReplicaBuilder& State(DurableState aState);
+  ReplicaBuilder& HowVerified(Verification aVerification);
+  /** @brief Control nodes that a joining replica asks, by the settings. */
+  ReplicaBuilder& Seeds(std::vector<NodeId> aNodes);
+  /** @brief Seed of election timeouts; another at each start. */
+  ReplicaBuilder& Seed(std::uint64_t aSeed);
+
+  /**
+   * @param aNow Time of the start.
+   * @return The replica, `InvalidArgument` for times or bounds that make no
+   * sense, or `DataLoss` for a state that does not fit together.
+   */
+  [[nodiscard]] absl::StatusOr<Replica> Build(TimePoint aNow) const;
+
+private:
+  ReplicaSettings settings_;
+  DurableState state_;
+  Verification verification_{ Verification::Unproven };
+  std::vector<NodeId> seeds_;
+  std::uint64_t seed_{};
+};
+
+} // namespace cornelshore::consensus
+
+#endif
--- /dev/null
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -0,0 +1,256 @@
+#include <algorithm>
+#include <utility>
+
+#include <cornelshore/consensus/replica.hpp>
+
+namespace cornelshore::consensus {
+
+bool
+Replica::KnowsOtherLeader() const
+{
+  if (role_ == Role::Leader) {
+    return HoldsLease(now_);
+  }
+  return heardLeader_ && now_ < *heardLeader_ + settings_.electionTimeout_;
+}
+
+bool
+Replica::MayGrant(const Message& aMessage, const VoteRequest& aBody) const
+{
+  if (!verifier_.Verified() || KnowsOtherLeader() ||
+      !verifier_.MayElect(aBody.term_, aBody.last_) ||
+      aBody.last_ < OwnLast()) {
+    return false;
+  }
+  if (aBody.ballot_ == Ballot::PreVote) {
+    return aBody.term_ > hard_.term_;
+  }
+  const auto free = !hard_.vote_ || *hard_.vote_ == aMessage.from_;
+  return aBody.term_ == hard_.term_ && free && !leader_;
+}
+
+void
+Replica::On(const Message& aMessage, const VoteRequest& aBody)
+{
+  const auto& committed = log_.MembersAt(commit_);
+  if (committed.index_ > aBody.membership_ &&
+      log_.Members().Find(aMessage.from_) == nullptr &&
+      committed.Find(aMessage.from_) == nullptr) {
+    SendTo(aMessage.from_, Refusal{ Fault::Removed });
+    return;
+  }
+  if (KnowsOtherLeader() || !verifier_.Verified()) {
+    return;
+  }
+  const auto granted = MayGrant(aMessage, aBody);
+  if (granted && aBody.ballot_ == Ballot::Vote) {
+    if (!hard_.vote_) {
+      hard_.vote_ = aMessage.from_;
+      hardChanged_ = true;
+    }
+    role_ = Role::Follower;
+    ResetElectionTimer();
+  }
+  SendTo(aMessage.from_, VoteReply{ aBody.ballot_, aBody.term_, granted });
+}
+
+void
+Replica::On(const Message& aMessage, const VoteReply& aBody)
+{
+  const auto awaited =
+    (aBody.ballot_ == Ballot::PreVote && role_ == Role::PreCandidate &&
+     aBody.term_.value_ == hard_.term_.value_ + 1) ||
+    (aBody.ballot_ == Ballot::Vote && role_ == Role::Candidate &&
+     aBody.term_ == hard_.term_);
+  if (!awaited || !aBody.granted_) {
+    return;
+  }
+  votes_.insert(aMessage.from_);
+  CountVotes();
+}
+
+void
+Replica::CountVotes()
+{
+  if (Clock() >= campaignStart_.time_since_epoch() + LeaseLength()) {
+    return;
+  }
+  if (role_ == Role::Candidate && hardPersist_ <= synced_ && !hardChanged_) {
+    votes_.insert(id_);
+  }
+  const auto& members = log_.Members();
+  const auto granted =
+    std::count_if(votes_.begin(), votes_.end(), [&](const ReplicaId& aId) {
+      return members.IsVoter(aId);
+    });
+  if (static_cast<std::size_t>(granted) < members.Quorum()) {
+    return;
+  }
+  if (role_ == Role::PreCandidate) {
+    StartElection();
+  } else {
+    BecomeLeader();
+  }
+}
+
+void
+Replica::TickElection()
+{
+  ResetElectionTimer();
+  const auto mayStand =
+    verifier_.Verified() && log_.Members().IsVoter(id_) &&
+    verifier_.MayElect(Term{ hard_.term_.value_ + 1 }, OwnLast());
+  if (mayStand) {
+    StartPreVote();
+  } else if (leader_) {
+    leader_.reset();
+  }
+}
+
+void
+Replica::StartPreVote()
+{
+  role_ = Role::PreCandidate;
+  leader_.reset();
+  votes_ = { id_ };
+  campaignStart_ = now_;
+  AskForVotes(Ballot::PreVote, Term{ hard_.term_.value_ + 1 });
+  CountVotes();
+}
+
+void
+Replica::StartElection()
+{
+  role_ = Role::Candidate;
+  EnterTerm(Term{ hard_.term_.value_ + 1 });
+  hard_.vote_ = id_;
+  votes_.clear();
+  campaignStart_ = now_;
+  AskForVotes(Ballot::Vote, hard_.term_);
+}
+
+void
+Replica::AskForVotes(Ballot aBallot, Term aTerm)
+{
+  for (const auto& member : log_.Members().members_) {
+    if (member.role_ == MemberRole::Voter && member.id_ != id_) {
+      SendTo(member.id_,
+             VoteRequest{ aBallot, aTerm, OwnLast(), log_.Members().index_ });
+    }
+  }
+}
+
+void
+Replica::EnterTerm(Term aTerm)
+{
+  hard_.term_ = aTerm;
+  hard_.vote_.reset();
+  hardChanged_ = true;
+  verifiedMatch_ = commit_;
+  leaderSentAt_ = Duration::min();
+}
+
+void
+Replica::BecomeFollower(Term aTerm, std::optional<ReplicaId> aLeader)
+{
+  if (role_ == Role::Leader) {
+    AbandonRequests();
+    ResetElectionTimer();
+  }
+  if (aTerm > hard_.term_) {
+    EnterTerm(aTerm);
+  }
+  role_ = Role::Follower;
+  leader_ = aLeader;
+  votes_.clear();
+  progress_.clear();
+}
+
+void
+Replica::BecomeLeader()
+{
+  role_ = Role::Leader;
+  leader_.reset();
+  ledSince_ = now_;
+  heartbeatDue_ = now_ + settings_.heartbeat_;
+  progress_.clear();
+  SyncMembers();
+  AppendOwn(NoChange{});
+  SendHeartbeats();
+}
+
+void
+Replica::ResetElectionTimer()
+{
+  const auto spread =
+    static_cast<std::uint64_t>(settings_.electionTimeout_.count());
+  const auto extra = random_.Below(spread);
+  electionDue_ = now_ + settings_.electionTimeout_ +
+                 Duration{ static_cast<std::int64_t>(extra) };
+}
+
+void
+Replica::SendHellos()
+{
+  if (verifier_.Verified() || now_ < verifier_.WaitEnd()) {
+    return;
+  }
+  for (const auto& voter : verifier_.Asked()) {
+    SendTo(voter, Hello{ verifier_.Nonce(), OwnLast(), log_.Members().index_ });
+  }
+}
+
+void
+Replica::On(const Message& aMessage, const Hello& aBody)
+{
+  const auto& committed = log_.MembersAt(commit_);
+  if (committed.index_ > aBody.membership_ &&
+      log_.Members().Find(aMessage.from_) == nullptr &&
+      committed.Find(aMessage.from_) == nullptr) {
+    SendTo(aMessage.from_, Refusal{ Fault::Removed });
+    return;
+  }
+  const auto witness = witnesses_.Of(aMessage.from_);
+  SendAfterSync(aMessage.from_,
+                HelloReply{ aBody.nonce_,
+                            OwnLast(),
+                            witness.term_,
+                            witness.committed_,
+                            committed,
+                            log_.Members() },
+                lastPersist_);
+}
+
+void
+Replica::On(const Message& aMessage, const HelloReply& aBody)
+{
+  if (aBody.nonce_ != verifier_.Nonce()) {
+    return;
+  }
+  if (aBody.witnessTerm_ > hard_.term_ || aBody.witness_ > OwnLast().index_) {
+    Fail(Fault::RolledBack);
+    return;
+  }
+  verifier_.Answer(aMessage.from_, aMessage.term_, aBody);
+}
+
+void
+Replica::On(const Message&, const Refusal& aBody)
+{
+  Fail(aBody.fault_ == Fault::RolledBack ? Fault::RolledBack : Fault::Removed);
+}
+
+void
+Replica::SendJoins()
+{
+  if (!log_.Members().members_.empty()) {
+    return;
+  }
+  for (const auto& node : seeds_) {
+    if (node != id_.node_) {
+      SendTo(ReplicaId{ node, {} }, Join{});
+    }
+  }
+}
+
+} // namespace cornelshore::consensus
--- /dev/null
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -0,0 +1,429 @@
+#include <algorithm>
+#include <utility>
+
+#include <cornelshore/consensus/replica.hpp>
+
+namespace cornelshore::consensus {
+
+namespace {
+
+/** Entries that a learner may be behind and still be made a voter. */
+constexpr std::uint64_t kCaughtUpEntries = 64;
+
+template<typename Map, typename Finish>
+void
+ExpireAsked(Map& aAsked, TimePoint aLatest, const Finish& aFinish)
+{
+  for (auto row = aAsked.begin(); row != aAsked.end();) {
+    const auto current = row++;
+    if (current->second.since_ <= aLatest) {
+      aFinish(current->second.token_);
+      aAsked.erase(current);
+    }
+  }
+}
+
+} // namespace
+
+void
+Replica::AnswerProposal(Token aToken,
+                        ProposalStatus aStatus,
+                        const ChangeAnswer& aAnswer)
+{
+  ProposalAnswered answered{ aToken, aStatus, aAnswer, std::nullopt };
+  if (leader_) {
+    answered.leader_ = leader_->node_;
+  }
+  actions_.emplace_back(answered);
+}
+
+void
+Replica::AnswerMembership(Token aToken, MembershipStatus aStatus)
+{
+  MembershipAnswered answered{ aToken, aStatus, std::nullopt };
+  if (leader_) {
+    answered.leader_ = leader_->node_;
+  }
+  actions_.emplace_back(answered);
+}
+
+void
+Replica::AnswerRequester(const Requester& aRequester,
+                         const std::optional<ChangeAnswer>& aAnswer,
+                         bool aCommitted)
+{
+  if (aRequester.forwarder_) {
+    SendTo(*aRequester.forwarder_, ForwardReply{ aRequester.token_, aAnswer });
+  } else if (aRequester.membership_) {
+    AnswerMembership(aRequester.token_,
+                     aCommitted ? MembershipStatus::Done
+                                : MembershipStatus::Unknown);
+  } else if (aAnswer) {
+    AnswerProposal(aRequester.token_, ProposalStatus::Decided, *aAnswer);
+  } else {
+    AnswerProposal(aRequester.token_, ProposalStatus::Unknown);
+  }
+}
+
+void
+Replica::AbandonRequests()
+{
+  for (const auto& [index, requester] : std::exchange(requesters_, {})) {
+    AnswerRequester(requester, std::nullopt, false);
+  }
+  for (const auto& read : std::exchange(unconfirmedReads_, {})) {
+    FinishRead(read, false);
+  }
+}
+
+void
+Replica::AppendRequested(Payload aPayload, const Requester& aRequester)
+{
+  AppendOwn(std::move(aPayload));
+  requesters_[OwnLast().index_] = aRequester;
+  ReplicateAll();
+}
+
+void
+Replica::Handle(const Propose& aEvent)
+{
+  if (!CheckChange(aEvent.change_).ok()) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Invalid);
+  } else if (register_.Remembered(aEvent.change_.id_) != nullptr) {
+    AnswerProposal(
+      aEvent.token_, ProposalStatus::Decided, register_.Apply(aEvent.change_));
+  } else if (fault_ != Fault::None) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
+  } else if (role_ != Role::Leader) {
+    AskLeader(aEvent);
+  } else if (!HoldsLease(now_)) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
+  } else if (requesters_.size() >= settings_.pendingProposals_) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Overloaded);
+  } else {
+    AppendRequested(std::make_shared<const Change>(aEvent.change_),
+                    { aEvent.token_, std::nullopt, false });
+  }
+}
+
+void
+Replica::AskLeader(const Propose& aEvent)
+{
+  if (!leader_) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
+  } else if (forwards_.size() >= settings_.pendingProposals_) {
+    AnswerProposal(aEvent.token_, ProposalStatus::Overloaded);
+  } else {
+    const Token own{ ++nextToken_ };
+    forwards_[own] = { aEvent.token_, now_ };
+    SendTo(*leader_,
+           Forward{ own, std::make_shared<const Change>(aEvent.change_) });
+  }
+}
+
+void
+Replica::On(const Message& aMessage, const Forward& aBody)
+{
+  if (aBody.change_ == nullptr || !CheckChange(*aBody.change_).ok()) {
+    return;
+  }
+  if (register_.Remembered(aBody.change_->id_) != nullptr) {
+    SendTo(aMessage.from_,
+           ForwardReply{ aBody.token_, register_.Apply(*aBody.change_) });
+  } else if (HoldsLease(now_) &&
+             requesters_.size() < settings_.pendingProposals_) {
+    AppendRequested(aBody.change_, { aBody.token_, aMessage.from_, false });
+  } else {
+    SendTo(aMessage.from_, ForwardReply{ aBody.token_, std::nullopt });
+  }
+}
+
+void
+Replica::On(const Message&, const ForwardReply& aBody)
+{
+  const auto row = forwards_.find(aBody.token_);
+  if (row == forwards_.end()) {
+    return;
+  }
+  const Requester requester{ row->second.token_, std::nullopt, false };
+  forwards_.erase(row);
+  AnswerRequester(requester, aBody.answer_, false);
+}
+
+bool
+Replica::CommittedInTerm() const
+{
+  return role_ == Role::Leader && log_.TermAt(commit_) == hard_.term_;
+}
+
+void
+Replica::Handle(const ChangeMembership& aEvent)
+{
+  const auto status = TryMembership(aEvent);
+  if (status != MembershipStatus::Done) {
+    AnswerMembership(aEvent.token_, status);
+  }
+}
+
+MembershipStatus
+Replica::TryMembership(const ChangeMembership& aEvent)
+{
+  auto members = log_.Members();
+  const auto isMember = members.Find(aEvent.replica_) != nullptr;
+  const auto adds = aEvent.kind_ == MembershipChangeKind::AddLearner;
+  if (isMember == adds) {
+    return MembershipStatus::Needless;
+  }
+  if (adds) {
+    members.Set(aEvent.replica_, MemberRole::Learner);
+  } else {
+    members.Remove(aEvent.replica_);
+  }
+  return TryAppend(std::move(members),
+                   Requester{ aEvent.token_, std::nullopt, true });
+}
+
+MembershipStatus
+Replica::TryAppend(Membership aMembership,
+                   const std::optional<Requester>& aRequester)
+{
+  if (fault_ != Fault::None || !HoldsLease(now_)) {
+    return MembershipStatus::Unavailable;
+  }
+  if (!CommittedInTerm() || log_.Members().index_ > commit_) {
+    return MembershipStatus::Pending;
+  }
+  if (aMembership.members_.size() > kMostMembers ||
+      aMembership.Voters() > kMostVoters) {
+    return MembershipStatus::TooMany;
+  }
+  if (ActiveVoters(aMembership) < aMembership.Quorum()) {
+    return MembershipStatus::Unsafe;
+  }
+  aMembership.index_ = LogIndex{ OwnLast().index_.value_ + 1 };
+  AppendOwn(std::make_shared<const Membership>(std::move(aMembership)));
+  if (aRequester) {
+    requesters_[OwnLast().index_] = *aRequester;
+  }
+  SyncMembers();
+  ReplicateAll();
+  return MembershipStatus::Done;
+}
+
+std::size_t
+Replica::ActiveVoters(const Membership& aMembership) const
+{
+  std::size_t active = aMembership.IsVoter(id_) ? 1 : 0;
+  for (const auto& [id, progress] : progress_) {
+    if (aMembership.IsVoter(id) && IsRecent(progress.ackSentAt_)) {
+      ++active;
+    }
+  }
+  return active;
+}
+
+void
+Replica::AdvanceMembers()
+{
+  if (!CommittedInTerm() || log_.Members().index_ > commit_ || AdmitJoining()) {
+    return;
+  }
+  const auto members = log_.Members().members_;
+  for (const auto& member : members) {
+    if (member.role_ == MemberRole::Learner && AdvanceLearner(member)) {
+      return;
+    }
+  }
+}
+
+bool
+Replica::AdvanceLearner(const Member& aLearner)
+{
+  if (!IsCaughtUp(aLearner.id_)) {
+    return false;
+  }
+  auto members = log_.Members();
+  if (const auto* predecessor = Predecessor(aLearner.id_)) {
+    members.Remove(ReplicaId(predecessor->id_));
+  } else {
+    members.Set(aLearner.id_, MemberRole::Voter);
+  }
+  return TryAppend(std::move(members), std::nullopt) == MembershipStatus::Done;
+}
+
+const Member*
+Replica::Predecessor(const ReplicaId& aId) const
+{
+  const auto& members = log_.Members().members_;
+  const auto found =
+    std::find_if(members.begin(), members.end(), [&](const Member& aMember) {
+      return aMember.id_.node_ == aId.node_ && aMember.id_.disk_ < aId.disk_;
+    });
+  return found == members.end() ? nullptr : &*found;
+}
+
+bool
+Replica::IsCaughtUp(const ReplicaId& aId) const
+{
+  const auto row = progress_.find(aId);
+  return row != progress_.end() && IsRecent(row->second.matchSentAt_) &&
+         row->second.match_.value_ + kCaughtUpEntries >=
+           OwnLast().index_.value_ &&
+         row->second.match_ >= log_.Members().index_;
+}
+
+void
+Replica::On(const Message& aMessage, const Join&)
+{
+  const auto& from = aMessage.from_;
+  const auto& members = log_.Members().members_;
+  const auto known =
+    std::any_of(members.begin(), members.end(), [&](const Member& aMember) {
+      return aMember.id_.node_ == from.node_ && aMember.id_.disk_ >= from.disk_;
+    });
+  if (role_ != Role::Leader || known || from.disk_.value_ == 0) {
+    return;
+  }
+  std::erase_if(joining_,
+                [&](const ReplicaId& aId) { return aId.node_ == from.node_; });
+  if (joining_.size() < kMostMembers) {
+    joining_.push_back(from);
+  }
+}
+
+bool
+Replica::AdmitJoining()
+{
+  for (const auto& id : joining_) {
+    if (Predecessor(id) == nullptr) {
+      continue;
+    }
+    auto members = log_.Members();
+    members.Set(id, MemberRole::Learner);
+    return TryAppend(std::move(members), std::nullopt) ==
+           MembershipStatus::Done;
+  }
+  return false;
+}
+
+void
+Replica::Handle(const Read& aEvent)
+{
+  const PendingRead read{ aEvent.token_, std::nullopt, now_, {} };
+  const auto pending =
+    unconfirmedReads_.size() + unappliedReads_.size() + askedReads_.size();
+  if (fault_ != Fault::None || pending >= settings_.pendingReads_) {
+    FinishRead(read, false);
+  } else if (role_ == Role::Leader) {
+    unconfirmedReads_.push_back(read);
+    ServeReads();
+  } else if (leader_) {
+    const Token own{ ++nextToken_ };
+    askedReads_[own] = { aEvent.token_, now_ };
+    SendTo(*leader_, ReadIndexRequest{ own });
+  } else {
+    FinishRead(read, false);
+  }
+}
+
+void
+Replica::On(const Message& aMessage, const ReadIndexRequest& aBody)
+{
+  const PendingRead read{ aBody.token_, aMessage.from_, now_, {} };
+  if (role_ != Role::Leader ||
+      unconfirmedReads_.size() >= settings_.pendingReads_) {
+    FinishRead(read, false);
+    return;
+  }
+  unconfirmedReads_.push_back(read);
+  ServeReads();
+}
+
+void
+Replica::ServeReads()
+{
+  if (!CommittedInTerm()) {
+    return;
+  }
+  const auto acked = QuorumAckedAt();
+  const auto lease = HoldsLease(now_);
+  std::vector<PendingRead> kept;
+  for (const auto& read : std::exchange(unconfirmedReads_, {})) {
+    if (lease || (acked && *acked >= read.since_.time_since_epoch())) {
+      FinishRead(read, true);
+    } else {
+      kept.push_back(read);
+    }
+  }
+  unconfirmedReads_ = std::move(kept);
+}
+
+void
+Replica::FinishRead(const PendingRead& aRead, bool aConfirmed)
+{
+  if (!aRead.asker_) {
+    actions_.emplace_back(ReadAnswered{ aRead.token_, aConfirmed });
+    return;
+  }
+  ReadIndexReply reply{ aRead.token_, std::nullopt };
+  if (aConfirmed) {
+    reply.index_ = commit_;
+  }
+  SendTo(*aRead.asker_, reply);
+}
+
+void
+Replica::On(const Message&, const ReadIndexReply& aBody)
+{
+  const auto row = askedReads_.find(aBody.token_);
+  if (row == askedReads_.end()) {
+    return;
+  }
+  const PendingRead read{ row->second.token_,
+                          std::nullopt,
+                          row->second.since_,
+                          aBody.index_.value_or(LogIndex{}) };
+  askedReads_.erase(row);
+  if (!aBody.index_) {
+    FinishRead(read, false);
+    return;
+  }
+  unappliedReads_.push_back(read);
+  ServeApplied();
+}
+
+void
+Replica::ServeApplied()
+{
+  std::vector<PendingRead> kept;
+  for (const auto& read : std::exchange(unappliedReads_, {})) {
+    if (read.index_ <= applied_) {
+      FinishRead(read, true);
+    } else {
+      kept.push_back(read);
+    }
+  }
+  unappliedReads_ = std::move(kept);
+}
+
+void
+Replica::ExpireRequests(Duration aReadAge, Duration aProposalAge)
+{
+  ExpireAsked(forwards_, now_ - aProposalAge, [&](Token aToken) {
+    AnswerProposal(aToken, ProposalStatus::Unknown);
+  });
+  ExpireAsked(askedReads_, now_ - aReadAge, [&](Token aToken) {
+    FinishRead({ aToken, std::nullopt, now_, {} }, false);
+  });
+  for (auto* reads : { &unconfirmedReads_, &unappliedReads_ }) {
+    for (const auto& read : std::exchange(*reads, {})) {
+      if (read.since_ <= now_ - aReadAge) {
+        FinishRead(read, false);
+      } else {
+        reads->push_back(read);
+      }
+    }
+  }
+}
+
+} // namespace cornelshore::consensus
