--- /dev/null
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -0,0 +1,477 @@
+#include <utility>
+
+#include <cornelshore/daemon/processes.hpp>
+
+#include <future>
+#include <random>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+
+#include <cornelshore/core/hash.hpp>
+#include <cornelshore/core/target.hpp>
+#include <cornelshore/daemon/decider.hpp>
+#include <cornelshore/daemon/operator_port.hpp>
+#include <cornelshore/daemon/targets_json.hpp>
+#include <cornelshore/role/control.hpp>
+#include <cornelshore/storage/log.hpp>
+
+namespace cornelshore::daemon {
+
+namespace {
+
+using ControlDecider =
+  Decider<role::Control, role::ControlEvent, role::ControlAction>;
+
+constexpr std::size_t kPersistRingCapacity = 4096;
+constexpr std::chrono::milliseconds kLongestSleep{ 100 };
+constexpr std::size_t kMostAppendsASync = 256;
+
+/** The thread that writes and syncs; one sync covers all that waits. */
+class StorageSide
+{
+public:
+  StorageSide(std::unique_ptr<storage::Log> aLog,
+              ControlDecider::EventRing& aEvents)
+    : log_(std::move(aLog))
+    , events_(aEvents)
+    , writes_(kPersistRingCapacity, signal_)
+  {
+  }
+
+  ~StorageSide() { Stop(); }
+  StorageSide(const StorageSide&) = delete;
+  StorageSide& operator=(const StorageSide&) = delete;
+
+  void Start()
+  {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop()
+  {
+    stopping_ = true;
+    signal_.Wake();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  /** False when the ring is full: the disk hangs. */
+  bool Persist(consensus::Persist aPersist)
+  {
+    return writes_.Push(std::move(aPersist));
+  }
+
+private:
+  void Run()
+  {
+    while (!stopping_) {
+      if (!WriteWaiting()) {
+        signal_.Sleep([this] { return stopping_ || writes_.HasWork(); },
+                      kLongestSleep);
+      }
+    }
+    WriteWaiting();
+  }
+
+  bool WriteWaiting()
+  {
+    std::optional<consensus::PersistId> last;
+    absl::Status status;
+    writes_.Drain(kMostAppendsASync, [&](const consensus::Persist& aPersist) {
+      if (status.ok()) {
+        status = log_->Append(aPersist);
+        last = aPersist.id_;
+      }
+    });
+    if (!last) {
+      return false;
+    }
+    if (status.ok()) {
+      status = log_->Sync();
+    }
+    Tell(status, *last);
+    return true;
+  }
+
+  void Tell(const absl::Status& aStatus, consensus::PersistId aLast)
+  {
+    if (aStatus.ok()) {
+      events_.Push(consensus::Synced{ aLast });
+      return;
+    }
+    log::Write(
+      log::Level::Error,
+      log::Event("storage_failed").With("why", std::string(aStatus.message())));
+    events_.Push(consensus::StorageFailed{ storage::FaultOf(aStatus) });
+  }
+
+  std::unique_ptr<storage::Log> log_;
+  ControlDecider::EventRing& events_;
+  net::Signal signal_;
+  net::Ring<consensus::Persist> writes_;
+  std::atomic<bool> stopping_{ false };
+  std::thread thread_;
+};
+
+/** Operators' calls that wait for the deciding thread's answer. */
+class WaitingCalls
+{
+public:
+  using Promise = std::shared_ptr<std::promise<rpc::Reply>>;
+
+  consensus::Token Add(Promise aPromise)
+  {
+    const consensus::Token token{ ++last_ };
+    waiting_.emplace(token, std::move(aPromise));
+    if (waiting_.size() > kMostWaiting) {
+      waiting_.erase(waiting_.begin());
+    }
+    return token;
+  }
+
+  void Answer(consensus::Token aToken, rpc::Reply aReply)
+  {
+    const auto found = waiting_.find(aToken);
+    if (found != waiting_.end()) {
+      found->second->set_value(std::move(aReply));
+      waiting_.erase(found);
+    }
+  }
+
+private:
+  static constexpr std::size_t kMostWaiting = 256;
+
+  std::uint64_t last_{};
+  std::map<consensus::Token, Promise> waiting_;
+};
+
+rpc::Reply
+ReplyOf(const role::ApplyAnswered& aAnswer)
+{
+  using consensus::ChangeOutcome;
+  using consensus::ProposalStatus;
+  if (!aAnswer.validity_.ok()) {
+    return Refused(std::string(aAnswer.validity_.message()));
+  }
+  const auto version = aAnswer.answer_.version_.value_;
+  switch (aAnswer.status_) {
+    case ProposalStatus::Decided:
+      break;
+    case ProposalStatus::Invalid:
+      return Refused("the change is out of bounds; make it smaller");
+    case ProposalStatus::Unknown:
+      return Unavailable("whether the change was accepted is not known; resend "
+                         "it with the same --version and --change-id");
+    case ProposalStatus::Unavailable:
+    case ProposalStatus::Overloaded:
+      return Unavailable(absl::StrCat(
+        "control cannot decide now (",
+        std::string(NameIn(consensus::kProposalStatusNames, aAnswer.status_)),
+        "); retry with the same --version and --change-id"));
+  }
+  if (aAnswer.answer_.outcome_ == ChangeOutcome::Conflict) {
+    return Refused(absl::StrCat("conflict: version ",
+                                version,
+                                " is in force, made by change ",
+                                ChangeIdText(aAnswer.answer_.winner_),
+                                "; look at it with show, then apply again"));
+  }
+  if (aAnswer.answer_.outcome_ == ChangeOutcome::IdReused) {
+    return Refused("the change id was used for another change; take a new one");
+  }
+  return { rpc::ErrorCode::None,
+           ToJson(
+             Dump()
+               .With("outcome",
+                     aAnswer.answer_.repeated_ ? "accepted before" : "accepted")
+               .With("version", version)),
+           "" };
+}
+
+rpc::Reply
+ReplyOf(const role::ShowAnswered& aAnswer)
+{
+  return { rpc::ErrorCode::None,
+           ToJson(
+             DumpConfiguration(aAnswer.configuration_, aAnswer.confirmed_)),
+           "" };
+}
+
+rpc::Reply
+ReplyOf(const role::GroupAnswered& aAnswer)
+{
+  const auto name =
+    std::string(NameIn(consensus::kMembershipStatusNames, aAnswer.status_));
+  if (aAnswer.status_ == consensus::MembershipStatus::Done) {
+    return { rpc::ErrorCode::None, ToJson(Dump().With("outcome", name)), "" };
+  }
+  if (aAnswer.status_ == consensus::MembershipStatus::Unavailable) {
+    return Unavailable("this process does not lead; ask another one");
+  }
+  return Refused(name);
+}
+
+/** Carries out a control process's actions. */
+class Carrier
+{
+public:
+  Carrier(SendRing& aOut,
+          const std::unique_ptr<StorageSide>& aStorage,
+          WaitingCalls& aCalls)
+    : out_(aOut)
+    , storage_(aStorage)
+    , calls_(aCalls)
+  {
+  }
+
+  void operator()(role::SendNode& aAction)
+  {
+    out_.Push({ aAction.to_, std::move(aAction.message_) });
+  }
+
+  void operator()(consensus::Persist& aAction)
+  {
+    diskHangs_ |= !storage_->Persist(std::move(aAction));
+  }
+
+  void operator()(role::Log& aAction) { WriteLog(aAction); }
+  void operator()(role::Ended&) { ended_ = true; }
+
+  template<typename Answer>
+  void operator()(Answer& aAction)
+  {
+    calls_.Answer(aAction.token_, ReplyOf(aAction));
+  }
+
+  [[nodiscard]] bool HasEnded() const noexcept { return ended_; }
+
+  /** Whether a write was dropped since the last call: nothing may follow. */
+  [[nodiscard]] bool TakeDiskHangs()
+  {
+    return std::exchange(diskHangs_, false);
+  }
+
+private:
+  SendRing& out_;
+  const std::unique_ptr<StorageSide>& storage_;
+  WaitingCalls& calls_;
+  bool diskHangs_{};
+  bool ended_{};
+};
+
+/** Hands a call to the deciding thread and waits for its answer. */
+template<typename Feed>
+rpc::Reply
+CallAndWait(ControlDecider& aDecider, WaitingCalls& aCalls, Feed aFeed)
+{
+  auto promise = std::make_shared<std::promise<rpc::Reply>>();
+  auto future = promise->get_future();
+  const auto posted =
+    aDecider.Post([&aDecider, &aCalls, promise, aFeed](auto, auto&) {
+      aDecider.Feed(aFeed(aCalls.Add(promise)));
+    });
+  if (!posted || future.wait_for(kLongestCall) != std::future_status::ready) {
+    return Unavailable("no answer in time; a change may yet be accepted: "
+                       "resend it with the same --version and --change-id");
+  }
+  return future.get();
+}
+
+rpc::Reply
+Apply(ControlDecider& aDecider,
+      WaitingCalls& aCalls,
+      const Json::Value& aParams)
+{
+  const auto change = ReadChange(aParams);
+  if (!change.ok()) {
+    return Refused(std::string(change.status().message()));
+  }
+  return CallAndWait(
+    aDecider, aCalls, [change = *change](consensus::Token aToken) {
+      return role::ApplyRequested{ aToken, change };
+    });
+}
+
+rpc::Reply
+ChangeGroup(ControlDecider& aDecider,
+            WaitingCalls& aCalls,
+            consensus::MembershipChangeKind aKind,
+            const Json::Value& aParams)
+{
+  const auto replica = ReadReplica(aParams);
+  if (!replica.ok()) {
+    return Refused(std::string(replica.status().message()));
+  }
+  return CallAndWait(
+    aDecider, aCalls, [aKind, id = *replica](consensus::Token aToken) {
+      return role::GroupRequested{ aToken, aKind, id };
+    });
+}
+
+Methods
+MethodsOf(ControlDecider& aDecider, WaitingCalls& aCalls)
+{
+  using consensus::MembershipChangeKind;
+  return {
+    { "state",
+      [&](const Json::Value&) {
+        return AskDecider(
+          aDecider, [](auto aNow, auto& aRole) { return aRole.State(aNow); });
+      } },
+    { "hosts",
+      [&](const Json::Value&) {
+        return AskDecider(aDecider,
+                          [](auto, auto& aRole) { return aRole.Hosts(); });
+      } },
+    { "history",
+      [&](const Json::Value&) {
+        return AskDecider(aDecider,
+                          [](auto, auto& aRole) { return aRole.History(); });
+      } },
+    { "show",
+      [&](const Json::Value&) {
+        return CallAndWait(aDecider, aCalls, [](consensus::Token aToken) {
+          return role::ShowRequested{ aToken };
+        });
+      } },
+    { "apply",
+      [&](const Json::Value& aParams) {
+        return Apply(aDecider, aCalls, aParams);
+      } },
+    { "add_replica",
+      [&](const Json::Value& aParams) {
+        return ChangeGroup(
+          aDecider, aCalls, MembershipChangeKind::AddLearner, aParams);
+      } },
+    { "remove_replica",
+      [&](const Json::Value& aParams) {
+        return ChangeGroup(
+          aDecider, aCalls, MembershipChangeKind::Remove, aParams);
+      } },
+  };
+}
+
+/** Disk number of a member at the group's first start. */
+constexpr Incarnation kFirstDisk{ 1 };
+
+/** State of an empty folder: a first member's, or that of one who joins. */
+consensus::DurableState
+EmptyFolderState(const Runtime& aRuntime)
+{
+  const auto& control = aRuntime.Settings().control_;
+  if (!control.bootstrap_) {
+    return consensus::JoiningState({ aRuntime.Self(), aRuntime.Run() });
+  }
+  std::vector<consensus::ReplicaId> voters;
+  for (const auto& member : control.members_) {
+    voters.push_back({ NodeIdOf(member.name_), kFirstDisk });
+  }
+  return consensus::FirstState({ aRuntime.Self(), kFirstDisk }, voters);
+}
+
+absl::StatusOr<storage::Recovered>
+OpenLog(const Runtime& aRuntime)
+{
+  const auto& control = aRuntime.Settings().control_;
+  auto recovered = storage::Log::Open(control.dataFolder_);
+  if (recovered.ok() || !absl::IsNotFound(recovered.status())) {
+    return recovered;
+  }
+  auto state = EmptyFolderState(aRuntime);
+  auto log = storage::Log::Create(control.dataFolder_, state);
+  if (!log.ok()) {
+    return log.status();
+  }
+  storage::Recovered fresh;
+  fresh.log_ = *std::move(log);
+  fresh.state_ = std::move(state);
+  fresh.verification_ = control.bootstrap_
+                         ? consensus::Verification::Unproven
+                         : consensus::Verification::Continued;
+  return fresh;
+}
+
+absl::StatusOr<std::unique_ptr<role::Control>>
+BuildRole(const Runtime& aRuntime, storage::Recovered& aRecovered)
+{
+  const auto& settings = aRuntime.Settings();
+  std::vector<NodeId> nodes;
+  std::vector<std::pair<NodeId, Address>> members;
+  for (const auto& member : settings.control_.members_) {
+    nodes.push_back(NodeIdOf(member.name_));
+    members.emplace_back(nodes.back(), member.address_);
+  }
+  std::random_device device;
+  auto replica = consensus::ReplicaBuilder()
+                   .State(aRecovered.state_)
+                   .HowVerified(aRecovered.verification_)
+                   .Seeds(nodes)
+                   .Seed((std::uint64_t{ device() } << 32U) | device())
+                   .Build(Now());
+  if (!replica.ok()) {
+    return replica.status();
+  }
+  return role::Control::Builder(aRuntime.NodeSettings(), *std::move(replica))
+    .WithSeeds(settings.seeds_)
+    .WithMembers(std::move(members))
+    .WithHooks(Runtime::CodecHooks())
+    .Build(Now());
+}
+
+} // namespace
+
+absl::Status
+RunControl(Runtime& aRuntime)
+{
+  auto recovered = OpenLog(aRuntime);
+  if (!recovered.ok()) {
+    return recovered.status();
+  }
+  auto role = BuildRole(aRuntime, *recovered);
+  if (!role.ok()) {
+    return role.status();
+  }
+  log::Write(
+    log::Level::Info,
+    log::Event("disk_read")
+      .With("entries", std::uint64_t{ recovered->state_.entries_.size() })
+      .With("torn_bytes", recovered->tornBytes_)
+      .With("verification",
+            NameIn(consensus::kVerificationNames, recovered->verification_)));
+  WaitingCalls calls;
+  std::unique_ptr<StorageSide> storage;
+  Carrier carrier(aRuntime.Sender().AddRing(), storage, calls);
+  std::unique_ptr<ControlDecider> decider;
+  decider = std::make_unique<ControlDecider>(
+    aRuntime, *std::move(role), [&](role::ControlAction& aAction) {
+      std::visit([&](auto& aKind) { carrier(aKind); }, aAction);
+      if (carrier.TakeDiskHangs()) {
+        decider->Feed(
+          consensus::StorageFailed{ consensus::Fault::WriteFailed });
+      }
+      if (carrier.HasEnded()) {
+        decider->End();
+      }
+    });
+  auto& received = decider->AddRing();
+  storage = std::make_unique<StorageSide>(std::move(recovered->log_),
+                                          decider->AddRing());
+  OperatorPort port(aRuntime.Settings(), MethodsOf(*decider, calls));
+  const auto status = port.Start();
+  if (!status.ok()) {
+    return status;
+  }
+  storage->Start();
+  aRuntime.Start(
+    [&](role::NodeMessage aMessage) { received.Push(std::move(aMessage)); },
+    [&] { received.Push(role::StopRequested{}); });
+  decider->Run();
+  port.Stop();
+  storage->Stop();
+  aRuntime.Stop();
+  return absl::OkStatus();
+}
+
+} // namespace cornelshore::daemon
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -90,8 +90,9 @@
 
   void Carry(TimePoint, consensus::ReadAnswered& aAction, Actions& aOut)
   {
-    aOut.emplace_back(ShowAnswered{
-      aAction.token_, aAction.confirmed_, replica_.Applied().Current() });
+    aOut.emplace_back(ShowAnswered{ aAction.token_,
+                                    aAction.confirmed_,
+                                    replica_.AppliedRegister().Current() });
   }
 
   void Carry(TimePoint aNow, consensus::Applied& aAction, Actions& aOut)
@@ -114,7 +115,7 @@
 
   void Spread(TimePoint aNow, Actions& aOut)
   {
-    const auto& configuration = replica_.Applied().Current();
+    const auto& configuration = replica_.AppliedRegister().Current();
     if (configuration.version_.value_ != 0) {
       FeedNode(aNow,
                dissemination::ConfigAccepted{ configuration.version_,
@@ -200,11 +201,11 @@
   void Confirm(TimePoint aNow, Actions& aOut)
   {
     if (replica_.HoldsLease(aNow)) {
-      FeedNode(
-        aNow,
-        dissemination::ControlConfirmed{ replica_.Applied().Current().version_,
-                                         replica_.Dump(aNow).term_.value_ },
-        aOut);
+      FeedNode(aNow,
+               dissemination::ControlConfirmed{
+                 replica_.AppliedRegister().Current().version_,
+                 replica_.Dump(aNow).term_.value_ },
+               aOut);
     }
   }
 
@@ -321,7 +322,7 @@
 Control::History() const
 {
   Dump::Items changes;
-  const auto& history = parts_->replica_.Applied().History();
+  const auto& history = parts_->replica_.AppliedRegister().History();
   for (auto entry = history.rbegin(); entry != history.rend(); ++entry) {
     changes.push_back(Dump()
                         .With("version", entry->version_.value_)
--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -151,6 +151,7 @@
 {
   auto& control = aSettings.control_;
   control.dataFolder_ = aTable.Text("data_folder");
+  control.bootstrap_ = aTable.BoolOr("bootstrap", false);
   const auto count = aTable.Children(
     "member", [&](Table& aChild) { ReadMember(aChild, control); });
   if (count == 0 || count > kMostMembers || count % 2 == 0) {
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -82,6 +82,8 @@
 {
   std::string dataFolder_;
   std::vector<ControlMember> members_;
+  /** Sets up a new group on an empty folder; else an empty folder joins. */
+  bool bootstrap_{};
 };
 
 /** @brief Everything one process learns from its settings file. */
--- a/src/cornelshore/wire/ip_packet.hpp
+++ b/src/cornelshore/wire/ip_packet.hpp
@@ -16,6 +16,7 @@
   FlowKey key_;         ///< Source is the caller, destination the service.
   bool opening_{};      ///< May open a flow: TCP SYN without ACK, or any UDP.
   bool closing_{};      ///< TCP RST or FIN.
+  bool reset_{};        ///< TCP RST.
   std::string payload_; ///< Bytes after the transport header.
 };
 
