--- /dev/null
+++ b/src/cornelshore/storage/fwd.hpp
@@ -0,0 +1,12 @@
+#ifndef CORNELSHORE_STORAGE_FWD_HPP
+#define CORNELSHORE_STORAGE_FWD_HPP
+
+namespace cornelshore::storage {
+
+struct FileHooks;
+struct Recovered;
+class Log;
+
+} // namespace cornelshore::storage
+
+#endif
