Spread news in batches and serve long configurations to a few at a time

Cause: the fleet test's agents stayed without the configuration. Starting agents were pushed one record a message, which spent the seeds' byte budget, and every process asked one holder for parts of a long configuration, so that none got the whole.

--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -31,7 +31,8 @@
 TimePoint
 Node::NextTimer() const noexcept
 {
-  return state_->nextRound_;
+  const auto spread = state_->spreadAt_.value_or(state_->nextRound_);
+  return std::min(spread, state_->nextRound_);
 }
 
 const membership::View&
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -199,7 +199,7 @@
   Duration peerRefresh_{ std::chrono::hours(1) };
   Duration tombstoneLife_{ std::chrono::hours(6) };
   std::uint32_t bytesPerSecond_{ 2000 }; ///< Sent on average, at most.
-  std::uint32_t burstBytes_{ 64 * 1024 };
+  std::uint32_t burstBytes_{ 96 * 1024 };
   std::size_t mostHosts_{ 32 * 1024 };
   std::size_t mostPeers_{ 4096 };
 };
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t kMostNodesCompared = 8;
 constexpr std::size_t kMostLeavesCompared = 64;
 constexpr std::size_t kManyDifferences = 24;
-constexpr std::size_t kAnswerPieceBytes = 1000;
 constexpr std::size_t kWantedPieceBytes = 4200;
 constexpr std::size_t kSampledPeers = 2;
 constexpr std::uint64_t kSampleOneIn = 8;
@@ -39,7 +38,7 @@
       AddSubject(aNow, subject, packer);
     }
   }
-  AddPieces(message, packer);
+  AddPieces(aNow, aEvent, packer);
   for (const auto subject : message.wants_) {
     AddSubject(aNow, subject, packer);
   }
@@ -60,19 +59,26 @@
 }
 
 void
-Node::State::AddPieces(const Message& aMessage, Packer& aPacker) const
+Node::State::AddPieces(TimePoint aNow, const Received& aEvent, Packer& aPacker)
 {
-  const auto& header = aMessage.header_;
-  if (header.config_ >= config_.Version()) {
+  const auto& message = aEvent.message_;
+  const auto& header = message.header_;
+  const bool asked = message.want_ || header.kind_ == MessageKind::Round;
+  if (header.config_ >= config_.Version() || !asked) {
     return;
   }
   ConfigWant want;
   want.held_ = header.config_;
-  if (!aMessage.want_ && header.kind_ != MessageKind::Round) {
+  auto pieces =
+    config_.PiecesFor(message.want_.value_or(want), kWantedPieceBytes);
+  const bool isLong =
+    pieces.size() > 1 || pieces.front().size_ > pieces.front().bytes_.size();
+  const bool agent = header.role_ == NodeRole::Agent;
+  if (isLong &&
+      (!message.want_ || !transfers_.Admit(aNow, aEvent.from_, agent))) {
     return;
   }
-  const auto most = aMessage.want_ ? kWantedPieceBytes : kAnswerPieceBytes;
-  for (auto& piece : config_.PiecesFor(aMessage.want_.value_or(want), most)) {
+  for (auto& piece : pieces) {
     aPacker.Add(std::move(piece));
   }
 }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kUrgentFanout = 5;
 constexpr std::size_t kConfigFanout = 6;
+constexpr Duration kSpreadInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMostPushedAgents = 64;
 constexpr std::uint32_t kFreshCopies = 4;
 constexpr std::uint32_t kMendedCopies = 2;
@@ -461,15 +462,22 @@
 void
 Node::State::Spread(TimePoint aNow)
 {
-  if (!urgentSubjects_.empty()) {
-    SpreadRecords(aNow, std::exchange(urgentSubjects_, {}));
-  }
   if (config_.Version() != spreadConfig_) {
     const auto before = std::exchange(spreadConfig_, config_.Version());
     if (!IsAgent() && released_) {
       SpreadConfig(aNow, before);
     }
   }
+  spreadAt_.reset();
+  if (urgentSubjects_.empty()) {
+    return;
+  }
+  if (aNow - spreadLast_ < kSpreadInterval) {
+    spreadAt_ = spreadLast_ + kSpreadInterval;
+    return;
+  }
+  spreadLast_ = aNow;
+  SpreadRecords(aNow, std::exchange(urgentSubjects_, {}));
 }
 
 void
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -15,6 +15,7 @@
 #include <cornelshore/dissemination/packer.hpp>
 #include <cornelshore/dissemination/partners.hpp>
 #include <cornelshore/dissemination/rumors.hpp>
+#include <cornelshore/dissemination/transfers.hpp>
 
 namespace cornelshore::dissemination {
 
@@ -48,10 +49,12 @@
   InStep inStep_;
   Partners partners_;
   Rumors rumors_;
+  Transfers transfers_;
   ByteBudget budget_;
   std::vector<Address> seeds_;
   TimePoint now_;
   TimePoint nextRound_;
+  std::optional<TimePoint> spreadAt_; ///< When waiting news is pushed.
   std::uint64_t bytesSent_{};
   std::uint64_t heldBack_{};
   std::uint64_t recordsRefused_{};
@@ -87,7 +90,7 @@
   void CompareHashes(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void CompareLeaves(TimePoint aNow, const Message& aMessage, Packer& aPacker);
   void CompareDigest(const Message& aMessage, Packer& aPacker);
-  void AddPieces(const Message& aMessage, Packer& aPacker) const;
+  void AddPieces(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void AddSample(TimePoint aNow, bool aStrange, Packer& aPacker);
   void NoteInStep(TimePoint aNow, const Received& aEvent);
 
@@ -99,6 +102,7 @@
   std::uint64_t round_{};
   TimePoint renewAt_;
   TimePoint wantedAt_;
+  TimePoint spreadLast_;
   std::optional<TimePoint> candidateSince_;
   absl::flat_hash_map<NodeId, ConfigVersion> vouchers_;
   ConfigVersion announcedConfig_;
--- a/test/cornelshore/dissemination/fleet.hpp
+++ b/test/cornelshore/dissemination/fleet.hpp
@@ -144,10 +144,18 @@
       }
     }
     Feed(aIndex, seeds);
-    if (!ticking_[aIndex]) {
-      ticking_[aIndex] = true;
-      const auto offset = random_.Below(1'000'000);
-      Push(now_ + Duration{ static_cast<std::int64_t>(offset) }, aIndex, 0);
+    const auto offset = random_.Below(1'000'000);
+    nextTick_[aIndex] = TimePoint::max();
+    Schedule(aIndex, now_ + Duration{ static_cast<std::int64_t>(offset) });
+  }
+
+  /** Ticks a member at its timer, unless a tick is due before. */
+  void Schedule(std::size_t aIndex, TimePoint aEarliest)
+  {
+    const auto at = std::max(aEarliest, members_[aIndex].node_.NextTimer());
+    if (at < nextTick_[aIndex]) {
+      nextTick_[aIndex] = at;
+      Push(at, aIndex, 0);
     }
   }
 
@@ -175,8 +183,11 @@
   {
     auto& member = members_[aItem.to_];
     if (aItem.slot_ == 0) {
-      Feed(aItem.to_, Tick{});
-      Push(now_ + member.settings_.round_, aItem.to_, 0);
+      if (now_ >= nextTick_[aItem.to_]) {
+        nextTick_[aItem.to_] = TimePoint::max();
+        Feed(aItem.to_, Tick{});
+        Schedule(aItem.to_, now_);
+      }
       return;
     }
     const auto found = inFlight_.find(aItem.slot_);
@@ -185,6 +196,7 @@
     if (member.up_) {
       member.received_ += DatagramBytesOf(event.message_);
       Feed(aItem.to_, event);
+      Schedule(aItem.to_, now_);
     }
   }
 
@@ -193,7 +205,7 @@
   std::vector<Member> members_;
   std::priority_queue<Item> queue_;
   std::map<std::uint64_t, Received> inFlight_;
-  std::map<std::size_t, bool> ticking_;
+  std::map<std::size_t, TimePoint> nextTick_;
   std::uint64_t order_{};
   std::uint64_t slots_{};
 };
