--- /dev/null
+++ b/src/cornelshore/membership/health_watcher.hpp
@@ -0,0 +1,228 @@
+#ifndef CORNELSHORE_MEMBERSHIP_HEALTH_WATCHER_HPP
+#define CORNELSHORE_MEMBERSHIP_HEALTH_WATCHER_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/random.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+#include <cornelshore/membership/message.hpp>
+#include <cornelshore/membership/observers.hpp>
+#include <cornelshore/membership/record.hpp>
+
+namespace cornelshore::membership {
+
+/** @brief Records of hosts changed in the view. */
+struct HostsSeen
+{
+  std::vector<HostRecord> records_;
+};
+
+/** @brief All balancers known, this one among them. */
+struct BalancersKnown
+{
+  std::vector<NodeId> balancers_;
+};
+
+/** @brief This balancer's own experience with a host, from the data path. */
+struct ResultSeen
+{
+  HostId host_;
+  bool answered_{};
+};
+
+/** @brief Anything authentic came from a process in that data centre. */
+struct DataCentreHeard
+{
+  DataCentreId dataCentre_;
+};
+
+/** @brief A message of this module came in. */
+struct MessageReceived
+{
+  NodeId from_;
+  Message message_;
+};
+
+/** @brief Time has passed; see `HealthWatcher::NextTimer()`. */
+struct HealthTick
+{};
+
+using HealthEvent = std::variant<HostsSeen,
+                                 BalancersKnown,
+                                 ResultSeen,
+                                 DataCentreHeard,
+                                 MessageReceived,
+                                 HealthTick>;
+
+/** @brief Send a message of this module. */
+struct HealthSend
+{
+  NodeId to_;
+  Message message_;
+};
+
+/** @brief Enough observers agree: spread this `Gone` record. */
+struct HostDeclaredGone
+{
+  HostRecord record_;
+};
+
+using HealthAction = std::variant<HealthSend, HostDeclaredGone>;
+
+/** @brief What this observer holds of a host. */
+enum class Judgement : std::uint8_t
+{
+  Alive,
+  Missing,   ///< Probes unanswered, not yet enough to suspect it.
+  Suspected, ///< Unanswered; the other observers are told.
+  HeldBack,  ///< Unanswered, and so is much else around it.
+};
+
+/** @brief Names of `Judgement`. */
+inline constexpr std::array<EnumName<Judgement>, 4> kJudgementNames{ {
+  { Judgement::Alive, "alive" },
+  { Judgement::Missing, "missing" },
+  { Judgement::Suspected, "suspected" },
+  { Judgement::HeldBack, "held_back" },
+} };
+
+/** @brief State of a watcher for the state dump. */
+struct HealthDump
+{
+  std::size_t watched_{};
+  std::array<std::size_t, 4> byJudgement_{}; ///< Indexed by `Judgement`.
+  std::uint64_t probesSent_{};
+  std::uint64_t declaredGone_{};
+};
+
+/** @brief Settings of a `HealthWatcher`. */
+struct HealthSettings
+{
+  NodeId self_;
+  std::uint64_t seed_{};
+  std::size_t observersPerHost_{ 5 };
+  std::size_t observersToDeclare_{ 3 };
+  Duration probeInterval_{ std::chrono::seconds(10) };
+  Duration probeTimeout_{ std::chrono::milliseconds(700) };
+  std::uint32_t missesToSuspect_{ 3 };
+  std::uint32_t failuresToSuspect_{ 5 };
+  Duration failingToSuspect_{ std::chrono::seconds(5) };
+  Duration suspicionLife_{ std::chrono::seconds(30) };
+  Duration startGrace_{ std::chrono::minutes(10) };
+  Duration dataCentreSilence_{ std::chrono::seconds(20) };
+  Duration holdLimit_{ std::chrono::hours(2) };
+};
+
+/**
+ * @brief One balancer's part in judging which hosts are dead.
+ *
+ * Each host has a few observers. One that gets no sign of life from a host,
+ * by the data path's own results or its probes, tells the others; a host is
+ * declared gone only when enough of them suspect the same record of it
+ * (compare SWIM: Das, Gupta and Motivala, 2002). A loss that many hosts or a
+ * whole data centre share is taken for a lost network and held back.
+ */
+class HealthWatcher
+{
+public:
+  class Builder;
+
+  /** @brief Takes one event; the actions are to be carried out in order. */
+  [[nodiscard]] std::vector<HealthAction> On(TimePoint aNow,
+                                             const HealthEvent& aEvent);
+
+  /** @brief When the next `HealthTick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const noexcept;
+
+  /** @brief This observer's judgement; `Alive` for hosts it does not watch. */
+  [[nodiscard]] Judgement Of(TimePoint aNow, HostId aHost) const;
+
+  /** @brief State for the state dump. */
+  [[nodiscard]] HealthDump Dump(TimePoint aNow) const;
+
+private:
+  struct Watched
+  {
+    HostRecord record_;
+    TimePoint watchedSince_;
+    TimePoint heardAt_;
+    TimePoint probeAt_;
+    std::optional<TimePoint> deadline_; ///< Of the probe under way.
+    std::uint64_t token_{};
+    std::uint32_t misses_{};
+    std::uint32_t failures_{}; ///< Of the data path, since it last succeeded.
+    std::optional<TimePoint> failingSince_;
+    std::optional<TimePoint> missingSince_;
+    std::optional<TimePoint> toldAt_;
+    std::map<NodeId, TimePoint> suspicions_; ///< Of this record, by others.
+  };
+
+  explicit HealthWatcher(const HealthSettings& aSettings);
+
+  void Handle(TimePoint aNow, const HostsSeen& aEvent);
+  void Handle(TimePoint aNow, const BalancersKnown& aEvent);
+  void Handle(TimePoint aNow, const ResultSeen& aEvent);
+  void Handle(TimePoint aNow, const DataCentreHeard& aEvent);
+  void Handle(TimePoint aNow, const MessageReceived& aEvent);
+  void Handle(TimePoint aNow, const HealthTick& aEvent);
+  void Handle(TimePoint aNow, NodeId aFrom, const Probe& aProbe);
+  void Handle(TimePoint aNow, NodeId aFrom, const ProbeAnswer& aAnswer);
+  void Handle(TimePoint aNow, NodeId aFrom, const Suspicion& aSuspicion);
+
+  void Watch(TimePoint aNow, const HostRecord& aRecord);
+  void Reconcile(TimePoint aNow);
+  void Answered(TimePoint aNow, Watched& aWatched);
+  void Missed(TimePoint aNow, Watched& aWatched);
+  void SendProbe(TimePoint aNow, Watched& aWatched);
+  void Step(TimePoint aNow, Watched& aWatched);
+  void Judge(TimePoint aNow, Watched& aWatched);
+  void Tell(const Watched& aWatched, bool aWithdrawn);
+  [[nodiscard]] bool Excused(TimePoint aNow, const Watched& aWatched) const;
+  [[nodiscard]] bool Unanswered(TimePoint aNow, const Watched& aWatched) const;
+  void Restart(TimePoint aNow, Watched& aWatched);
+  void Schedule();
+  [[nodiscard]] bool HeldBack(TimePoint aNow, const Watched& aWatched) const;
+  [[nodiscard]] std::size_t Needed(HostId aHost) const;
+
+  HealthSettings settings_;
+  Random random_;
+  Observers observers_;
+  absl::flat_hash_map<HostId, HostRecord> records_;
+  std::map<HostId, Watched> watched_;
+  std::map<DataCentreId, TimePoint> heard_;
+  std::vector<HealthAction> actions_;
+  std::uint64_t probesSent_{};
+  std::uint64_t declaredGone_{};
+  TimePoint nextTimer_;
+};
+
+/** @brief Builds a `HealthWatcher`. */
+class HealthWatcher::Builder
+{
+public:
+  explicit Builder(HealthSettings aSettings)
+    : settings_(aSettings)
+  {
+  }
+
+  /** @return The watcher, or `InvalidArgument` naming the bad setting. */
+  [[nodiscard]] absl::StatusOr<HealthWatcher> Build() const;
+
+private:
+  HealthSettings settings_;
+};
+
+} // namespace cornelshore::membership
+
+#endif
