--- a/src/cornelshore/admission/internal/hold_estimate.hpp
+++ b/src/cornelshore/admission/internal/hold_estimate.hpp
@@ -1,6 +1,8 @@
 #ifndef CORNELSHORE_ADMISSION_INTERNAL_HOLD_ESTIMATE_HPP
 #define CORNELSHORE_ADMISSION_INTERNAL_HOLD_ESTIMATE_HPP
 
+#include <algorithm>
+
 #include <cornelshore/core/time.hpp>
 
 namespace cornelshore::admission::internal {
@@ -20,20 +22,28 @@
     std::chrono::duration<double>(aSeconds));
 }
 
-/** @brief Exponentially weighted mean of lengths of time, in seconds. */
+/**
+ * @brief Mean of lengths of time, in seconds.
+ *
+ * Plain over the first samples, exponentially weighted after them.
+ */
 class MeanTime
 {
 public:
+  /** @param aLeastGain Weight of a sample once there are many. */
+  explicit MeanTime(double aLeastGain = 0.1) noexcept
+    : leastGain_(aLeastGain)
+  {
+  }
+
   void Add(double aSeconds) noexcept
   {
-    constexpr double kGain = 0.1;
-    mean_ = known_ ? mean_ + kGain * (aSeconds - mean_) : aSeconds;
+    mean_ += gain_ * (aSeconds - mean_);
+    gain_ = std::max(leastGain_, gain_ / (1.0 + gain_));
     known_ = true;
   }
 
-  void Reset() noexcept { known_ = false; }
-
-  [[nodiscard]] bool Known() const noexcept { return known_; }
+  void Reset() noexcept { *this = MeanTime(leastGain_); }
 
   /** @brief The mean, or `aElse` before the first sample. */
   [[nodiscard]] double Or(double aElse) const noexcept
@@ -42,6 +52,8 @@
   }
 
 private:
+  double leastGain_;
+  double gain_{ 1.0 };
   double mean_{};
   bool known_{};
 };
--- a/src/cornelshore/admission/slot_scheduler.hpp
+++ b/src/cornelshore/admission/slot_scheduler.hpp
@@ -88,7 +88,7 @@
     Incarnation incarnation_;
     std::uint32_t queueBound_{ 32 };
     Duration lendingBound_{ std::chrono::seconds{ 2 } };
-    Duration waitBound_{ std::chrono::seconds{ 2 } };
+    Duration waitBound_{ std::chrono::seconds{ 10 } };
   };
 
   /**
@@ -138,8 +138,9 @@
     std::size_t class_{};
     TimePoint startedAt_;
     double charged_{}; ///< Seconds charged to the class at the start.
-    bool longLived_{};
-    bool overlong_{}; ///< Short work that outlasted the lending bound.
+    bool declared_{};  ///< Its caller said that it is long-lived.
+    bool longLived_{}; ///< It holds a whole slot.
+    bool overlong_{};  ///< Short work that outlasted the lending bound.
     bool byFloor_{};
   };
 
--- a/src/cornelshore/admission/slot_shares.cpp
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -10,9 +10,15 @@
 using internal::ClassState;
 using internal::Seconds;
 
-/** Time over which credits are saved up, and the bound of a lead. */
-constexpr double kCreditSeconds = 2.0;
-constexpr Duration kStarvationBound = std::chrono::seconds{ 5 };
+/** Time over which a floor is kept: unused parts are saved up so long. */
+constexpr double kFloorSeconds = 10.0;
+/** Time over which a limit is kept. */
+constexpr double kMostSeconds = 0.5;
+/** Most that a class's use runs ahead of its weight, and most debt. */
+constexpr double kLeadSeconds = 2.0;
+constexpr Duration kStarvationBound = std::chrono::seconds{ 10 };
+/** Slots above a limit that work may take for a moment. */
+constexpr double kMostMargin = 1.0;
 constexpr double kDebtHolds = 4.0;
 constexpr Duration kHoldEvidenceAge = std::chrono::seconds{ 1 };
 constexpr std::size_t kNoClass = ~std::size_t{};
@@ -21,7 +27,7 @@
 double
 MostDebt(const ClassState& aState)
 {
-  return -(kDebtHolds * aState.hold_.Or(0.0) + kCreditSeconds);
+  return -(kDebtHolds * aState.hold_.Or(0.0) + kLeadSeconds);
 }
 
 } // namespace
@@ -47,19 +53,24 @@
   accruedAt_ = std::max(accruedAt_, aNow);
   const auto slots = std::max<double>(span_.slots_, 1.0);
   const auto inUse = concurrency_.Limit() / slots;
+  double longestHold = 0.0;
+  for (const auto& state : classes_) {
+    longestHold = std::max(longestHold, state.hold_.Or(0.0));
+  }
+  const auto mostSeconds = kMostSeconds + 2.0 * longestHold;
   for (auto& state : classes_) {
     const auto floor = state.floorShare_ * inUse;
     state.floorCredit_ =
-      std::min(state.floorCredit_ + floor * elapsed, floor * kCreditSeconds);
+      std::min(state.floorCredit_ + floor * elapsed, floor * kFloorSeconds);
     state.mostCredit_ = std::min(state.mostCredit_ + state.mostShare_ * elapsed,
-                                 state.mostShare_ * kCreditSeconds);
+                                 state.mostShare_ * mostSeconds);
   }
 }
 
 bool
 SlotScheduler::IsLong(const ClassState& aState, const Work& aWork) const
 {
-  return aWork.longLived_ || aState.hold_.Or(0.0) > Seconds(lendingBound_);
+  return aWork.longLived_ || aState.tendency_.Or(0.0) > Seconds(lendingBound_);
 }
 
 bool
@@ -68,7 +79,7 @@
   if (aLong) {
     return aState.running_ < aState.whole_.most_ && LongMayStart(aState);
   }
-  return aState.running_ < std::ceil(aState.mostShare_) &&
+  return aState.running_ < std::ceil(aState.mostShare_ + kMostMargin) &&
          aState.mostCredit_ > 0.0;
 }
 
@@ -137,7 +148,7 @@
 SlotScheduler::PickOwed() const
 {
   std::optional<Candidate> best;
-  double bestRank = 0.0;
+  TimePoint oldest;
   for (std::size_t index = 0; index < classes_.size(); ++index) {
     const auto& state = classes_[index];
     const bool shortOwed = state.floorCredit_ > 0.0 && Waits(state, false);
@@ -146,12 +157,9 @@
     if (!shortOwed && !longOwed) {
       continue;
     }
-    const auto owed =
-      shortOwed ? state.floorCredit_ / state.floorShare_ : kCreditSeconds;
-    const auto rank = state.target_.urgency_ * 2.0 * kCreditSeconds + owed;
-    if (!best || rank > bestRank) {
+    if (!best || state.lastStart_ < oldest) {
       best = Candidate{ index, !shortOwed, true };
-      bestRank = rank;
+      oldest = state.lastStart_;
     }
   }
   return best;
@@ -242,7 +250,7 @@
   if (!aCandidate.byFloor_) {
     virtualTime_ = tag;
   }
-  const auto lead = kCreditSeconds * span_.slots_ / aState.weight_;
+  const auto lead = kLeadSeconds * span_.slots_ / aState.weight_;
   aState.virtualTime_ =
     std::min(tag + aSeconds / aState.weight_, virtualTime_ + lead);
   if (aCandidate.longLived_) {
@@ -261,9 +269,8 @@
 {
   auto& state = classes_[aCandidate.class_];
   const bool isLong = aCandidate.longLived_;
-  const auto seconds = isLong
-                         ? std::min(state.longHold_.Or(0.0), kCreditSeconds)
-                         : state.hold_.Or(0.0);
+  const auto seconds = isLong ? std::min(state.longHold_.Or(0.0), kLeadSeconds)
+                              : state.hold_.Or(0.0);
   Charge(state, aCandidate, seconds);
   if (!isLong && state.lastStart_ >= state.waitingSince_) {
     state.startInterval_.Add(Seconds(aNow - state.lastStart_));
@@ -275,7 +282,8 @@
   ++state.started_;
   ++state.running_;
   state.longRunning_ += isLong ? 1 : 0;
-  running_[aWork.id_] = { aCandidate.class_,  aNow, seconds, isLong, false,
+  running_[aWork.id_] = { aCandidate.class_,  aNow,   seconds,
+                          aWork.longLived_,   isLong, false,
                           aCandidate.byFloor_ };
 }
 
@@ -292,11 +300,14 @@
   auto& state = classes_[aRunning.class_];
   --state.running_;
   state.longRunning_ -= aRunning.longLived_ || aRunning.overlong_ ? 1 : 0;
-  const auto used = aRunning.longLived_ ? std::min(hold, kCreditSeconds) : hold;
+  const auto used = aRunning.longLived_ ? std::min(hold, kLeadSeconds) : hold;
   const auto correction = used - aRunning.charged_;
   state.virtualTime_ += correction / state.weight_;
   if (aResult == Result::Done || aResult == Result::Failed) {
     (aRunning.longLived_ ? state.longHold_ : state.hold_).Add(hold);
+    if (!aRunning.declared_) {
+      state.tendency_.Add(hold);
+    }
     state.lastFinish_ = aNow;
   }
   if (aRunning.longLived_) {
--- /dev/null
+++ b/test/cornelshore/admission/naive_allocator.hpp
@@ -0,0 +1,51 @@
+#ifndef CORNELSHORE_TEST_ADMISSION_NAIVE_ALLOCATOR_HPP
+#define CORNELSHORE_TEST_ADMISSION_NAIVE_ALLOCATOR_HPP
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include <cornelshore/core/target.hpp>
+
+namespace cornelshore::admission {
+
+/**
+ * @brief Central allocator that sees all demand at once.
+ *
+ * Max-min with floors, limits and a weight that doubles with each step of
+ * urgency, found by bisection of the water level.
+ *
+ * @param aDemand Slots that each class could use.
+ * @return Slots of each class.
+ */
+inline std::vector<double>
+AllocateCentrally(const ServiceTarget& aTarget,
+                  const std::vector<double>& aDemand,
+                  double aSlots)
+{
+  std::vector<double> shares(aDemand.size());
+  const auto fill = [&](double aLevel) {
+    double sum = 0.0;
+    for (std::size_t index = 0; index < shares.size(); ++index) {
+      const auto& target = aTarget.classes_[index];
+      const auto floor = aSlots * target.keeps_ / kWholeShare;
+      const auto most = aSlots * target.most_ / kWholeShare;
+      const auto wish = std::max(floor, std::ldexp(aLevel, target.urgency_));
+      shares[index] = std::min({ aDemand[index], most, wish });
+      sum += shares[index];
+    }
+    return sum;
+  };
+  double low = 0.0;
+  double high = aSlots;
+  for (int step = 0; step < 100; ++step) {
+    const auto middle = (low + high) / 2;
+    (fill(middle) > aSlots ? high : low) = middle;
+  }
+  fill(low);
+  return shares;
+}
+
+} // namespace cornelshore::admission
+
+#endif
