Judge holds by several fresh samples, shed to a fifth refused

Change: a class is judged by eight samples no older than 30 s; the shedder lets hosts refuse a fifth.

--- a/src/cornelshore/admission/internal/class_state.hpp
+++ b/src/cornelshore/admission/internal/class_state.hpp
@@ -29,6 +29,7 @@
   CallerQueue long_;
   MeanTime hold_;             ///< Of short work.
   MeanTime tendency_{ 0.02 }; ///< The same over a longer time.
+  std::uint32_t undeclared_{}; ///< Samples of the tendency, up to a bound.
   MeanTime longHold_;         ///< Of long work.
   MeanTime startInterval_;    ///< Between starts while short work waits.
   TimePoint lastStart_;
--- a/src/cornelshore/admission/shedder.cpp
+++ b/src/cornelshore/admission/shedder.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kPeriod = std::chrono::milliseconds{ 200 };
 constexpr Duration kEvidenceAge = std::chrono::seconds{ 1 };
 constexpr Duration kWitnessAge = std::chrono::seconds{ 5 };
-constexpr double kRefusedGoal = 0.1;
+constexpr double kRefusedGoal = 0.2;
 constexpr double kRateGain = 0.4;
 constexpr double kLeastRate = 1.0;
 constexpr double kBurst = 1.5;
--- a/src/cornelshore/admission/slot_scheduler.cpp
+++ b/src/cornelshore/admission/slot_scheduler.cpp
@@ -159,7 +159,7 @@
   }
   Accrue(aNow);
   auto& state = classes_[found->second];
-  const auto isLong = IsLong(state, aWork);
+  const auto isLong = IsLong(aNow, state, aWork);
   const auto refusal = Judge(aNow, state, aWork, isLong);
   if (refusal != Refusal::None) {
     return Refuse(aNow, state, refusal);
--- a/src/cornelshore/admission/slot_scheduler.hpp
+++ b/src/cornelshore/admission/slot_scheduler.hpp
@@ -168,7 +168,8 @@
                  Refusal aReason,
                  std::vector<Released>& aReleased);
 
-  [[nodiscard]] bool IsLong(const internal::ClassState& aState,
+  [[nodiscard]] bool IsLong(TimePoint aNow,
+                            const internal::ClassState& aState,
                             const Work& aWork) const;
   [[nodiscard]] bool MayStart(const internal::ClassState& aState,
                               bool aLong) const;
--- a/src/cornelshore/admission/slot_shares.cpp
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -21,6 +21,9 @@
 constexpr double kMostMargin = 1.0;
 constexpr double kDebtHolds = 4.0;
 constexpr Duration kHoldEvidenceAge = std::chrono::seconds{ 1 };
+/** Samples before a class is judged by its tendency, and how long it is. */
+constexpr std::uint32_t kTendencySamples = 8;
+constexpr Duration kTendencyAge = std::chrono::seconds{ 30 };
 constexpr std::size_t kNoClass = ~std::size_t{};
 
 /** Lowest credit that a class sinks to. */
@@ -68,9 +71,14 @@
 }
 
 bool
-SlotScheduler::IsLong(const ClassState& aState, const Work& aWork) const
+SlotScheduler::IsLong(TimePoint aNow,
+                      const ClassState& aState,
+                      const Work& aWork) const
 {
-  return aWork.longLived_ || aState.tendency_.Or(0.0) > Seconds(lendingBound_);
+  const bool judged = aState.undeclared_ >= kTendencySamples &&
+                      aNow - aState.lastFinish_ < kTendencyAge;
+  const bool tends = aState.tendency_.Or(0.0) > Seconds(lendingBound_);
+  return aWork.longLived_ || (judged && tends);
 }
 
 bool
@@ -307,6 +315,7 @@
     (aRunning.longLived_ ? state.longHold_ : state.hold_).Add(hold);
     if (!aRunning.declared_) {
       state.tendency_.Add(hold);
+      state.undeclared_ = std::min(state.undeclared_ + 1, kTendencySamples);
     }
     state.lastFinish_ = aNow;
   }
