Settle claims, placements and restarts found by random schedules

Cause: random schedules of changes broke flows: an agent that restarted answered claims before it knew its past, a host that stopped being ready kept converting claims, and a placement could circle between pointers. Change: such an agent holds its answer back; it recovers the buckets it owned besides those it announced; a run hands its flows to the next by OpenFlows and FlowsListed; placements that come back open at the claimant.

--- a/src/cornelshore/flow/agent.cpp
+++ b/src/cornelshore/flow/agent.cpp
@@ -51,7 +51,7 @@
       return aRecord.id_ != self_.id_;
     });
   for (auto own = others; own != records.end(); ++own) {
-    OnOwnRecord(aNow, *own, aOut);
+    OnOwnRecord(*own, aOut);
   }
   records.erase(others, records.end());
   if (self_.sequence_ == 0) {
@@ -59,21 +59,44 @@
     records.back().sequence_ = ++self_.sequence_;
   }
   view_.Apply(aNow, records);
+  if (!confirmedAsOf_) {
+    Recover(aNow);
+  }
 }
 
+/** What the run before announced, and what it owned and may just have got. */
 void
-Agent::OnOwnRecord(TimePoint aNow, const HostRecord& aRecord, Actions& aOut)
+Agent::Recover(TimePoint aNow)
+{
+  if (!formerRun_ || listed_) {
+    return;
+  }
+  auto buckets = formerRun_->held_ | held_.Recovered();
+  auto former = *formerRun_;
+  routing::View view(view_);
+  former.incarnation_ = self_.incarnation_;
+  former.sequence_ = self_.sequence_ + 1;
+  view.Apply(aNow, { &former, 1 });
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    const BucketId id{ static_cast<std::uint16_t>(bucket) };
+    if (OwnsBucket(view, id)) {
+      buckets.set(bucket);
+    }
+  }
+  recoverUntil_ = aNow + limits_.adoptFor_;
+  held_.SetRecovered(aNow, buckets);
+}
+
+void
+Agent::OnOwnRecord(const HostRecord& aRecord, Actions& aOut)
 {
   if (aRecord.incarnation_ > self_.incarnation_) {
     superseded_ = true;
     return;
   }
   if (aRecord.incarnation_ < self_.incarnation_) {
-    const bool recovers = aRecord.service_ == self_.service_ &&
-                          aRecord.held_.any() && !recoverUntil_;
-    if (recovers) {
-      recoverUntil_ = aNow + limits_.adoptFor_;
-      held_.SetRecovered(aNow, aRecord.held_);
+    if (aRecord.service_ == self_.service_ && !confirmedAsOf_) {
+      formerRun_ = aRecord;
     }
     return;
   }
@@ -87,19 +110,30 @@
 void
 Agent::Handle(TimePoint aNow, ViewConfirmed& aEvent, Actions& aOut)
 {
-  const bool first = !confirmedAsOf_;
-  confirmedAsOf_ =
-    first ? aEvent.asOf_ : std::max(*confirmedAsOf_, aEvent.asOf_);
-  if (!first) {
+  if (confirmedAsOf_) {
+    confirmedAsOf_ = std::max(*confirmedAsOf_, aEvent.asOf_);
     return;
   }
   MembershipChanged none;
   Handle(aNow, none, aOut);
-  held_.Refresh(aNow, [this](BucketId aBucket) { return OwnsBucket(aBucket); });
+  confirmedAsOf_ = aEvent.asOf_;
+  held_.Refresh(
+    aNow, [this](BucketId aBucket) { return OwnsBucket(view_, aBucket); });
   self_.held_ = held_.Announced();
   AnnounceNow(aOut);
 }
 
+void
+Agent::Handle(TimePoint aNow, FlowsListed& aEvent, Actions& aOut)
+{
+  listed_ = true;
+  held_.SetRecovered(aNow, {});
+  for (const auto& key : aEvent.keys_) {
+    UpstreamOpened opened{ key };
+    Handle(aNow, opened, aOut);
+  }
+}
+
 void
 Agent::Handle(TimePoint aNow, UpstreamOpened& aEvent, Actions& /*aOut*/)
 {
@@ -219,6 +253,9 @@
   if (self_.state_ == aState) {
     return;
   }
+  if (aState != HostState::Ready) {
+    claims_.clear();
+  }
   self_.state_ = aState;
   ++self_.sequence_;
   view_.Apply(aNow, { &self_, 1 });
@@ -240,7 +277,7 @@
     return;
   }
   const bool changed = held_.Refresh(
-    aNow, [this](BucketId aBucket) { return OwnsBucket(aBucket); });
+    aNow, [this](BucketId aBucket) { return OwnsBucket(view_, aBucket); });
   if (changed) {
     AnnounceNow(aOut);
   }
@@ -302,12 +339,29 @@
   return state;
 }
 
+std::vector<FlowKey>
+Agent::OpenFlows() const
+{
+  std::vector<FlowKey> keys;
+  keys.reserve(flows_.size());
+  for (const auto& [key, flow] : flows_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 bool
 Agent::Owns(const FlowKey& aKey) const
 {
   return flows_.contains(aKey);
 }
 
+bool
+Agent::KnowsItsPast() const noexcept
+{
+  return listed_ || confirmedAsOf_ || formerRun_;
+}
+
 bool
 Agent::Fresh(TimePoint aNow) const noexcept
 {
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -101,6 +101,9 @@
 
   [[nodiscard]] State Dump(TimePoint aNow) const;
 
+  /** @brief Flows open at this host, for the agent's next run. */
+  [[nodiscard]] std::vector<FlowKey> OpenFlows() const;
+
   /** @brief Whether the flow is open at this host. */
   [[nodiscard]] bool Owns(const FlowKey& aKey) const;
 
@@ -132,6 +135,7 @@
   void Handle(TimePoint aNow, EnvelopeArrived& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, MembershipChanged& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, ViewConfirmed& aEvent, Actions& aOut);
+  void Handle(TimePoint aNow, FlowsListed& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, UpstreamOpened& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, UpstreamClosed& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, UpstreamRefused& aEvent, Actions& aOut);
@@ -140,7 +144,8 @@
   void Handle(TimePoint aNow, LeaveRequested& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, Tick& aEvent, Actions& aOut);
 
-  void OnOwnRecord(TimePoint aNow, const HostRecord& aRecord, Actions& aOut);
+  void Recover(TimePoint aNow);
+  void OnOwnRecord(const HostRecord& aRecord, Actions& aOut);
   void ChangeState(TimePoint aNow, HostState aState, Actions& aOut);
   void AnnounceNow(Actions& aOut) const;
   void RefreshHeld(TimePoint aNow, Actions& aOut);
@@ -153,9 +158,11 @@
   void OnClaimReturned(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnPlace(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnDeclined(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
+  void OnPassedBack(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnAdopt(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnFound(TimePoint aNow, const Envelope& aEnvelope);
 
+  void Extend(TimePoint aNow, const FlowKey& aKey);
   void LookUpKnownOpen(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void LookUpOpening(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void Conclude(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
@@ -181,9 +188,11 @@
                                       const Envelope& aEnvelope) const;
   [[nodiscard]] const Claim* CurrentClaim(TimePoint aNow,
                                           const FlowKey& aKey) const;
+  [[nodiscard]] bool KnowsItsPast() const noexcept;
   [[nodiscard]] bool Fresh(TimePoint aNow) const noexcept;
   [[nodiscard]] bool CanClaim(TimePoint aNow) const noexcept;
-  [[nodiscard]] bool OwnsBucket(BucketId aBucket) const;
+  [[nodiscard]] bool OwnsBucket(const routing::View& aView,
+                                BucketId aBucket) const;
   [[nodiscard]] HostId OtherOwner(BucketId aBucket) const;
   [[nodiscard]] bool ShouldOffer(TimePoint aNow,
                                  const Envelope& aEnvelope) const;
@@ -204,12 +213,14 @@
   std::uint64_t claimNumber_{};
   std::uint32_t reportedLoad_{};
   std::optional<TimePoint> confirmedAsOf_;
+  std::optional<HostRecord> formerRun_; ///< Newest record of a run before.
   std::optional<TimePoint> recoverUntil_;
   std::optional<TimePoint> leavingSince_;
   std::optional<TimePoint> leaveDeadline_;
   std::optional<TimePoint> emptySince_;
   TimePoint sweepDue_;
   TimePoint idleSweepDue_;
+  bool listed_{};
   bool declaredGone_{};
   bool superseded_{};
   bool stopped_{};
--- a/src/cornelshore/flow/agent_envelope.cpp
+++ b/src/cornelshore/flow/agent_envelope.cpp
@@ -101,6 +101,7 @@
   if (flows_.contains(aEnvelope.key_) || aEnvelope.claimant_ == self_.id_) {
     return;
   }
+  claims_.erase(aEnvelope.key_);
   const Pointer pointer{ aEnvelope.claimant_,
                          PointerKind::Ceded,
                          aNow + limits_.cedeFor_ };
@@ -123,14 +124,34 @@
   return follows ? pointer : nullptr;
 }
 
+void
+Agent::Extend(TimePoint aNow, const FlowKey& aKey)
+{
+  for (auto* table : { &pointers_, &found_ }) {
+    const auto* pointer = table->Find(aNow, aKey);
+    if (pointer == nullptr || pointer->kind_ == PointerKind::Placed ||
+        pointer->until_ > aNow + limits_.cedeFor_ / 2) {
+      continue;
+    }
+    auto longer = *pointer;
+    longer.until_ = aNow + limits_.cedeFor_;
+    static_cast<void>(table->Put(aKey, longer));
+  }
+}
+
 void
 Agent::OnLookup(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
   aEnvelope.unsettled_ |=
     !Fresh(aNow) || !view_.Settled(aNow, aEnvelope.bucket_);
+  Extend(aNow, aEnvelope.key_);
   const auto* pointer = Follow(aNow, aEnvelope);
   if (pointer != nullptr && pointer->kind_ == PointerKind::Placed &&
       aEnvelope.opening_ != Opening::No) {
+    if (Contains(aEnvelope.asked_, pointer->host_)) {
+      OnPassedBack(aNow, std::move(aEnvelope), aOut);
+      return;
+    }
     aEnvelope.phase_ = Phase::Place;
     aEnvelope.claimant_ = self_.id_;
     aEnvelope.load_ = Load();
@@ -270,6 +291,10 @@
     OnClaimReturned(aNow, std::move(aEnvelope), aOut);
     return;
   }
+  if (!KnowsItsPast()) {
+    Count(Outcome::Undecided);
+    return;
+  }
   if (aEnvelope.adopter_ == HostId{} && MayBeRecovered(aNow, aEnvelope)) {
     aEnvelope.adopter_ = self_.id_;
   }
@@ -283,7 +308,7 @@
   }
   const auto claimant = aEnvelope.claimant_;
   if (CurrentClaim(aNow, aEnvelope.key_) != nullptr) {
-    if (Outranks(self_.id_, claimant)) {
+    if (CanClaim(aNow) && Outranks(self_.id_, claimant)) {
       for (const auto host : std::exchange(aEnvelope.asked_, {})) {
         static_cast<void>(ListToAsk(aEnvelope, host));
       }
@@ -311,7 +336,8 @@
     return;
   }
   found_.Erase(aEnvelope.key_);
-  if (OwnsBucket(aEnvelope.bucket_) && self_.state_ == HostState::Ready) {
+  if (OwnsBucket(view_, aEnvelope.bucket_) &&
+      self_.state_ == HostState::Ready) {
     aEnvelope.load_ = Load() + 1;
   }
   ContinueClaim(aNow, std::move(aEnvelope), aOut);
@@ -332,7 +358,7 @@
     peerLoads_[other] = { aEnvelope.load_ - 1, aNow + limits_.loadFor_ };
   }
   const auto adopter = aEnvelope.adopter_;
-  if (adopter == HostId{} || adopter == self_.id_) {
+  if (adopter == HostId{} || MayBeRecovered(aNow, aEnvelope)) {
     Decide(aNow, std::move(aEnvelope), aOut);
     return;
   }
@@ -383,6 +409,9 @@
   const auto claimant = aEnvelope.claimant_;
   const auto* pointer = Follow(aNow, aEnvelope);
   if (pointer != nullptr && pointer->host_ != claimant) {
+    auto longer = *pointer;
+    longer.until_ = aNow + limits_.cedeFor_;
+    static_cast<void>(pointers_.Put(aEnvelope.key_, longer));
     RestartLookup(aNow, std::move(aEnvelope), aOut);
     return;
   }
@@ -414,13 +443,21 @@
   const bool mine = pointer != nullptr && pointer->host_ == decliner &&
                     pointer->kind_ == PointerKind::Placed;
   if (mine) {
-    pointers_.Erase(aEnvelope.key_);
+    OnPassedBack(aNow, std::move(aEnvelope), aOut);
+  } else {
+    RestartLookup(aNow, std::move(aEnvelope), aOut);
   }
-  if (!mine || !CanClaim(aNow)) {
+}
+
+void
+Agent::OnPassedBack(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
+{
+  pointers_.Erase(aEnvelope.key_);
+  if (CanClaim(aNow)) {
+    OpenHere(aNow, std::move(aEnvelope), aOut);
+  } else {
     RestartLookup(aNow, std::move(aEnvelope), aOut);
-    return;
   }
-  OpenHere(aNow, std::move(aEnvelope), aOut);
 }
 
 void
@@ -480,8 +517,8 @@
 void
 Agent::TellFound(const Envelope& aEnvelope, Actions& aOut) const
 {
-  if (aEnvelope.hops_ < 2 || aEnvelope.asked_.empty() ||
-      aEnvelope.phase_ == Phase::Place ||
+  const bool far = aEnvelope.hops_ >= 2 || aEnvelope.phase_ == Phase::Claim;
+  if (!far || aEnvelope.asked_.empty() || aEnvelope.phase_ == Phase::Place ||
       aEnvelope.asked_.front() == self_.id_) {
     return;
   }
@@ -578,9 +615,9 @@
 }
 
 bool
-Agent::OwnsBucket(BucketId aBucket) const
+Agent::OwnsBucket(const routing::View& aView, BucketId aBucket) const
 {
-  const auto owners = view_.Routes().Owners(aBucket);
+  const auto owners = aView.Routes().Owners(aBucket);
   const auto* const end =
     owners.begin() + std::min(owners.size(), kNarrowOwners);
   return std::find(owners.begin(), end, self_.id_) != end;
--- a/src/cornelshore/flow/event.hpp
+++ b/src/cornelshore/flow/event.hpp
@@ -38,6 +38,18 @@
   TimePoint asOf_;
 };
 
+/**
+ * @brief All flows that are open at the upstream when the agent starts.
+ *
+ * From the agent's run before, which lists them by `Agent::OpenFlows`, or
+ * from the upstream itself. Without it the agent goes by the buckets that its
+ * run before announced.
+ */
+struct FlowsListed
+{
+  std::vector<FlowKey> keys_;
+};
+
 /** @brief The upstream says that it has this flow open. */
 struct UpstreamOpened
 {
@@ -83,6 +95,7 @@
 using Event = std::variant<EnvelopeArrived,
                            MembershipChanged,
                            ViewConfirmed,
+                           FlowsListed,
                            UpstreamOpened,
                            UpstreamClosed,
                            UpstreamRefused,
