--- a/src/cornelshore/admission/internal/class_state.hpp
+++ b/src/cornelshore/admission/internal/class_state.hpp
@@ -27,11 +27,11 @@
   std::uint32_t longRunning_{};
   CallerQueue short_;
   CallerQueue long_;
-  MeanTime hold_;             ///< Of short work.
-  MeanTime tendency_{ 0.02 }; ///< The same over a longer time.
+  MeanTime hold_;              ///< Of short work.
+  MeanTime tendency_{ 0.02 };  ///< The same over a longer time.
   std::uint32_t undeclared_{}; ///< Samples of the tendency, up to a bound.
-  MeanTime longHold_;         ///< Of long work.
-  MeanTime startInterval_;    ///< Between starts while short work waits.
+  MeanTime longHold_;          ///< Of long work.
+  MeanTime startInterval_;     ///< Between starts while short work waits.
   TimePoint lastStart_;
   TimePoint lastFinish_;
   TimePoint waitingSince_; ///< When the queues last became non-empty.
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -387,9 +387,8 @@
   storage::Recovered fresh;
   fresh.log_ = *std::move(log);
   fresh.state_ = std::move(state);
-  fresh.verification_ = control.bootstrap_
-                         ? consensus::Verification::Unproven
-                         : consensus::Verification::Continued;
+  fresh.verification_ = control.bootstrap_ ? consensus::Verification::Unproven
+                                           : consensus::Verification::Continued;
   return fresh;
 }
 
