Keep a balancer silent about hosts that it has not heard of

Cause: a balancer that had just restarted answered with 'not run: no_host' and 'unknown: home_lost' for hosts whose records it did not hold yet. Ruled out: a lost home (all agents ran on, their counters show every run). Change: a host missing from the view is not taken for lost; before its records were in step with others' a balancer drops callers' requests, which the caller resends by another balancer.

--- a/src/cornelshore/daemon/agent_process.cpp
+++ b/src/cornelshore/daemon/agent_process.cpp
@@ -14,6 +14,7 @@
 #include <cornelshore/net/upstream_client.hpp>
 #include <cornelshore/net/upstream_flows.hpp>
 #include <cornelshore/role/agent.hpp>
+#include <cornelshore/wire/role_hooks.hpp>
 
 namespace cornelshore::daemon {
 
@@ -266,7 +267,7 @@
   const auto& settings = aRuntime.Settings();
   auto role = role::Agent::Builder(aRuntime.NodeSettings(), HostOf(settings))
                 .WithSeeds(settings.seeds_)
-                .WithHooks(Runtime::CodecHooks())
+                .WithHooks(wire::RoleHooks())
                 .WithStopLimit(settings.agent_.stopLimit_)
                 .Build(Now());
   if (!role.ok()) {
--- a/src/cornelshore/daemon/balancer_process.cpp
+++ b/src/cornelshore/daemon/balancer_process.cpp
@@ -11,6 +11,7 @@
 #include <cornelshore/wire/ip_packet.hpp>
 #include <cornelshore/wire/reader.hpp>
 #include <cornelshore/wire/request_codec.hpp>
+#include <cornelshore/wire/role_hooks.hpp>
 #include <cornelshore/wire/writer.hpp>
 
 namespace cornelshore::daemon {
@@ -247,7 +248,7 @@
 {
   auto role = role::Balancer::Builder(aRuntime.NodeSettings())
                 .WithSeeds(aRuntime.Settings().seeds_)
-                .WithHooks(Runtime::CodecHooks())
+                .WithHooks(wire::RoleHooks())
                 .Build(Now());
   if (!role.ok()) {
     return role.status();
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -15,6 +15,7 @@
 #include <cornelshore/daemon/targets_json.hpp>
 #include <cornelshore/role/control.hpp>
 #include <cornelshore/storage/log.hpp>
+#include <cornelshore/wire/role_hooks.hpp>
 
 namespace cornelshore::daemon {
 
@@ -415,7 +416,7 @@
   return role::Control::Builder(aRuntime.NodeSettings(), *std::move(replica))
     .WithSeeds(settings.seeds_)
     .WithMembers(std::move(members))
-    .WithHooks(Runtime::CodecHooks())
+    .WithHooks(wire::RoleHooks())
     .Build(Now());
 }
 
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -15,10 +15,7 @@
 
 #include <cornelshore/core/target.hpp>
 #include <cornelshore/log/event.hpp>
-#include <cornelshore/wire/configuration_codec.hpp>
 #include <cornelshore/wire/message_codec.hpp>
-#include <cornelshore/wire/reader.hpp>
-#include <cornelshore/wire/writer.hpp>
 
 namespace cornelshore::daemon {
 
@@ -230,23 +227,6 @@
   return node;
 }
 
-role::Hooks
-Runtime::CodecHooks()
-{
-  role::Hooks hooks;
-  hooks.decode_ = [](std::string_view aBytes) {
-    wire::Reader reader(aBytes);
-    return wire::DecodeConfiguration(reader);
-  };
-  hooks.encode_ = [](const Configuration& aConfiguration) {
-    std::string out;
-    wire::Writer writer(out);
-    wire::Encode(writer, aConfiguration);
-    return out;
-  };
-  return hooks;
-}
-
 std::vector<Figure>
 Runtime::Figures() const
 {
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -23,7 +23,6 @@
 #include <cornelshore/net/peer_streams.hpp>
 #include <cornelshore/net/udp_socket.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
 #include <cornelshore/settings/settings.hpp>
 #include <cornelshore/wire/seal.hpp>
 
@@ -76,9 +75,6 @@
   /** @brief Settings of the dissemination node of this process. */
   [[nodiscard]] dissemination::NodeSettings NodeSettings() const;
 
-  /** @brief Codec of configurations for the roles. */
-  [[nodiscard]] static role::Hooks CodecHooks();
-
   /** @brief Counters of the process's own sockets, for the metrics. */
   [[nodiscard]] std::vector<Figure> Figures() const;
 
--- a/src/cornelshore/request/balancer.cpp
+++ b/src/cornelshore/request/balancer.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-/** Whether the view shows that this run of the agent is over. */
+/**
+ * Whether the view shows that this run of the agent is over. A host that the
+ * view does not hold may be one that it has not heard of yet.
+ */
 bool
 IsOver(const Authority& aAuthority, std::span<const HostRecord> aHosts)
 {
@@ -19,7 +22,7 @@
       return aHost.id_ == aAuthority.host_;
     });
   if (found == aHosts.end()) {
-    return true;
+    return false;
   }
   if (found->incarnation_ != aAuthority.incarnation_) {
     return found->incarnation_ > aAuthority.incarnation_;
--- a/src/cornelshore/role/balancer.cpp
+++ b/src/cornelshore/role/balancer.cpp
@@ -145,6 +145,10 @@
 
   void Handle(TimePoint aNow, CallerMessage& aEvent, Actions& aOut)
   {
+    if (!node_.ConfirmedAt()) {
+      ++beforeInStep_;
+      return;
+    }
     const auto hosts =
       std::visit([this](const auto& aMessage) { return HostsFor(aMessage); },
                  aEvent.message_);
@@ -226,6 +230,8 @@
   std::array<std::uint64_t, flow::kRefusalNames.size()> packetsRefused_{};
   std::uint64_t flowAnswers_{};
   std::uint64_t misplaced_{};
+  /** Requests dropped before the records were in step with others'. */
+  std::uint64_t beforeInStep_{};
 };
 
 Balancer::Balancer(std::unique_ptr<Parts> aParts)
@@ -285,7 +291,8 @@
             .With("to_backup", requests.toBackup_)
             .With("to_nobody", requests.toNobody_)
             .With("to_caller", requests.toCaller_)
-            .With("ignored", requests.ignored_))
+            .With("ignored", requests.ignored_)
+            .With("dropped_before_in_step", parts_->beforeInStep_))
     .With("classes", std::move(shed))
     .With("messages_misplaced", parts_->misplaced_);
 }
