Hand recovered buckets over with the flows of an agent's run

Cause: an agent that crashed and was then restarted as planned handed over only the flows it had met again, so flows it had not yet met were lost. Change: HandOver carries the recovered buckets too.

--- a/bench/support/flows_fleet.hpp
+++ b/bench/support/flows_fleet.hpp
@@ -192,7 +192,7 @@
   {
     std::optional<flow::FlowsListed> listed;
     if (aHandsOver && hosts_[aId].agent_) {
-      listed.emplace().keys_ = hosts_[aId].agent_->OpenFlows();
+      listed = hosts_[aId].agent_->HandOver();
     }
     StopAgent(hosts_[aId]);
     time_.After(aDownFor, [this, aId, aReadyAfter, listed] {
--- a/src/cornelshore/flow/agent.cpp
+++ b/src/cornelshore/flow/agent.cpp
@@ -127,7 +127,8 @@
 Agent::Handle(TimePoint aNow, FlowsListed& aEvent, Actions& aOut)
 {
   listed_ = true;
-  held_.SetRecovered(aNow, {});
+  recoverUntil_ = aNow + limits_.adoptFor_;
+  held_.SetRecovered(aNow, aEvent.recovered_);
   for (const auto& key : aEvent.keys_) {
     UpstreamOpened opened{ key };
     Handle(aNow, opened, aOut);
@@ -339,15 +340,16 @@
   return state;
 }
 
-std::vector<FlowKey>
-Agent::OpenFlows() const
+FlowsListed
+Agent::HandOver() const
 {
-  std::vector<FlowKey> keys;
-  keys.reserve(flows_.size());
+  FlowsListed listed;
+  listed.recovered_ = held_.Recovered();
+  listed.keys_.reserve(flows_.size());
   for (const auto& [key, flow] : flows_) {
-    keys.push_back(key);
+    listed.keys_.push_back(key);
   }
-  return keys;
+  return listed;
 }
 
 bool
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -101,8 +101,8 @@
 
   [[nodiscard]] State Dump(TimePoint aNow) const;
 
-  /** @brief Flows open at this host, for the agent's next run. */
-  [[nodiscard]] std::vector<FlowKey> OpenFlows() const;
+  /** @brief What the agent's next run needs to go on with its flows. */
+  [[nodiscard]] FlowsListed HandOver() const;
 
   /** @brief Whether the flow is open at this host. */
   [[nodiscard]] bool Owns(const FlowKey& aKey) const;
--- a/src/cornelshore/flow/event.hpp
+++ b/src/cornelshore/flow/event.hpp
@@ -41,13 +41,14 @@
 /**
  * @brief All flows that are open at the upstream when the agent starts.
  *
- * From the agent's run before, which lists them by `Agent::OpenFlows`, or
+ * From the agent's run before, which lists them by `Agent::HandOver`, or
  * from the upstream itself. Without it the agent goes by the buckets that its
  * run before announced.
  */
 struct FlowsListed
 {
   std::vector<FlowKey> keys_;
+  BucketSet recovered_; ///< Buckets that may have further flows.
 };
 
 /** @brief The upstream says that it has this flow open. */
