Work table changes in without moving history one entry at a time

Cause: perf showed NoteFormer's inserts and repeated scores on top. Change: former owners are merged once a change, the newcomer's score is computed once, and a short row loses a host by shifting.

--- a/src/cornelshore/routing/table.cpp
+++ b/src/cornelshore/routing/table.cpp
@@ -56,15 +56,6 @@
   return WeightedScore(aBucket, member.host_, member.slots_);
 }
 
-bool
-Table::Before(std::size_t aBucket, Index aOne, Index aOther) const
-{
-  const auto one = Score(aBucket, aOne);
-  const auto other = Score(aBucket, aOther);
-  return one != other ? one > other
-                      : members_[aOne].host_ < members_[aOther].host_;
-}
-
 Table::Index
 Table::FreeIndex()
 {
@@ -87,8 +78,14 @@
 {
   auto* row = Row(aBucket);
   auto rank = owners_;
+  const auto score = Score(aBucket, aIndex);
   const auto behind = [&](Index aOther) {
-    return aOther == kNoIndex || Before(aBucket, aIndex, aOther);
+    if (aOther == kNoIndex) {
+      return true;
+    }
+    const auto other = Score(aBucket, aOther);
+    return score != other ? score > other
+                          : members_[aIndex].host_ < members_[aOther].host_;
   };
   for (; rank > 0 && behind(row[rank - 1]); --rank) {
     if (rank < owners_) {
@@ -100,6 +97,23 @@
   }
 }
 
+void
+Table::Erase(std::size_t aBucket, Index aIndex)
+{
+  auto* row = Row(aBucket);
+  auto* const end = row + owners_;
+  auto* const place = std::find(row, end, aIndex);
+  if (place == end) {
+    return;
+  }
+  if (hosts_ >= owners_) {
+    Fill(aBucket);
+    return;
+  }
+  std::copy(place + 1, end, place);
+  *(end - 1) = kNoIndex;
+}
+
 void
 Table::Fill(std::size_t aBucket)
 {
@@ -167,20 +181,18 @@
   --hosts_;
 }
 
-void
+bool
 Table::Change(const Weight& aWeight)
 {
   const auto old = IndexOf(aWeight.host_);
+  const auto slots = old == kNoIndex ? 0 : members_[old].slots_;
+  if (slots == aWeight.slots_) {
+    return false;
+  }
   if (old != kNoIndex) {
-    if (members_[old].slots_ == aWeight.slots_) {
-      return;
-    }
     Drop(old);
     for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-      const auto* row = Row(bucket);
-      if (std::find(row, row + owners_, old) != row + owners_) {
-        Fill(bucket);
-      }
+      Erase(bucket, old);
     }
   }
   const auto added = aWeight.slots_ == 0 ? kNoIndex : Put(aWeight);
@@ -188,16 +200,18 @@
        ++bucket) {
     Insert(bucket, added);
   }
+  return true;
 }
 
-void
+bool
 Table::Apply(std::span<const Weight> aChanges)
 {
   if (aChanges.size() <= kMostSingleChanges) {
+    bool changed = false;
     for (const auto& change : aChanges) {
-      Change(change);
+      changed = Change(change) || changed;
     }
-    return;
+    return changed;
   }
   for (const auto& change : aChanges) {
     const auto old = IndexOf(change.host_);
@@ -211,6 +225,7 @@
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
     Fill(bucket);
   }
+  return true;
 }
 
 HostId
--- a/src/cornelshore/routing/table.hpp
+++ b/src/cornelshore/routing/table.hpp
@@ -69,8 +69,10 @@
    * @brief Sets the weights of hosts; other hosts stay as they are.
    *
    * A few changes are worked in one by one, many by computing all buckets.
+   *
+   * @return Whether any weight changed.
    */
-  void Apply(std::span<const Weight> aChanges);
+  bool Apply(std::span<const Weight> aChanges);
 
   /** @brief First owner, or the zero id when there is no host. */
   [[nodiscard]] HostId First(BucketId aBucket) const noexcept;
@@ -89,16 +91,14 @@
   [[nodiscard]] Index* Row(std::size_t aBucket) noexcept;
   [[nodiscard]] const Index* Row(std::size_t aBucket) const noexcept;
   [[nodiscard]] double Score(std::size_t aBucket, Index aIndex) const noexcept;
-  [[nodiscard]] bool Before(std::size_t aBucket,
-                            Index aOne,
-                            Index aOther) const;
   [[nodiscard]] Index FreeIndex();
   void Insert(std::size_t aBucket, Index aIndex);
+  void Erase(std::size_t aBucket, Index aIndex);
   void Fill(std::size_t aBucket);
   [[nodiscard]] Index IndexOf(HostId aHost) const noexcept;
   Index Put(const Weight& aWeight);
   void Drop(Index aIndex);
-  void Change(const Weight& aWeight);
+  bool Change(const Weight& aWeight);
 
   std::size_t owners_;
   std::size_t hosts_{};
--- a/src/cornelshore/routing/view.cpp
+++ b/src/cornelshore/routing/view.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/routing/view.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cornelshore::routing {
@@ -55,9 +56,9 @@
     changed = Take(record, weights) || changed;
   }
   if (changed) {
-    table_.Apply(weights);
     since_ = since_.value_or(aNow);
-    Expire(aNow);
+  }
+  if (table_.Apply(weights)) {
     NoteChanges(aNow);
   }
   return changed;
@@ -66,7 +67,15 @@
 void
 View::NoteChanges(TimePoint aNow)
 {
-  bool moved = false;
+  std::vector<Former> left;
+  const auto leave = [&](std::size_t aBucket, HostId aHost) {
+    if (aHost != HostId{}) {
+      left.push_back(
+        { { static_cast<std::uint16_t>(aBucket) }, aHost, aNow + window_ });
+    }
+  };
+  std::erase_if(
+    former_, [aNow](const Former& aFormer) { return aFormer.until_ < aNow; });
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
     const auto owners =
       table_.Owners(BucketId{ static_cast<std::uint16_t>(bucket) });
@@ -76,46 +85,32 @@
     if (old == pair) {
       continue;
     }
-    moved = true;
     topSince_[bucket] = aNow;
     if (old.first_ != pair.first_) {
       firstSince_[bucket] = aNow;
     }
-    NoteFormer(aNow, bucket, old.first_);
-    NoteFormer(aNow, bucket, old.second_);
-  }
-  if (moved) {
-    ++epoch_.value_;
+    leave(bucket, old.first_);
+    leave(bucket, old.second_);
   }
+  ++epoch_.value_;
+  Remember(std::move(left));
 }
 
 void
-View::NoteFormer(TimePoint aNow, std::size_t aBucket, HostId aHost)
+View::Remember(std::vector<Former> aLeft)
 {
-  if (aHost == HostId{}) {
-    return;
-  }
-  const BucketId bucket{ static_cast<std::uint16_t>(aBucket) };
-  const auto order = [](const Former& aOne, const Former& aOther) {
-    return std::pair(aOne.bucket_, aOne.host_) <
-           std::pair(aOther.bucket_, aOther.host_);
+  const auto before = [](const Former& aOne, const Former& aOther) {
+    return std::tuple(aOne.bucket_, aOne.host_, aOther.until_) <
+           std::tuple(aOther.bucket_, aOther.host_, aOne.until_);
   };
-  const Former former{ bucket, aHost, aNow + window_ };
-  const auto place =
-    std::lower_bound(former_.begin(), former_.end(), former, order);
-  if (place != former_.end() && place->bucket_ == bucket &&
-      place->host_ == aHost) {
-    place->until_ = former.until_;
-    return;
-  }
-  former_.insert(place, former);
-}
-
-void
-View::Expire(TimePoint aNow)
-{
-  std::erase_if(
-    former_, [aNow](const Former& aFormer) { return aFormer.until_ < aNow; });
+  std::sort(aLeft.begin(), aLeft.end(), before);
+  const auto middle = former_.insert(former_.end(), aLeft.begin(), aLeft.end());
+  std::inplace_merge(former_.begin(), middle, former_.end(), before);
+  const auto same = [](const Former& aOne, const Former& aOther) {
+    return aOne.bucket_ == aOther.bucket_ && aOne.host_ == aOther.host_;
+  };
+  former_.erase(std::unique(former_.begin(), former_.end(), same),
+                former_.end());
 }
 
 bool
--- a/src/cornelshore/routing/view.hpp
+++ b/src/cornelshore/routing/view.hpp
@@ -94,8 +94,7 @@
   [[nodiscard]] bool MakeRoom();
   bool Take(const HostRecord& aRecord, std::vector<Weight>& aChanges);
   void NoteChanges(TimePoint aNow);
-  void NoteFormer(TimePoint aNow, std::size_t aBucket, HostId aHost);
-  void Expire(TimePoint aNow);
+  void Remember(std::vector<Former> aLeft);
 
   ServiceId service_;
   Duration window_;
