--- a/bench/support/classes_fleet.hpp
+++ b/bench/support/classes_fleet.hpp
@@ -41,6 +41,17 @@
   ReportedLoad, ///< Less load in the host's last report.
 };
 
+/** @brief What callers do when they are refused. */
+enum class Retry : std::uint8_t
+{
+  None,
+  Jittered, ///< They come back after the time they were told.
+  Fixed,    ///< They all come back after the same time.
+};
+
+/** @brief Seconds after which callers with `Retry::Fixed` come back. */
+inline constexpr double kFixedRetrySeconds = 10.0;
+
 /** @brief One run of a fleet. */
 struct Scenario
 {
@@ -58,6 +69,7 @@
   std::uint32_t liars_{}; ///< Last hosts report zero load.
   double lostReports_{};  ///< Part of the pushbacks lost.
   double lateReports_{};  ///< Seconds that pushbacks come late.
+  Retry retry_{ Retry::None };
   double warmUp_{ 10.0 };
   double measure_{ 30.0 };
   std::uint64_t seed_{ 1 };
@@ -73,6 +85,8 @@
   std::uint64_t refused_{};
   double slotSeconds_{}; ///< Held while measured, whenever it arrived.
   std::vector<double> waits_;
+  std::vector<std::uint32_t> arrivals_; ///< In each second of the run.
+  std::vector<std::uint32_t> running_;  ///< In each hundredth of a second.
   std::uint64_t heavyOffered_{};
   std::uint64_t heavyDone_{};
 
@@ -89,6 +103,9 @@
   }
 };
 
+/** @brief Seconds between samples of what runs. */
+inline constexpr double kSampleSeconds = 0.01;
+
 /** @brief Balancers and hosts of one service, driven by their own time. */
 class Fleet
 {
@@ -97,6 +114,7 @@
     : scenario_(std::move(aScenario))
     , random_(scenario_.seed_)
     , outcomes_(scenario_.demands_.size())
+    , runningNow_(scenario_.demands_.size())
   {
     const auto total = scenario_.hosts_ * scenario_.slots_;
     for (std::uint32_t index = 0; index < scenario_.hosts_; ++index) {
@@ -126,6 +144,7 @@
         Push(FromSeconds(demand.from_), Kind::Arrival, index);
       }
     }
+    Push({}, Kind::Sample, 0);
     for (std::size_t index = 0; index < balancers_.size(); ++index) {
       Push(FromSeconds(0.5), Kind::HealthTick, index);
     }
@@ -155,6 +174,8 @@
     Report,     ///< Of a host's pushback, at the balancer.
     HostTimer,  ///< Of a host's admission.
     HealthTick, ///< Of a balancer.
+    Return,     ///< Of a refused caller.
+    Sample,     ///< Of what runs.
   };
 
   struct Event
@@ -204,6 +225,7 @@
     TimePoint arrivedAt_;
     TimePoint sentAt_;
     TimePoint startedAt_;
+    Duration retryAfter_{};
     bool running_{};
     bool done_{};
     bool measured_{};
@@ -253,6 +275,10 @@
       case Kind::HealthTick:
         balancers_[aEvent.subject_].health_.Tick(now_);
         return PushIn(0.5, Kind::HealthTick, aEvent.subject_);
+      case Kind::Return:
+        return Enter(aEvent.subject_);
+      case Kind::Sample:
+        return Sample();
     }
   }
 
@@ -291,22 +317,65 @@
     if (Seconds(now_.time_since_epoch()) + next < demand.until_) {
       PushIn(next, Kind::Arrival, aClass);
     }
-    const auto index = NewItem(aClass);
-    auto& item = items_[index];
-    auto& outcome = outcomes_[aClass];
+    Enter(NewItem(aClass));
+  }
+
+  /** A work comes to its balancer, for the first time or again. */
+  void Enter(std::size_t aItem)
+  {
+    auto& item = items_[aItem];
+    auto& outcome = outcomes_[item.class_];
     const bool heavy = item.work_.caller_.value_ == 0;
     outcome.offered_ += item.measured_ ? 1 : 0;
     outcome.heavyOffered_ += item.measured_ && heavy ? 1 : 0;
+    CountIn(outcome.arrivals_, Seconds(now_.time_since_epoch()));
     if (scenario_.shed_ && scenario_.policy_ == Policy::Targets) {
       const auto admission = balancers_[item.balancer_].shedder_.Admit(
         now_, scenario_.target_.id_, item.work_.class_, item.work_.caller_);
       if (!admission.passed_) {
         outcome.shed_ += item.measured_ ? 1 : 0;
-        free_.push_back(index);
-        return;
+        return GiveUp(aItem, admission.retryAfter_);
       }
     }
-    Send(index);
+    Send(aItem);
+  }
+
+  static void CountIn(std::vector<std::uint32_t>& aBins, double aAt)
+  {
+    const auto bin = static_cast<std::size_t>(aAt);
+    if (bin >= aBins.size()) {
+      aBins.resize(bin + 1);
+    }
+    ++aBins[bin];
+  }
+
+  /** A refused work ends, or its caller comes back later. */
+  void GiveUp(std::size_t aItem, Duration aRetryAfter)
+  {
+    if (scenario_.retry_ == Retry::None) {
+      free_.push_back(aItem);
+      return;
+    }
+    const bool fixed = scenario_.retry_ == Retry::Fixed;
+    const auto delay = fixed ? kFixedRetrySeconds : Seconds(aRetryAfter);
+    auto& item = items_[aItem];
+    const TimePoint back = now_ + FromSeconds(delay);
+    item.attempts_ = 0;
+    item.lastHost_ = hosts_.size();
+    item.arrivedAt_ = back;
+    item.measured_ = Measured(back);
+    item.work_.id_.high_ = ++order_;
+    item.work_.deadline_ =
+      back + FromSeconds(scenario_.demands_[item.class_].deadline_);
+    PushIn(delay, Kind::Return, aItem);
+  }
+
+  void Sample()
+  {
+    for (std::size_t index = 0; index < outcomes_.size(); ++index) {
+      outcomes_[index].running_.push_back(runningNow_[index]);
+    }
+    PushIn(kSampleSeconds, Kind::Sample, 0);
   }
 
   std::size_t Candidate(Balancer& aBalancer, std::size_t aNot)
@@ -359,7 +428,7 @@
     if (offered.outcome_ == Outcome::Started) {
       Start(aItem);
     } else if (offered.outcome_ == Outcome::Refused) {
-      Turn(aItem);
+      Turn(aItem, offered.retryAfter_);
     }
     Take(host, offered.released_);
   }
@@ -371,7 +440,7 @@
       if (released.outcome_ == Outcome::Started) {
         Start(item);
       } else {
-        Turn(item);
+        Turn(item, released.retryAfter_);
       }
     }
     auto& host = hosts_[aHost];
@@ -396,6 +465,7 @@
     auto& item = items_[aItem];
     item.startedAt_ = now_;
     item.running_ = true;
+    ++runningNow_[item.class_];
     if (item.measured_) {
       outcomes_[item.class_].waits_.push_back(Seconds(now_ - item.arrivedAt_) -
                                               scenario_.oneWay_);
@@ -421,6 +491,7 @@
     auto& item = items_[aItem];
     CountSlotTime(item, now_);
     item.running_ = false;
+    --runningNow_[item.class_];
     item.done_ = true;
     const auto host = item.host_;
     const auto released = hosts_[host].admission_->Finish(now_, item.work_.id_);
@@ -429,7 +500,11 @@
   }
 
   /** A host turns a work away. */
-  void Turn(std::size_t aItem) { SendAnswer(aItem); }
+  void Turn(std::size_t aItem, Duration aRetryAfter)
+  {
+    items_[aItem].retryAfter_ = aRetryAfter;
+    SendAnswer(aItem);
+  }
 
   void SendAnswer(std::size_t aItem)
   {
@@ -494,7 +569,11 @@
       outcome.refused_ += item.done_ ? 0 : 1;
       outcome.heavyDone_ += item.done_ && heavy ? 1 : 0;
     }
-    free_.push_back(aItem);
+    if (item.done_) {
+      free_.push_back(aItem);
+    } else {
+      GiveUp(aItem, item.retryAfter_);
+    }
   }
 
   void CloseRunning(TimePoint aEnd)
@@ -509,6 +588,7 @@
   Scenario scenario_;
   Random random_;
   std::vector<ClassOutcome> outcomes_;
+  std::vector<std::uint32_t> runningNow_;
   std::vector<Host> hosts_;
   std::vector<HostId> ids_;
   std::vector<Balancer> balancers_;
--- a/src/cornelshore/admission/slot_shares.cpp
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -11,7 +11,7 @@
 using internal::Seconds;
 
 /** Time over which a floor is kept: unused parts are saved up so long. */
-constexpr double kFloorSeconds = 10.0;
+constexpr double kFloorSeconds = 30.0;
 /** Time over which a limit is kept. */
 constexpr double kMostSeconds = 0.5;
 /** Most that a class's use runs ahead of its weight, and most debt. */
@@ -19,6 +19,8 @@
 constexpr Duration kStarvationBound = std::chrono::seconds{ 10 };
 /** Slots above a limit that work may take for a moment. */
 constexpr double kMostMargin = 1.0;
+/** Slots above a floor that saved-up parts take at once. */
+constexpr double kFloorMargin = 1.0;
 constexpr double kDebtHolds = 4.0;
 constexpr Duration kHoldEvidenceAge = std::chrono::seconds{ 1 };
 /** Samples before a class is judged by its tendency, and how long it is. */
@@ -159,7 +161,10 @@
   TimePoint oldest;
   for (std::size_t index = 0; index < classes_.size(); ++index) {
     const auto& state = classes_[index];
-    const bool shortOwed = state.floorCredit_ > 0.0 && Waits(state, false);
+    const bool below =
+      state.running_ < std::ceil(state.floorShare_) + kFloorMargin;
+    const bool shortOwed =
+      below && state.floorCredit_ > 0.0 && Waits(state, false);
     const bool longOwed =
       state.longRunning_ < state.whole_.keeps_ && Waits(state, true);
     if (!shortOwed && !longOwed) {
