Let the concurrency grow without finishes

Cause: the limit grew only when work finished, so a host whose first work was long-lived stayed at one slot (trial: the floor of alarms never came back from long-lived submissions).

--- a/src/cornelshore/admission/concurrency.cpp
+++ b/src/cornelshore/admission/concurrency.cpp
@@ -11,6 +11,7 @@
 constexpr double kUsualGain = 0.002;
 constexpr double kWorthHalving = 0.9;
 constexpr std::uint32_t kTrialRounds = 8;
+constexpr Duration kGrowthInterval = std::chrono::seconds{ 1 };
 constexpr Duration kTrialPause = std::chrono::seconds{ 30 };
 
 } // namespace
@@ -47,15 +48,35 @@
   usual_ += kUsualGain * (hold - usual_);
   Compare(aNow, hold);
   if (trial_ == Trial::None && aResult == Result::Done) {
-    Grow();
+    Grow(aNow);
   }
 }
 
 void
-Concurrency::Grow() noexcept
+Concurrency::Grow(TimePoint aNow) noexcept
 {
+  const auto before = Limit();
   const auto step = limit_ < threshold_ ? 1.0 : 1.0 / limit_;
   limit_ = std::min<double>(limit_ + step, slots_);
+  if (Limit() != before) {
+    changedAt_ = aNow;
+  }
+}
+
+void
+Concurrency::OnTime(TimePoint aNow, bool aFull) noexcept
+{
+  if (aFull && aNow >= NextGrowth()) {
+    limit_ = std::min<double>(limit_ + 1.0, slots_);
+    changedAt_ = aNow;
+  }
+}
+
+TimePoint
+Concurrency::NextGrowth() const noexcept
+{
+  const bool fixed = Limit() >= slots_ || trial_ != Trial::None;
+  return fixed ? TimePoint::max() : changedAt_ + kGrowthInterval;
 }
 
 void
@@ -67,6 +88,7 @@
   }
   limit_ = std::max(1.0, limit_ * kCutFactor);
   threshold_ = limit_;
+  changedAt_ = aNow;
   cutUntil_ = aNow + internal::FromSeconds(recent_.Or(0.1));
 }
 
--- a/src/cornelshore/admission/concurrency.hpp
+++ b/src/cornelshore/admission/concurrency.hpp
@@ -27,6 +27,18 @@
   /** @brief Takes the end of one work. */
   void OnFinish(TimePoint aNow, Result aResult, Duration aHold) noexcept;
 
+  /**
+   * @brief Adds a slot when the limit has stood in the way for a second.
+   *
+   * Long-lived work finishes too seldom to grow the limit.
+   *
+   * @param aFull Whether as many works run as the limit allows.
+   */
+  void OnTime(TimePoint aNow, bool aFull) noexcept;
+
+  /** @brief When `OnTime` next adds a slot to a full limit, if ever. */
+  [[nodiscard]] TimePoint NextGrowth() const noexcept;
+
   /** @brief Present limit; at least 1 when the host has slots. */
   [[nodiscard]] std::uint32_t Limit() const noexcept;
 
@@ -38,7 +50,7 @@
     Halved,
   };
 
-  void Grow() noexcept;
+  void Grow(TimePoint aNow) noexcept;
   void Cut(TimePoint aNow) noexcept;
   void Compare(TimePoint aNow, double aHold) noexcept;
 
@@ -46,6 +58,7 @@
   double limit_{ 1.0 };
   double threshold_{}; ///< Doubling below it, single steps above it.
   TimePoint cutUntil_;
+  TimePoint changedAt_;
   internal::MeanTime recent_;
   double usual_{};
   Trial trial_{ Trial::None };
--- a/src/cornelshore/admission/slot_scheduler.cpp
+++ b/src/cornelshore/admission/slot_scheduler.cpp
@@ -281,6 +281,9 @@
 SlotScheduler::NextTimer() const
 {
   auto next = nextExpiry_;
+  if (!waiting_.empty() && running_.size() >= concurrency_.Limit()) {
+    next = std::min(next, concurrency_.NextGrowth());
+  }
   for (const auto& state : classes_) {
     const bool waits = !state.short_.Empty() && state.mostCredit_ <= 0.0;
     if (waits && state.mostShare_ > 0.0) {
--- a/src/cornelshore/admission/slot_shares.cpp
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -56,6 +56,7 @@
 {
   const auto elapsed = std::max(0.0, Seconds(aNow - accruedAt_));
   accruedAt_ = std::max(accruedAt_, aNow);
+  concurrency_.OnTime(aNow, running_.size() >= concurrency_.Limit());
   const auto slots = std::max<double>(span_.slots_, 1.0);
   const auto inUse = concurrency_.Limit() / slots;
   double longestHold = 0.0;
