--- a/src/cornelshore/admission/shedder.cpp
+++ b/src/cornelshore/admission/shedder.cpp
@@ -21,8 +21,9 @@
 constexpr double kRateGain = 0.4;
 constexpr double kLeastRate = 1.0;
 constexpr double kBurst = 1.5;
+constexpr std::uint32_t kHardBurst = 3;
 constexpr std::uint32_t kCalmPeriods = 10;
-constexpr std::uint32_t kReseedPeriods = 50;
+constexpr std::uint32_t kReseedPeriods = 150;
 constexpr double kMostOverload = 60.0;
 
 /** Level at which the counts, cut to it, add up to the capacity. */
@@ -98,8 +99,10 @@
   const auto bucket = HashPair(aCaller.value_, aClass.seed_) % kCallerCounters;
   ++aClass.callers_->arrived_[bucket];
   const auto pass = aClass.callers_->pass_[bucket];
-  return aClass.passedNow_ < aClass.passBound_ &&
-         (pass >= 1.0F || random_.Unit() < pass);
+  if (pass >= 1.0F) {
+    return aClass.passedNow_ < kHardBurst * aClass.passBound_;
+  }
+  return aClass.passedNow_ < aClass.passBound_ && random_.Unit() < pass;
 }
 
 Duration
