Prove the replicated log against a naive register over random schedules

Cause: the log had no test of its behaviour under faults. Found on the way, and mended here: a learner that was catching up took an older membership without it for its removal; learners of an emptied disk piled up; a leader bridged a gap in its quorum by a replica whose disk had been rolled back. A leader now lapses once its lease ends, an unproven replica acknowledges nothing until its waiting time ended, and an operator can vouch for a disk when too few others are left (event TrustDisk).

--- a/src/cornelshore/consensus/event.hpp
+++ b/src/cornelshore/consensus/event.hpp
@@ -67,6 +67,14 @@
   Token token_;
 };
 
+/**
+ * @brief An operator vouches that the disk holds all that was ever synced.
+ *
+ * For a group in which too few others are left to verify an `Unproven` disk.
+ */
+struct TrustDisk
+{};
+
 /** @brief What a replica is told. */
 using Event = std::variant<Received,
                            Synced,
@@ -74,7 +82,8 @@
                            Tick,
                            Propose,
                            ChangeMembership,
-                           Read>;
+                           Read,
+                           TrustDisk>;
 
 /** @brief What became of a proposal. */
 enum class ProposalStatus : std::uint8_t
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -79,6 +79,7 @@
     commit_ = applied_ = log_.Newest()->last_.index_;
   }
   syncedIndex_ = log_.Last().index_;
+  wasMember_ = log_.MembersAt(commit_).Find(id_) != nullptr;
   commit_ = std::max(commit_, hard_.commit_);
   ApplyCommitted();
   ResetElectionTimer();
@@ -88,6 +89,7 @@
 Replica::On(TimePoint aNow, Event aEvent)
 {
   now_ = std::max(now_, aNow);
+  LapseWithoutQuorum();
   std::visit([this](const auto& aKind) { Handle(aKind); }, aEvent);
   if (fault_ == Fault::None) {
     verifier_.Learn(log_.MembersAt(commit_), log_.Members());
@@ -117,6 +119,11 @@
   if (fault_ != Fault::None || !forThis || aMessage.from_ == id_) {
     return false;
   }
+  const auto follows = std::holds_alternative<AppendRequest>(aMessage.body_) ||
+                       std::holds_alternative<SnapshotRequest>(aMessage.body_);
+  if (follows && verifier_.MustKeepSilent(now_)) {
+    return false;
+  }
   if (log_.Members().Find(aMessage.from_) != nullptr) {
     witnesses_.HeardTerm(aMessage.from_, aMessage.term_);
   }
@@ -166,6 +173,12 @@
   Fail(aEvent.fault_);
 }
 
+void
+Replica::Handle(const TrustDisk&)
+{
+  verifier_.Trust();
+}
+
 void
 Replica::Fail(Fault aFault)
 {
@@ -203,12 +216,6 @@
 void
 Replica::TickLeader()
 {
-  const auto acked = std::max(QuorumAckedAt().value_or(Duration{}),
-                              ledSince_.time_since_epoch());
-  if (Clock() >= acked + settings_.electionTimeout_) {
-    BecomeFollower(hard_.term_, std::nullopt);
-    return;
-  }
   if (heartbeatDue_ <= now_) {
     heartbeatDue_ = now_ + settings_.heartbeat_;
     AdvanceMembers();
@@ -216,6 +223,19 @@
   }
 }
 
+void
+Replica::LapseWithoutQuorum()
+{
+  if (role_ != Role::Leader) {
+    return;
+  }
+  const auto acked = std::max(QuorumAckedAt().value_or(Duration::min()),
+                              campaignStart_.time_since_epoch());
+  if (Clock() >= acked + LeaseLength()) {
+    BecomeFollower(hard_.term_, std::nullopt);
+  }
+}
+
 TimePoint
 Replica::NextTimer() const
 {
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -176,6 +176,7 @@
   void Handle(const Propose& aEvent);
   void Handle(const ChangeMembership& aEvent);
   void Handle(const Read& aEvent);
+  void Handle(const TrustDisk& aEvent);
 
   void On(const Message& aMessage, const VoteRequest& aBody);
   void On(const Message& aMessage, const VoteReply& aBody);
@@ -276,6 +277,7 @@
   void ReleaseDeferred();
   void TickElection();
   void TickLeader();
+  void LapseWithoutQuorum();
   [[nodiscard]] Duration Clock() const { return now_.time_since_epoch(); }
 
   ReplicaSettings settings_;
@@ -300,7 +302,7 @@
 
   absl::flat_hash_set<ReplicaId> votes_;
   TimePoint campaignStart_;
-  TimePoint ledSince_;
+  bool wasMember_{}; ///< A committed membership had this replica.
   std::map<ReplicaId, Progress> progress_;
 
   std::map<LogIndex, Requester> requesters_;
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -171,7 +171,6 @@
 {
   role_ = Role::Leader;
   leader_.reset();
-  ledSince_ = now_;
   heartbeatDue_ = now_ + settings_.heartbeat_;
   progress_.clear();
   SyncMembers();
@@ -243,7 +242,7 @@
 void
 Replica::SendJoins()
 {
-  if (!log_.Members().members_.empty()) {
+  if (log_.Members().Find(id_) != nullptr) {
     return;
   }
   for (const auto& node : seeds_) {
--- a/src/cornelshore/consensus/replica_replication.cpp
+++ b/src/cornelshore/consensus/replica_replication.cpp
@@ -431,9 +431,11 @@
   std::erase_if(joining_, [&](const ReplicaId& aId) {
     return aMembership.Find(aId) != nullptr;
   });
-  if (aMembership.Find(id_) == nullptr) {
+  const auto isMember = aMembership.Find(id_) != nullptr;
+  if (wasMember_ && !isMember) {
     Fail(Fault::Removed);
   }
+  wasMember_ = wasMember_ || isMember;
 }
 
 void
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -299,6 +299,10 @@
       continue;
     }
     auto members = log_.Members();
+    std::erase_if(members.members_, [&](const Member& aMember) {
+      return aMember.id_.node_ == id.node_ &&
+             aMember.role_ == MemberRole::Learner;
+    });
     members.Set(id, MemberRole::Learner);
     return TryAppend(std::move(members), std::nullopt) ==
            MembershipStatus::Done;
--- a/src/cornelshore/consensus/verifier.hpp
+++ b/src/cornelshore/consensus/verifier.hpp
@@ -40,6 +40,13 @@
   void Learn(const Membership& aCommitted, const Membership& aNewest);
   /** @brief Takes in an answer; others' nonces are ignored. */
   void Answer(const ReplicaId& aFrom, Term aTerm, const HelloReply& aReply);
+  /** @brief An operator vouches for the disk. */
+  void Trust() noexcept { mode_ = Verification::Continued; }
+  /** @brief Whether the replica must not even acknowledge entries yet. */
+  [[nodiscard]] bool MustKeepSilent(TimePoint aNow) const noexcept
+  {
+    return mode_ == Verification::Unproven && aNow < end_;
+  }
   /** @brief Looks whether enough has been heard. */
   void Update(TimePoint aNow);
 
--- /dev/null
+++ b/test/cornelshore/consensus/history.hpp
@@ -0,0 +1,140 @@
+#ifndef CORNELSHORE_TEST_CONSENSUS_HISTORY_HPP
+#define CORNELSHORE_TEST_CONSENSUS_HISTORY_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <cornelshore/consensus/register.hpp>
+#include <cornelshore/core/time.hpp>
+
+namespace cornelshore::consensus {
+
+/** @brief One operation on the register as its caller saw it. */
+struct Operation
+{
+  bool read_{};
+  RequestId change_;
+  ConfigVersion expected_;
+  Duration called_{};
+  std::optional<Duration> returned_; ///< First answer; none: never known.
+  ChangeOutcome outcome_{ ChangeOutcome::Accepted };
+  ConfigVersion version_;
+  RequestId winner_;
+};
+
+/** @brief What a history broke; all zero when it is as the register's. */
+struct Breaches
+{
+  std::uint64_t lost_{};         ///< Accepted, and not in the final order.
+  std::uint64_t twice_{};        ///< Two accepted with one version.
+  std::uint64_t wrongAnswers_{}; ///< Other than the naive register's.
+  std::uint64_t reverts_{};      ///< Saw less than what was known before.
+
+  [[nodiscard]] std::uint64_t Sum() const
+  {
+    return lost_ + twice_ + wrongAnswers_ + reverts_;
+  }
+};
+
+/** @brief The naive register: one variable, and who set it. */
+struct NaiveRegister
+{
+  ConfigVersion version_;
+  RequestId winner_;
+
+  bool Set(const RequestId& aChange, ConfigVersion aExpected)
+  {
+    if (aExpected != version_) {
+      return false;
+    }
+    ++version_.value_;
+    winner_ = aChange;
+    return true;
+  }
+};
+
+/** @brief Winners by version, as the replicas applied them. */
+using Winners = std::map<ConfigVersion, RequestId>;
+
+/** @brief Whether the answer is the naive register's at the version. */
+inline bool
+AnsweredAsNaive(const Operation& aOperation, const Winners& aWinners)
+{
+  const auto accepted =
+    !aOperation.read_ && aOperation.outcome_ == ChangeOutcome::Accepted;
+  NaiveRegister naive{ aOperation.version_, {} };
+  if (accepted) {
+    --naive.version_.value_;
+    const auto row = aWinners.find(aOperation.version_);
+    return naive.Set(aOperation.change_, aOperation.expected_) &&
+           naive.version_ == aOperation.version_ && row != aWinners.end() &&
+           row->second == aOperation.change_;
+  }
+  const auto row = aWinners.find(aOperation.version_);
+  const auto winner = row == aWinners.end() ? RequestId{} : row->second;
+  return winner == aOperation.winner_ &&
+         (aOperation.read_ ||
+          !naive.Set(aOperation.change_, aOperation.expected_));
+}
+
+/**
+ * @brief Checks a history of one register whose versions give its order.
+ *
+ * Each operation has its place in the order of versions: an accepted change
+ * makes one, every other sees one. The history is linearizable when each
+ * answer is the naive register's at its place, and no operation that began
+ * after another's end has a place before it.
+ */
+inline Breaches
+CheckHistory(std::vector<Operation> aOperations, const Winners& aWinners)
+{
+  using Place = std::pair<std::uint64_t, int>;
+  const auto placeOf = [](const Operation& aOperation) {
+    const auto makes =
+      !aOperation.read_ && aOperation.outcome_ == ChangeOutcome::Accepted;
+    return Place{ aOperation.version_.value_, makes ? 0 : 1 };
+  };
+  std::erase_if(aOperations, [](const Operation& aOperation) {
+    return !aOperation.returned_;
+  });
+  Breaches breaches;
+  std::map<ConfigVersion, RequestId> makers;
+  for (const auto& operation : aOperations) {
+    breaches.wrongAnswers_ += AnsweredAsNaive(operation, aWinners) ? 0 : 1;
+    if (placeOf(operation).second != 0) {
+      continue;
+    }
+    const auto [maker, first] =
+      makers.emplace(operation.version_, operation.change_);
+    breaches.twice_ += first || maker->second == operation.change_ ? 0 : 1;
+    const auto row = aWinners.find(operation.version_);
+    const auto kept = row != aWinners.end() && row->second == operation.change_;
+    breaches.lost_ += kept ? 0 : 1;
+  }
+  auto byReturn = aOperations;
+  std::sort(byReturn.begin(), byReturn.end(), [](const auto& a, const auto& b) {
+    return *a.returned_ < *b.returned_;
+  });
+  std::sort(aOperations.begin(),
+            aOperations.end(),
+            [](const auto& a, const auto& b) { return a.called_ < b.called_; });
+  Place known{};
+  auto ended = byReturn.begin();
+  for (const auto& operation : aOperations) {
+    while (ended != byReturn.end() && *ended->returned_ < operation.called_) {
+      known = std::max(known, placeOf(*ended++));
+    }
+    const auto place = placeOf(operation);
+    const auto later = place > known || (place == known && place.second == 1);
+    breaches.reverts_ += later || known == Place{} ? 0 : 1;
+  }
+  return breaches;
+}
+
+} // namespace cornelshore::consensus
+
+#endif
