--- a/src/cornelshore/dissemination/digest_tree.cpp
+++ b/src/cornelshore/dissemination/digest_tree.cpp
@@ -52,23 +52,15 @@
   return hashes_.front();
 }
 
-TreeHash
-DigestTree::At(std::uint8_t aLevel, std::uint16_t aIndex) const
-{
-  return { aLevel,
-           aIndex,
-           static_cast<std::uint32_t>(hashes_[Position(aLevel, aIndex)]) };
-}
-
-std::vector<TreeHash>
+TreeChildren
 DigestTree::ChildrenOf(std::uint8_t aLevel, std::uint16_t aIndex) const
 {
-  std::vector<TreeHash> children;
-  children.reserve(kFanout);
-  const auto level = static_cast<std::uint8_t>(aLevel + 1);
-  for (std::uint16_t child = 0; child < kFanout; ++child) {
-    children.push_back(
-      At(level, static_cast<std::uint16_t>(aIndex * kFanout + child)));
+  TreeChildren children{ aLevel, aIndex, {} };
+  const auto first = Position(static_cast<std::uint8_t>(aLevel + 1),
+                              static_cast<std::uint16_t>(aIndex * kTreeFanout));
+  for (std::size_t child = 0; child < kTreeFanout; ++child) {
+    children.hashes_.at(child) =
+      static_cast<std::uint32_t>(hashes_[first + child]);
   }
   return children;
 }
--- a/src/cornelshore/dissemination/digest_tree.hpp
+++ b/src/cornelshore/dissemination/digest_tree.hpp
@@ -28,7 +28,6 @@
 {
 public:
   static constexpr std::uint8_t kLeafLevel = 3;
-  static constexpr std::uint16_t kFanout = 16;
   static constexpr std::uint16_t kLeaves = 4096;
 
   DigestTree();
@@ -39,12 +38,9 @@
 
   [[nodiscard]] std::uint64_t Root() const noexcept;
 
-  /** @brief Hash of one node as it travels. */
-  [[nodiscard]] TreeHash At(std::uint8_t aLevel, std::uint16_t aIndex) const;
-
   /** @brief Hashes of the children of a node above the leaves. */
-  [[nodiscard]] std::vector<TreeHash> ChildrenOf(std::uint8_t aLevel,
-                                                 std::uint16_t aIndex) const;
+  [[nodiscard]] TreeChildren ChildrenOf(std::uint8_t aLevel,
+                                        std::uint16_t aIndex) const;
 
   /** @brief Number of nodes at a level; 0 is the root's. */
   [[nodiscard]] static constexpr std::uint32_t SizeOf(
--- a/src/cornelshore/dissemination/message.hpp
+++ b/src/cornelshore/dissemination/message.hpp
@@ -25,8 +25,11 @@
 /** @brief Most bytes of an encoded configuration or delta. */
 inline constexpr std::size_t kMostConfigBytes = 4 * 1024 * 1024;
 
+/** @brief Children of each inner node of the digest tree. */
+inline constexpr std::size_t kTreeFanout = 16;
+
 /** @brief Most entries of one leaf. */
-inline constexpr std::size_t kMostLeafEntries = 40;
+inline constexpr std::size_t kMostLeafEntries = 32;
 
 /** @brief Most items of each list of a message. */
 inline constexpr std::size_t kMostItems = 128;
@@ -122,14 +125,14 @@
   bool operator==(const ConfigWant&) const noexcept = default;
 };
 
-/** @brief Hash of one node of the digest tree. */
-struct TreeHash
+/** @brief Hashes of the children of one node of the digest tree. */
+struct TreeChildren
 {
-  std::uint8_t level_{}; ///< 1 is below the root, 3 are the leaves.
-  std::uint16_t index_{};
-  std::uint32_t hash_{};
+  std::uint8_t level_{};  ///< Of the parent; 0 is the root.
+  std::uint16_t index_{}; ///< Of the parent.
+  std::array<std::uint32_t, kTreeFanout> hashes_{};
 
-  bool operator==(const TreeHash&) const noexcept = default;
+  bool operator==(const TreeChildren&) const noexcept = default;
 };
 
 /** @brief Version of one record of a leaf of the digest tree. */
@@ -158,7 +161,7 @@
   std::vector<PeerUpdate> peers_;
   std::vector<ConfigPiece> pieces_;
   std::optional<ConfigWant> want_;
-  std::vector<TreeHash> hashes_;
+  std::vector<TreeChildren> hashes_;
   std::vector<Leaf> leaves_;
   std::vector<NodeId> wants_; ///< Subjects whose records are asked for.
 
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -105,9 +105,7 @@
     return;
   }
   if (header.scope_ == ServiceId{}) {
-    for (const auto& hash : ledger_.Tree().ChildrenOf(0, 0)) {
-      aPacker.Add(hash);
-    }
+    aPacker.Add(ledger_.Tree().ChildrenOf(0, 0));
     return;
   }
   Leaf versions;
@@ -129,14 +127,24 @@
   if (IsAgent() || aEvent.message_.hashes_.empty()) {
     return;
   }
-  std::vector<TreeHash> differing;
-  for (const auto& hash : aEvent.message_.hashes_) {
-    if (ledger_.Tree().At(hash.level_, hash.index_) != hash) {
-      differing.push_back(hash);
+  struct Child
+  {
+    std::uint8_t level_;
+    std::uint16_t index_;
+  };
+  std::vector<Child> differing;
+  for (const auto& theirs : aEvent.message_.hashes_) {
+    const auto own = ledger_.Tree().ChildrenOf(theirs.level_, theirs.index_);
+    for (std::size_t child = 0; child < kTreeFanout; ++child) {
+      if (own.hashes_.at(child) != theirs.hashes_.at(child)) {
+        differing.push_back(
+          { static_cast<std::uint8_t>(theirs.level_ + 1),
+            static_cast<std::uint16_t>(theirs.index_ * kTreeFanout + child) });
+      }
     }
   }
   const bool atLeaves =
-    aEvent.message_.hashes_.front().level_ == DigestTree::kLeafLevel;
+    aEvent.message_.hashes_.front().level_ + 1 == DigestTree::kLeafLevel;
   const auto most = atLeaves ? kMostLeavesCompared : kMostNodesCompared;
   mending_ = differing.size() > (atLeaves ? kManyDifferences : most);
   if (differing.size() > most) {
@@ -147,14 +155,11 @@
     }
     differing.resize(most);
   }
-  for (const auto& hash : differing) {
-    if (hash.level_ == DigestTree::kLeafLevel) {
-      aPacker.Add(ledger_.LeafAt(hash.index_));
-      continue;
-    }
-    for (const auto& child :
-         ledger_.Tree().ChildrenOf(hash.level_, hash.index_)) {
-      aPacker.Add(child);
+  for (const auto& child : differing) {
+    if (child.level_ == DigestTree::kLeafLevel) {
+      aPacker.Add(ledger_.LeafAt(child.index_));
+    } else {
+      aPacker.Add(ledger_.Tree().ChildrenOf(child.level_, child.index_));
     }
   }
   if (atLeaves && !mending_) {
--- a/src/cornelshore/dissemination/packer.hpp
+++ b/src/cornelshore/dissemination/packer.hpp
@@ -22,13 +22,13 @@
 
   void Add(HostUpdate aUpdate)
   {
-    Reserve(BytesOf(aUpdate.record_), Last().hosts_.size());
+    Reserve(BytesOf(aUpdate), Last().hosts_.size());
     Last().hosts_.push_back(std::move(aUpdate));
   }
 
   void Add(const PeerUpdate& aUpdate)
   {
-    Reserve(BytesOfPeer(), Last().peers_.size());
+    Reserve(BytesOf(aUpdate), Last().peers_.size());
     Last().peers_.push_back(aUpdate);
   }
 
@@ -40,10 +40,10 @@
 
   void Add(const ConfigWant& aWant) { Last().want_ = aWant; }
 
-  void Add(const TreeHash& aHash)
+  void Add(const TreeChildren& aChildren)
   {
-    Reserve(kHashBytes, Last().hashes_.size());
-    Last().hashes_.push_back(aHash);
+    Reserve(BytesOf(aChildren), Last().hashes_.size());
+    Last().hashes_.push_back(aChildren);
   }
 
   void Add(Leaf aLeaf)
@@ -54,7 +54,7 @@
 
   void AddWanted(NodeId aSubject)
   {
-    Reserve(kSubjectBytes, Last().wants_.size());
+    Reserve(BytesOf(aSubject), Last().wants_.size());
     Last().wants_.push_back(aSubject);
   }
 
@@ -78,7 +78,7 @@
   {
     messages_.emplace_back();
     Last().header_ = header_;
-    bytes_ = PayloadBytesOf(Last()) + kWantReserveBytes;
+    bytes_ = PayloadBytesOf(Last()) + kReserveBytes;
   }
 
   void Reserve(std::size_t aBytes, std::size_t aItems)
@@ -89,7 +89,8 @@
     bytes_ += aBytes;
   }
 
-  static constexpr std::size_t kWantReserveBytes = 40;
+  /** For the want and for the lengths of lists that grow. */
+  static constexpr std::size_t kReserveBytes = 48;
 
   Header header_;
   std::vector<Message> messages_;
--- a/src/cornelshore/dissemination/size.cpp
+++ b/src/cornelshore/dissemination/size.cpp
@@ -1,67 +1,169 @@
 #include <cornelshore/dissemination/size.hpp>
 
+#include <algorithm>
+#include <vector>
+
 namespace cornelshore::dissemination {
 
 namespace {
 
 constexpr std::size_t kDatagramBytes = 28 + 42;
-constexpr std::size_t kHeaderBytes = 92;
-constexpr std::size_t kPeerBytes = 66;
-constexpr std::size_t kPieceHeadBytes = 42;
-constexpr std::size_t kWantBytes = 33;
-constexpr std::size_t kLeafBytes = 6;
-constexpr std::size_t kLeafEntryBytes = 22;
-constexpr std::size_t kHostBytes = 78;
+constexpr std::size_t kBoolBytes = 1;
+constexpr std::size_t kEnumBytes = 1;
 constexpr std::size_t kSparseBits = 63;
-constexpr std::size_t kDenseBytes = 128;
+constexpr std::size_t kDenseBytes = kBuckets / 8;
+
+/** Bytes of an unsigned integer in MessagePack. */
+constexpr std::size_t
+Uint(std::uint64_t aValue)
+{
+  if (aValue < 1U << 7U) {
+    return 1;
+  }
+  if (aValue < 1U << 8U) {
+    return 2;
+  }
+  if (aValue < 1U << 16U) {
+    return 3;
+  }
+  return aValue < std::uint64_t{ 1 } << 32U ? 5 : 9;
+}
+
+constexpr std::size_t
+Blob(std::size_t aBytes)
+{
+  return aBytes + (aBytes < 1U << 8U ? 2 : 3);
+}
+
+constexpr std::size_t
+List(std::size_t aItems)
+{
+  return aItems < 1U << 4U ? 1 : 3;
+}
+
+std::size_t
+Age(Duration aAge)
+{
+  using Milliseconds = std::chrono::milliseconds;
+  const auto age = std::chrono::ceil<Milliseconds>(aAge).count();
+  return Uint(static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)));
+}
+
+std::size_t
+Place(const Address& aAddress)
+{
+  return Blob(aAddress.ip_.size()) + Uint(aAddress.port_);
+}
+
+std::size_t
+HeaderBytes(const Header& aHeader)
+{
+  auto bytes = Uint(aHeader.incarnation_.value_) +
+               Uint(aHeader.receiver_.value_) + kEnumBytes +
+               Uint(aHeader.dataCentre_.value_) + Uint(aHeader.scope_.value_) +
+               kEnumBytes + kBoolBytes + Uint(aHeader.digest_) +
+               Uint(aHeader.config_.value_) + kBoolBytes +
+               Age(aHeader.inStepAge_) + kBoolBytes;
+  if (const auto& confirmation = aHeader.confirmation_) {
+    bytes += Uint(confirmation->version_.value_) + Uint(confirmation->term_) +
+             Age(confirmation->age_);
+  }
+  return bytes;
+}
+
+std::size_t
+WantBytes(const ConfigWant& aWant)
+{
+  return Uint(aWant.held_.value_) + Uint(aWant.base_.value_) +
+         Uint(aWant.version_.value_) + Uint(aWant.offset_);
+}
+
+std::size_t
+EntryBytes(const LeafEntry& aEntry)
+{
+  return Uint(aEntry.id_.value_) + Uint(aEntry.version_.incarnation_.value_) +
+         Uint(aEntry.version_.sequence_) + kBoolBytes;
+}
 
 } // namespace
 
 std::size_t
-BytesOf(const HostRecord& aRecord) noexcept
+BytesOf(const HostUpdate& aUpdate) noexcept
 {
-  const auto bits = aRecord.held_.count();
-  return kHostBytes + (bits <= kSparseBits ? 2 * bits : kDenseBytes);
+  const auto& record = aUpdate.record_;
+  const auto bits = record.held_.count();
+  return Uint(record.id_.value_) + Uint(record.incarnation_.value_) +
+         Uint(record.sequence_) + Uint(record.service_.value_) +
+         Uint(record.dataCentre_.value_) + Place(record.agent_) +
+         Uint(record.slots_) + Uint(record.connectionLimit_) + kEnumBytes +
+         Blob(bits <= kSparseBits ? 2 * bits : kDenseBytes) + Age(aUpdate.age_);
 }
 
 std::size_t
-BytesOfPeer() noexcept
+BytesOf(const PeerUpdate& aUpdate) noexcept
 {
-  return kPeerBytes;
+  const auto& record = aUpdate.record_;
+  return Uint(record.id_.value_) + Uint(record.incarnation_.value_) +
+         Uint(record.sequence_) + kEnumBytes + Uint(record.dataCentre_.value_) +
+         Place(record.address_) + kBoolBytes + Age(aUpdate.age_);
 }
 
 std::size_t
 BytesOf(const ConfigPiece& aPiece) noexcept
 {
-  return kPieceHeadBytes + aPiece.bytes_.size();
+  return Uint(aPiece.base_.value_) + Uint(aPiece.version_.value_) +
+         Uint(aPiece.size_) + Uint(aPiece.checksum_) + Uint(aPiece.offset_) +
+         Blob(aPiece.bytes_.size());
 }
 
 std::size_t
-BytesOf(const Leaf& aLeaf) noexcept
+BytesOf(const TreeChildren& aChildren) noexcept
 {
-  return kLeafBytes + aLeaf.entries_.size() * kLeafEntryBytes;
+  return Uint(aChildren.level_) + Uint(aChildren.index_) +
+         Blob(kTreeFanout * sizeof(std::uint32_t));
 }
 
 std::size_t
-PayloadBytesOf(const Message& aMessage) noexcept
+BytesOf(const Leaf& aLeaf) noexcept
 {
-  std::size_t bytes = kHeaderBytes;
-  for (const auto& update : aMessage.hosts_) {
-    bytes += BytesOf(update.record_);
+  auto bytes = Uint(aLeaf.index_) + List(aLeaf.entries_.size());
+  for (const auto& entry : aLeaf.entries_) {
+    bytes += EntryBytes(entry);
   }
-  for (const auto& piece : aMessage.pieces_) {
-    bytes += BytesOf(piece);
-  }
-  for (const auto& leaf : aMessage.leaves_) {
-    bytes += BytesOf(leaf);
+  return bytes;
+}
+
+std::size_t
+BytesOf(NodeId aSubject) noexcept
+{
+  return Uint(aSubject.value_);
+}
+
+namespace {
+
+template<typename Item>
+std::size_t
+BytesOfList(const std::vector<Item>& aItems)
+{
+  auto bytes = List(aItems.size());
+  for (const auto& item : aItems) {
+    bytes += dissemination::BytesOf(item);
   }
-  bytes += aMessage.peers_.size() * kPeerBytes;
-  bytes += aMessage.want_.has_value() ? kWantBytes : 0;
-  bytes += aMessage.hashes_.size() * kHashBytes;
-  bytes += aMessage.wants_.size() * kSubjectBytes;
   return bytes;
 }
 
+} // namespace
+
+std::size_t
+PayloadBytesOf(const Message& aMessage) noexcept
+{
+  return HeaderBytes(aMessage.header_) + BytesOfList(aMessage.hosts_) +
+         BytesOfList(aMessage.peers_) + BytesOfList(aMessage.pieces_) +
+         kBoolBytes + (aMessage.want_ ? WantBytes(*aMessage.want_) : 0) +
+         BytesOfList(aMessage.hashes_) + BytesOfList(aMessage.leaves_) +
+         BytesOfList(aMessage.wants_);
+}
+
 std::size_t
 DatagramBytesOf(const Message& aMessage) noexcept
 {
--- a/src/cornelshore/dissemination/size.hpp
+++ b/src/cornelshore/dissemination/size.hpp
@@ -6,20 +6,19 @@
 #include <cornelshore/dissemination/message.hpp>
 
 /**
- * @brief Upper bounds of encoded sizes, in bytes.
+ * @brief Encoded sizes in bytes.
  *
  * The core decides by size what a message may carry and what the byte budget
- * allows, and knows no codec; the codec's tests hold it to these bounds.
+ * allows, and knows no codec; the codec's tests hold the two together.
  */
 namespace cornelshore::dissemination {
 
-inline constexpr std::size_t kHashBytes = 10;
-inline constexpr std::size_t kSubjectBytes = 9;
-
-[[nodiscard]] std::size_t BytesOf(const HostRecord& aRecord) noexcept;
+[[nodiscard]] std::size_t BytesOf(const HostUpdate& aUpdate) noexcept;
+[[nodiscard]] std::size_t BytesOf(const PeerUpdate& aUpdate) noexcept;
 [[nodiscard]] std::size_t BytesOf(const ConfigPiece& aPiece) noexcept;
+[[nodiscard]] std::size_t BytesOf(const TreeChildren& aChildren) noexcept;
 [[nodiscard]] std::size_t BytesOf(const Leaf& aLeaf) noexcept;
-[[nodiscard]] std::size_t BytesOfPeer() noexcept;
+[[nodiscard]] std::size_t BytesOf(NodeId aSubject) noexcept;
 
 /** @brief Bytes of an encoded message, before it is sealed. */
 [[nodiscard]] std::size_t PayloadBytesOf(const Message& aMessage) noexcept;
--- a/src/cornelshore/wire/dissemination_codec.cpp
+++ b/src/cornelshore/wire/dissemination_codec.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/wire/dissemination_codec.hpp>
 
 #include <algorithm>
+#include <string>
 
 #include <cornelshore/dissemination/digest_tree.hpp>
 #include <cornelshore/wire/membership_codec.hpp>
@@ -18,23 +19,27 @@
 using dissemination::Message;
 using dissemination::MessageKind;
 using dissemination::PeerUpdate;
-using dissemination::TreeHash;
+using dissemination::TreeChildren;
 
 namespace {
 
-constexpr Duration kMostAge = std::chrono::hours(24 * 365);
+using Milliseconds = std::chrono::milliseconds;
 
+constexpr Milliseconds kMostAge = std::chrono::hours(24 * 365);
+
+/** Ages travel in whole milliseconds, rounded up. */
 void
 Put(Writer& aWriter, Duration aAge)
 {
+  const auto age = std::chrono::ceil<Milliseconds>(aAge);
   aWriter.Uint(static_cast<std::uint64_t>(
-    std::clamp(aAge, Duration::zero(), kMostAge).count()));
+    std::clamp(age, Milliseconds::zero(), kMostAge).count()));
 }
 
 void
 Take(Reader& aReader, Duration& aAge)
 {
-  aAge = Duration{ static_cast<std::int64_t>(
+  aAge = Milliseconds{ static_cast<std::int64_t>(
     aReader.Uint(static_cast<std::uint64_t>(kMostAge.count()))) };
 }
 
@@ -134,21 +139,37 @@
 }
 
 void
-Put(Writer& aWriter, const TreeHash& aHash)
+Put(Writer& aWriter, const TreeChildren& aChildren)
 {
-  aWriter.Uint(aHash.level_);
-  aWriter.Uint(aHash.index_);
-  aWriter.Uint(aHash.hash_);
+  aWriter.Uint(aChildren.level_);
+  aWriter.Uint(aChildren.index_);
+  std::string bytes;
+  for (const auto hash : aChildren.hashes_) {
+    for (std::size_t byte = 0; byte < sizeof(hash); ++byte) {
+      bytes.push_back(static_cast<char>(hash >> 8U * byte));
+    }
+  }
+  aWriter.Bytes(bytes);
 }
 
 void
-Take(Reader& aReader, TreeHash& aHash)
+Take(Reader& aReader, TreeChildren& aChildren)
 {
-  aHash.level_ =
-    static_cast<std::uint8_t>(aReader.Uint(DigestTree::kLeafLevel));
-  aHash.index_ = static_cast<std::uint16_t>(
-    aReader.Uint(DigestTree::SizeOf(aHash.level_) - 1U));
-  aHash.hash_ = aReader.Number<std::uint32_t>();
+  aChildren.level_ =
+    static_cast<std::uint8_t>(aReader.Uint(DigestTree::kLeafLevel - 1U));
+  aChildren.index_ = static_cast<std::uint16_t>(
+    aReader.Uint(DigestTree::SizeOf(aChildren.level_) - 1U));
+  constexpr auto kHashBytes = sizeof(std::uint32_t);
+  const auto bytes = aReader.Bytes(kHashBytes * dissemination::kTreeFanout);
+  if (bytes.size() != kHashBytes * dissemination::kTreeFanout) {
+    aReader.Fail();
+    return;
+  }
+  for (std::size_t index = 0; index < bytes.size(); ++index) {
+    const auto byte = std::uint32_t{ static_cast<std::uint8_t>(bytes[index]) };
+    aChildren.hashes_.at(index / kHashBytes) |= byte
+                                                << 8U * (index % kHashBytes);
+  }
 }
 
 void
