Watch hosts' health at the balancers and announce hosts by the announcer

Cause: a host that dies must be declared gone by several observers, and a host wrongly declared gone must come back; both parts stood unused by the roles. Change: balancers run the health watcher, agents answer probes and write their record by the announcer. The announcer's check that readiness never falls back was wrong: an upstream that is not ready any more must leave rotation. It is replaced by one that allows it before, and forbids any way back after, Leaving.

--- a/src/cornelshore/membership/announcer.cpp
+++ b/src/cornelshore/membership/announcer.cpp
@@ -41,7 +41,8 @@
 std::optional<HostRecord>
 Announcer::Enter(TimePoint aNow, HostState aState)
 {
-  if (aState <= record_.state_) {
+  const bool final = record_.state_ >= HostState::Leaving;
+  if (aState == record_.state_ || (final && aState < record_.state_)) {
     return std::nullopt;
   }
   record_.state_ = aState;
--- a/src/cornelshore/membership/announcer.hpp
+++ b/src/cornelshore/membership/announcer.hpp
@@ -29,7 +29,7 @@
   [[nodiscard]] const HostRecord& Record() const noexcept { return record_; }
 
   /**
-   * @brief Goes on to a later state; an earlier one is not gone back to.
+   * @brief Changes the state; from `Leaving` on only a later one is entered.
    * @return The record to announce, or nothing.
    */
   [[nodiscard]] std::optional<HostRecord> Enter(TimePoint aNow,
--- a/src/cornelshore/role/agent.cpp
+++ b/src/cornelshore/role/agent.cpp
@@ -14,6 +14,9 @@
 /** Longest wait for the record of an earlier run before the first own one. */
 constexpr Duration kFirstRecordWithin = std::chrono::seconds{ 3 };
 
+/** Least time between two records that differ in held buckets only. */
+constexpr Duration kHeldInterval = std::chrono::seconds{ 2 };
+
 constexpr std::int64_t kMicrosPerMilli = 1000;
 
 admission::CallerId
@@ -116,6 +119,7 @@
 Agent::NextTimer() const
 {
   auto next = std::min(parts_->node_.NextTimer(), parts_->flows_.NextTimer());
+  next = std::min(next, parts_->announcer_.NextTimer().value_or(next));
   next = std::min(next, parts_->requests_.NextTimer().value_or(next));
   return std::min(next, parts_->slots_.NextTimer().value_or(next));
 }
@@ -325,10 +329,16 @@
   if (!requests.ok()) {
     return requests.status();
   }
+  auto announcer =
+    membership::Announcer::Builder(host_).HeldInterval(kHeldInterval).Build();
+  if (!announcer.ok()) {
+    return announcer.status();
+  }
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        std::move(*flows),
                                        std::move(*requests),
-                                       internal::Slots(std::move(*scheduler)));
+                                       internal::Slots(std::move(*scheduler)),
+                                       std::move(*announcer));
   parts->connections_ = std::move(connections);
   parts->classes_ = classes;
   parts->hooks_ = hooks_;
--- a/src/cornelshore/role/agent_parts.cpp
+++ b/src/cornelshore/role/agent_parts.cpp
@@ -41,11 +41,13 @@
 Agent::Parts::Parts(dissemination::Node aNode,
                     flow::Agent aFlows,
                     request::Agent aRequests,
-                    internal::Slots aSlots)
+                    internal::Slots aSlots,
+                    membership::Announcer aAnnouncer)
   : node_(std::move(aNode))
   , flows_(std::move(aFlows))
   , requests_(std::move(aRequests))
   , slots_(std::move(aSlots))
+  , announcer_(std::move(aAnnouncer))
 {
 }
 
@@ -126,7 +128,12 @@
   if (slots_.NextTimer().value_or(TimePoint::max()) <= aNow) {
     FeedRequests(aNow, slots_.Tick(aNow), aOut);
   }
-  MaybePublishFirst(aNow, aOut);
+  if (!published_ && (node_.ConfirmedAt() || publishBy_ <= aNow)) {
+    PublishFirst(aNow, aOut);
+  }
+  if (published_ && announcer_.NextTimer().value_or(TimePoint::max()) <= aNow) {
+    Publish(aNow, announcer_.Tick(aNow), aOut);
+  }
   CheckEnded(aNow, aOut);
 }
 
@@ -163,6 +170,21 @@
     aOut);
 }
 
+void
+Agent::Parts::Receive(TimePoint,
+                      const NodeMessage& aFrom,
+                      const membership::Message& aMessage,
+                      Actions& aOut)
+{
+  if (const auto* probe = std::get_if<membership::Probe>(&aMessage)) {
+    aOut.emplace_back(SendNode{
+      aFrom.address_,
+      membership::Message(membership::ProbeAnswer{ probe->token_ }) });
+  } else {
+    ++misplaced_;
+  }
+}
+
 void
 Agent::Parts::FeedNode(TimePoint aNow,
                        const dissemination::Event& aEvent,
@@ -216,13 +238,15 @@
     if (record.service_ == self_.service_ || record.id_ == self_.id_) {
       ours.push_back(record);
     }
-    if (record.id_ == self_.id_) {
-      NoteOwnRecord(record);
-    }
   }
   if (ours.empty()) {
     return;
   }
+  for (const auto& record : ours) {
+    if (published_) {
+      Publish(aNow, announcer_.Seen(aNow, record), aOut);
+    }
+  }
   hosts_ = node_.Hosts().OfService(self_.service_);
   FeedFlows(aNow, flow::MembershipChanged{ std::move(ours) }, aOut);
   FeedRequests(aNow, request::MembershipChanged{ hosts_ }, aOut);
@@ -291,7 +315,7 @@
   self_.state_ = aAction.state_;
   self_.held_ = aAction.held_;
   if (published_) {
-    Publish(aNow, aOut);
+    PublishChanges(aNow, aOut);
   }
 }
 
@@ -375,29 +399,31 @@
 }
 
 void
-Agent::Parts::Publish(TimePoint aNow, Actions& aOut)
+Agent::Parts::Publish(TimePoint aNow,
+                      const std::optional<HostRecord>& aRecord,
+                      Actions& aOut)
 {
-  published_ = true;
-  ++self_.sequence_;
-  FeedNode(aNow, dissemination::HostAnnounced{ self_ }, aOut);
+  if (!aRecord) {
+    return;
+  }
+  FeedNode(aNow, dissemination::HostAnnounced{ *aRecord }, aOut);
   hosts_ = node_.Hosts().OfService(self_.service_);
   ApplyTargets(aNow, aOut);
 }
 
 void
-Agent::Parts::MaybePublishFirst(TimePoint aNow, Actions& aOut)
+Agent::Parts::PublishFirst(TimePoint aNow, Actions& aOut)
 {
-  if (!published_ && (node_.ConfirmedAt() || publishBy_ <= aNow)) {
-    Publish(aNow, aOut);
-  }
+  published_ = true;
+  Publish(aNow, announcer_.Record(), aOut);
+  PublishChanges(aNow, aOut);
 }
 
 void
-Agent::Parts::NoteOwnRecord(const HostRecord& aRecord)
+Agent::Parts::PublishChanges(TimePoint aNow, Actions& aOut)
 {
-  if (aRecord.incarnation_ == self_.incarnation_) {
-    self_.sequence_ = std::max(self_.sequence_, aRecord.sequence_);
-  }
+  Publish(aNow, announcer_.Enter(aNow, self_.state_), aOut);
+  Publish(aNow, announcer_.Hold(aNow, self_.held_), aOut);
 }
 
 void
@@ -437,8 +463,7 @@
   }
   ended_ = true;
   self_.state_ = HostState::Gone;
-  self_.held_.reset();
-  Publish(aNow, aOut);
+  PublishChanges(aNow, aOut);
   aOut.emplace_back(Ended{ flowsLeft_ });
 }
 
--- a/src/cornelshore/role/agent_parts.hpp
+++ b/src/cornelshore/role/agent_parts.hpp
@@ -11,6 +11,7 @@
 #include <cornelshore/admission/connection_limiter.hpp>
 #include <cornelshore/dissemination/node.hpp>
 #include <cornelshore/flow/agent.hpp>
+#include <cornelshore/membership/announcer.hpp>
 #include <cornelshore/request/agent.hpp>
 #include <cornelshore/role/address_book.hpp>
 #include <cornelshore/role/agent.hpp>
@@ -26,7 +27,8 @@
   Parts(dissemination::Node aNode,
         flow::Agent aFlows,
         request::Agent aRequests,
-        internal::Slots aSlots);
+        internal::Slots aSlots,
+        membership::Announcer aAnnouncer);
 
   void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut);
   void Handle(TimePoint aNow, UpstreamReady& aEvent, Actions& aOut);
@@ -48,6 +50,10 @@
                const NodeMessage& aFrom,
                dissemination::Message& aMessage,
                Actions& aOut);
+  void Receive(TimePoint aNow,
+               const NodeMessage& aFrom,
+               const membership::Message& aMessage,
+               Actions& aOut);
   template<typename Other>
   void Receive(TimePoint, const NodeMessage&, const Other&, Actions&)
   {
@@ -86,9 +92,15 @@
   void Carry(TimePoint aNow, request::CancelRun& aAction, Actions& aOut);
   void Carry(TimePoint aNow, request::Drained& aAction, Actions& aOut);
 
-  void Publish(TimePoint aNow, Actions& aOut);
-  void MaybePublishFirst(TimePoint aNow, Actions& aOut);
-  void NoteOwnRecord(const HostRecord& aRecord);
+  void Publish(TimePoint aNow,
+               const std::optional<HostRecord>& aRecord,
+               Actions& aOut);
+  /**
+   * The first record waits until that of an earlier run was heard of, which
+   * it replaces everywhere.
+   */
+  void PublishFirst(TimePoint aNow, Actions& aOut);
+  void PublishChanges(TimePoint aNow, Actions& aOut);
   void ApplyTargets(TimePoint aNow, Actions& aOut);
   /** The host is ready when its upstream is and targets are in force. */
   void CheckReady(TimePoint aNow, Actions& aOut);
@@ -100,11 +112,12 @@
   flow::Agent flows_;
   request::Agent requests_;
   internal::Slots slots_;
+  membership::Announcer announcer_;
   std::unique_ptr<admission::ConnectionLimiter> connections_;
   std::shared_ptr<absl::flat_hash_map<ClassId, ClassTarget>> classes_;
   Hooks hooks_;
   internal::AddressBook book_;
-  HostRecord self_;
+  HostRecord self_; ///< Its state and held buckets are what is to be known.
   Configuration configuration_;
   std::vector<HostRecord> hosts_;
   absl::flat_hash_map<request::RunId, RequestId> runIds_;
--- a/src/cornelshore/role/balancer.cpp
+++ b/src/cornelshore/role/balancer.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <cornelshore/admission/shedder.hpp>
+#include <cornelshore/membership/health_watcher.hpp>
 #include <cornelshore/role/address_book.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
@@ -23,6 +24,19 @@
   return request::Reason::Overloaded;
 }
 
+Dump
+DumpHealth(const membership::HealthDump& aState)
+{
+  Dump dump;
+  dump.With("watched", std::uint64_t{ aState.watched_ });
+  for (const auto& row : membership::kJudgementNames) {
+    const auto index = static_cast<std::size_t>(row.value_);
+    dump.With(row.name_, std::uint64_t{ aState.byJudgement_[index] });
+  }
+  return dump.With("probes_sent", aState.probesSent_)
+    .With("declared_gone", aState.declaredGone_);
+}
+
 template<typename Relayed>
 constexpr bool kIsBound = requires(const Relayed& aMessage)
 {
@@ -33,8 +47,12 @@
 
 struct Balancer::Parts
 {
-  Parts(dissemination::Node aNode, request::Balancer aRequests, Hooks aHooks)
+  Parts(dissemination::Node aNode,
+        membership::HealthWatcher aHealth,
+        request::Balancer aRequests,
+        Hooks aHooks)
     : node_(std::move(aNode))
+    , health_(std::move(aHealth))
     , requests_(std::move(aRequests))
     , hooks_(std::move(aHooks))
   {
@@ -52,12 +70,57 @@
     aOut.emplace_back(SendNode{ aSend.address_, std::move(aSend.message_) });
   }
 
-  void Carry(TimePoint aNow, dissemination::HostsChanged& aChange, Actions&)
+  void Carry(TimePoint aNow,
+             dissemination::HostsChanged& aChange,
+             Actions& aOut)
   {
     flows_.Update(aNow, aChange.records_);
+    FeedHealth(
+      aNow, membership::HostsSeen{ std::move(aChange.records_) }, aOut);
+  }
+
+  void Carry(TimePoint aNow, dissemination::PeersChanged&, Actions& aOut)
+  {
+    membership::BalancersKnown known{ { self_ } };
+    for (const auto& peer : node_.Peers()) {
+      if (peer.role_ == membership::NodeRole::Balancer && peer.id_ != self_) {
+        known.balancers_.push_back(peer.id_);
+      }
+    }
+    FeedHealth(aNow, std::move(known), aOut);
+  }
+
+  void FeedHealth(TimePoint aNow,
+                  const membership::HealthEvent& aEvent,
+                  Actions& aOut)
+  {
+    for (auto& action : health_.On(aNow, aEvent)) {
+      if (const auto* send = std::get_if<membership::HealthSend>(&action)) {
+        const auto address = AddressOf(send->to_);
+        if (address) {
+          aOut.emplace_back(SendNode{ *address, send->message_ });
+        }
+        continue;
+      }
+      const auto& gone = std::get<membership::HostDeclaredGone>(action);
+      aOut.emplace_back(
+        Log{ Weight::Warning,
+             "host_declared_gone",
+             { { "host", internal::HexOf(gone.record_.id_.value_) } } });
+      Feed(aNow, dissemination::HostAnnounced{ gone.record_ }, aOut);
+    }
   }
 
-  void Carry(TimePoint, dissemination::PeersChanged&, Actions&) {}
+  /** A sign of life, for the health of its host and data centre. */
+  void NoteHeard(TimePoint aNow, NodeId aFrom, Actions& aOut)
+  {
+    const HostId host{ aFrom.value_ };
+    if (const auto* record = node_.Hosts().Find(host)) {
+      FeedHealth(
+        aNow, membership::DataCentreHeard{ record->dataCentre_ }, aOut);
+      FeedHealth(aNow, membership::ResultSeen{ host, true }, aOut);
+    }
+  }
 
   void Carry(TimePoint, dissemination::ConfigChanged& aChange, Actions& aOut)
   {
@@ -80,6 +143,7 @@
   void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
   {
     book_.Learn(aEvent.from_, aEvent.address_);
+    NoteHeard(aNow, aEvent.from_, aOut);
     std::visit([&](auto& aMessage) { Receive(aNow, aEvent, aMessage, aOut); },
                aEvent.message_);
   }
@@ -120,6 +184,16 @@
          aOut);
   }
 
+  void Receive(TimePoint aNow,
+               const NodeMessage& aFrom,
+               membership::Message& aMessage,
+               Actions& aOut)
+  {
+    FeedHealth(aNow,
+               membership::MessageReceived{ aFrom.from_, std::move(aMessage) },
+               aOut);
+  }
+
   template<typename Other>
   void Receive(TimePoint, const NodeMessage&, const Other&, Actions&)
   {
@@ -161,7 +235,7 @@
   {
     if (!stopAt_) {
       stopAt_ = aNow + kStopLinger;
-      Feed(aNow, dissemination::SelfAnnounced{ self_, true }, aOut);
+      Feed(aNow, dissemination::SelfAnnounced{ address_, true }, aOut);
     }
   }
 
@@ -170,6 +244,9 @@
     if (node_.NextTimer() <= aNow) {
       Feed(aNow, dissemination::Tick{}, aOut);
     }
+    if (health_.NextTimer() <= aNow) {
+      FeedHealth(aNow, membership::HealthTick{}, aOut);
+    }
     if (stopAt_ && *stopAt_ <= aNow) {
       aOut.emplace_back(Ended{});
     }
@@ -200,7 +277,7 @@
   {
     for (auto& action : aActions) {
       if (auto* toHost = std::get_if<request::SendToHost>(&action)) {
-        const auto address = AddressOf(toHost->to_);
+        const auto address = AddressOf(NodeId{ toHost->to_.value_ });
         if (address) {
           aOut.emplace_back(SendNode{ *address, std::move(toHost->message_) });
         }
@@ -210,21 +287,24 @@
     }
   }
 
-  [[nodiscard]] std::optional<Address> AddressOf(HostId aHost) const
+  [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const
   {
-    if (const auto* record = node_.Hosts().Find(aHost)) {
+    if (const auto* record = node_.Hosts().Find(HostId{ aNode.value_ })) {
       return record->agent_;
     }
-    return book_.Find(NodeId{ aHost.value_ });
+    const auto known = node_.AddressOf(aNode);
+    return known ? known : book_.Find(aNode);
   }
 
   dissemination::Node node_;
+  membership::HealthWatcher health_;
   request::Balancer requests_;
   Hooks hooks_;
   std::unique_ptr<admission::Shedder> shedder_;
   flow::Balancer flows_;
   internal::AddressBook book_;
-  Address self_;
+  NodeId self_;
+  Address address_;
   std::optional<TimePoint> stopAt_;
   std::uint64_t packets_{};
   std::array<std::uint64_t, flow::kRefusalNames.size()> packetsRefused_{};
@@ -252,7 +332,8 @@
 TimePoint
 Balancer::NextTimer() const
 {
-  const auto next = parts_->node_.NextTimer();
+  const auto next =
+    std::min(parts_->node_.NextTimer(), parts_->health_.NextTimer());
   return parts_->stopAt_ ? std::min(next, *parts_->stopAt_) : next;
 }
 
@@ -283,6 +364,7 @@
             .With("packets_refused_unknown_service", parts_->packetsRefused_[0])
             .With("packets_refused_no_ready_host", parts_->packetsRefused_[1])
             .With("answers", parts_->flowAnswers_))
+    .With("health", DumpHealth(parts_->health_.Dump(aNow)))
     .With("requests",
           Dump()
             .With("ticket_requests", requests.ticketRequests_)
@@ -401,10 +483,18 @@
   if (!requests.ok()) {
     return requests.status();
   }
-  auto parts =
-    std::make_unique<Parts>(std::move(*node), std::move(*requests), hooks_);
+  membership::HealthSettings healthSettings;
+  healthSettings.self_ = node_.self_;
+  healthSettings.seed_ = node_.seed_;
+  auto health = membership::HealthWatcher::Builder(healthSettings).Build();
+  if (!health.ok()) {
+    return health.status();
+  }
+  auto parts = std::make_unique<Parts>(
+    std::move(*node), std::move(*health), std::move(*requests), hooks_);
   parts->shedder_ = std::move(shedder);
-  parts->self_ = node_.address_;
+  parts->self_ = node_.self_;
+  parts->address_ = node_.address_;
   Actions none;
   parts->Feed(aNow, dissemination::SeedsKnown{ seeds_ }, none);
   return std::unique_ptr<Balancer>(new Balancer(std::move(parts)));
--- a/src/cornelshore/role/message.hpp
+++ b/src/cornelshore/role/message.hpp
@@ -9,6 +9,7 @@
 #include <cornelshore/core/flow_key.hpp>
 #include <cornelshore/dissemination/message.hpp>
 #include <cornelshore/flow/envelope.hpp>
+#include <cornelshore/membership/message.hpp>
 #include <cornelshore/request/message.hpp>
 
 /**
@@ -34,7 +35,8 @@
                              request::Message,
                              admission::Pushback,
                              dissemination::Message,
-                             consensus::Message>;
+                             consensus::Message,
+                             membership::Message>;
 
 } // namespace cornelshore::role
 
--- a/src/cornelshore/wire/message_codec.cpp
+++ b/src/cornelshore/wire/message_codec.cpp
@@ -6,6 +6,7 @@
 #include <cornelshore/wire/consensus_codec.hpp>
 #include <cornelshore/wire/dissemination_codec.hpp>
 #include <cornelshore/wire/flow_codec.hpp>
+#include <cornelshore/wire/membership_codec.hpp>
 #include <cornelshore/wire/reader.hpp>
 #include <cornelshore/wire/request_codec.hpp>
 #include <cornelshore/wire/writer.hpp>
@@ -23,6 +24,7 @@
   Pushback,
   Dissemination,
   Consensus,
+  Membership,
 };
 
 void
@@ -74,6 +76,13 @@
   Encode(aWriter, aMessage);
 }
 
+void
+EncodeKind(Writer& aWriter, const membership::Message& aMessage)
+{
+  Put(aWriter, Kind::Membership);
+  Encode(aWriter, aMessage);
+}
+
 template<typename Value>
 absl::StatusOr<role::Message>
 Widen(absl::StatusOr<Value> aValue)
@@ -123,7 +132,7 @@
 DecodeMessage(std::string_view aBytes)
 {
   Reader reader(aBytes);
-  const auto kind = reader.Enumerator(Kind::Consensus);
+  const auto kind = reader.Enumerator(Kind::Membership);
   if (!reader.Good()) {
     return reader.Finish();
   }
@@ -139,9 +148,11 @@
     case Kind::Dissemination:
       return Widen(DecodeDissemination(reader));
     case Kind::Consensus:
+      return Widen(DecodeConsensusMessage(reader));
+    case Kind::Membership:
       break;
   }
-  return Widen(DecodeConsensusMessage(reader));
+  return Widen(DecodeMembership(reader));
 }
 
 } // namespace cornelshore::wire
