--- a/examples/standin/callers.cpp
+++ b/examples/standin/callers.cpp
@@ -102,10 +102,10 @@
       broken_ = true;
       return;
     }
-    if (Open() && upstream != upstream_) {
-      broken_ = true;
+    if (!Open()) {
+      upstream_ = upstream;
     }
-    upstream_ = upstream;
+    broken_ |= upstream != upstream_;
     lastAnswer_ = Now();
     ++answered_;
   }
--- a/src/cornelshore/tool/commands.cpp
+++ b/src/cornelshore/tool/commands.cpp
@@ -55,12 +55,14 @@
                    "no process named; use --to ADDRESS[,ADDRESS...]" };
   const auto until = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(aOptions.timeoutMillis_);
+  auto untried = static_cast<std::int64_t>(aOptions.to_.size());
   for (const auto& address : aOptions.to_) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       until - std::chrono::steady_clock::now());
     if (left.count() <= 0) {
       break;
     }
+    const auto share = left / untried--;
     last = rpc::Call(
       ToEndpoint(address), aOptions.tls_, aMethod, ToJsonLine(aParams), left);
     if (last.code_ == rpc::ErrorCode::None ||
