--- a/bench/support/flows_fleet.hpp
+++ b/bench/support/flows_fleet.hpp
@@ -86,6 +86,7 @@
 {
   std::set<std::size_t> pending_; ///< Records published but not yet here.
   bool cutOff_{};
+  TimePoint cutUntil_{};
   bool up_{ true };
   std::uint32_t run_{};
 };
@@ -265,6 +266,7 @@
   void CutOff(std::size_t aMember, Duration aFor)
   {
     members_[aMember].cutOff_ = true;
+    members_[aMember].cutUntil_ = time_.Now() + aFor + disturbance_.spread_;
     time_.After(aFor, [this, aMember] {
       members_[aMember].cutOff_ = false;
       const auto pending = members_[aMember].pending_;
--- a/bench/support/flows_schedule.hpp
+++ b/bench/support/flows_schedule.hpp
@@ -46,6 +46,7 @@
   Duration firstChange_{ seconds(40) };
   Duration changesFor_{ seconds(20) };
   Duration end_{ seconds(130) };
+  Duration opensFor_{ seconds(75) }; ///< Flows open in this first time.
   Disturbance disturbance_;
 };
 
@@ -67,18 +68,81 @@
   std::uint64_t resent_{};
   std::uint64_t onDeadHost_{};
   std::uint64_t brokenOnDeadHost_{};
-  std::uint64_t lateToOldService_{};
   Duration longestStall_{};
   Duration newAfterLeave_{};
   Duration sentAfterLeave_{};
   std::vector<std::uint64_t> hops_ = std::vector<std::uint64_t>(256);
 
+  void Add(const Tally& aOther)
+  {
+    schedules_ += aOther.schedules_;
+    changes_ += aOther.changes_;
+    flows_ += aOther.flows_;
+    opened_ += aOther.opened_;
+    packets_ += aOther.packets_;
+    brokenByReset_ += aOther.brokenByReset_;
+    brokenByOtherHost_ += aOther.brokenByOtherHost_;
+    brokenByStall_ += aOther.brokenByStall_;
+    twoUpstreams_ += aOther.twoUpstreams_;
+    wrongService_ += aOther.wrongService_;
+    openingsReset_ += aOther.openingsReset_;
+    naiveBroken_ += aOther.naiveBroken_;
+    resent_ += aOther.resent_;
+    onDeadHost_ += aOther.onDeadHost_;
+    brokenOnDeadHost_ += aOther.brokenOnDeadHost_;
+    longestStall_ = std::max(longestStall_, aOther.longestStall_);
+    newAfterLeave_ = std::max(newAfterLeave_, aOther.newAfterLeave_);
+    sentAfterLeave_ = std::max(sentAfterLeave_, aOther.sentAfterLeave_);
+    for (std::size_t hops = 0; hops < hops_.size(); ++hops) {
+      hops_[hops] += aOther.hops_[hops];
+    }
+  }
+
+  /** @brief Least number of extra hops that this part of packets keep to. */
+  [[nodiscard]] std::size_t HopsOf(double aPart) const
+  {
+    std::uint64_t sum = 0;
+    for (const auto count : hops_) {
+      sum += count;
+    }
+    const auto wanted = aPart * static_cast<double>(sum);
+    std::uint64_t seen = 0;
+    std::size_t hops = 0;
+    while (hops + 1 < hops_.size()) {
+      seen += hops_[hops];
+      if (static_cast<double>(seen) >= wanted) {
+        break;
+      }
+      ++hops;
+    }
+    return hops;
+  }
+
+  [[nodiscard]] std::uint64_t Wrong() const
+  {
+    return Broken() + twoUpstreams_ + wrongService_ + openingsReset_;
+  }
+
   [[nodiscard]] std::uint64_t Broken() const
   {
     return brokenByReset_ + brokenByOtherHost_ + brokenByStall_;
   }
 };
 
+/** @brief A plan of planned changes drawn from a seed. */
+inline Plan
+PlannedChanges(std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  Plan plan;
+  plan.site_ = random.Below(2) == 0 ? kTartu : kAntioquia;
+  plan.changes_ = 3 + random.Below(12);
+  plan.firstChange_ = seconds(random.Below(2) == 0 ? 10 : 40);
+  plan.disturbance_.spread_ =
+    milliseconds(100 + static_cast<std::int64_t>(random.Below(3900)));
+  return plan;
+}
+
 /** @brief One flow as its caller and the central table see it. */
 struct Flow
 {
@@ -88,6 +152,7 @@
   bool open_{};
   bool closed_{};
   bool dead_{}; ///< Its host was lost.
+  bool deathTold_{};
   bool broken_{};
   HostId naiveOwner_;
   bool naiveBroken_{};
@@ -179,7 +244,6 @@
   void PlanFlows()
   {
     flows_.resize(plan_.flows_);
-    const auto until = plan_.end_ - seconds(45);
     for (std::size_t index = 0; index < flows_.size(); ++index) {
       auto& flow = flows_[index];
       const auto service = random_.Below(10) < 7 ? 0 : 1;
@@ -191,14 +255,14 @@
       flow.key_.service_ = MakeIpv4(0xC6336400U + flow.service_.value_,
                                     static_cast<std::uint16_t>(443));
       flow.key_.transport_ = tcp ? Transport::Tcp : Transport::Udp;
-      const auto opens = seconds(7) + Within(until - seconds(10));
+      const auto opens = seconds(7) + Within(plan_.opensFor_);
       fleet_.time_.After(opens, [this, index] { Open(index); });
       for (std::size_t packet = 0; packet < plan_.packets_; ++packet) {
         const auto at = opens + Within(plan_.end_ - seconds(25) - opens);
         fleet_.time_.After(at, [this, index] { SendData(index); });
       }
       if (random_.Below(4) == 0) {
-        const auto at = opens + seconds(5) + Within(until);
+        const auto at = opens + seconds(5) + Within(plan_.end_ - opens);
         fleet_.time_.After(at, [this, index] { Close(index); });
       }
     }
@@ -296,9 +360,9 @@
   void NoteSent(const flow::Send& aSend, const BalancerNode& aNode)
   {
     const auto& host = fleet_.hosts_[aSend.to_];
-    const bool counts = host.leftAt_ &&
-                        aSend.envelope_.opening_ == flow::Opening::Yes &&
-                        !fleet_.members_[aNode.member_].cutOff_;
+    const bool counts =
+      host.leftAt_ && aSend.envelope_.opening_ == flow::Opening::Yes &&
+      fleet_.members_[aNode.member_].cutUntil_ < *host.leftAt_;
     if (counts) {
       tally_.sentAfterLeave_ =
         std::max(tally_.sentAfterLeave_, fleet_.time_.Now() - *host.leftAt_);
@@ -340,6 +404,9 @@
       });
       return;
     }
+    if (flow.dead_) {
+      TellDeath(flow);
+    }
     if (flow.closed_ || flow.dead_) {
       return;
     }
@@ -374,16 +441,26 @@
   void OnReset(const flow::Reset& aReset)
   {
     for (auto& flow : flows_) {
-      if (flow.key_ == aReset.key_ && !flow.closed_ && !flow.dead_) {
-        if (flow.open_) {
-          Break(flow, tally_.brokenByReset_);
-        } else {
-          ++tally_.openingsReset_;
-        }
+      if (flow.key_ != aReset.key_ || flow.closed_) {
+        continue;
+      }
+      if (flow.dead_) {
+        TellDeath(flow);
+      } else if (flow.open_) {
+        Break(flow, tally_.brokenByReset_);
+      } else {
+        ++tally_.openingsReset_;
       }
     }
   }
 
+  /** The caller of a flow on a lost host was told, or opened it anew. */
+  void TellDeath(Flow& aFlow)
+  {
+    tally_.brokenOnDeadHost_ += aFlow.deathTold_ ? 0 : 1;
+    aFlow.deathTold_ = true;
+  }
+
   void Break(Flow& aFlow, std::uint64_t& aHow)
   {
     if (!aFlow.broken_) {
@@ -579,7 +656,7 @@
   {
     for (std::size_t index = 0; index < flows_.size(); ++index) {
       const auto& flow = flows_[index];
-      if (!flow.open_ || flow.closed_ || flow.dead_) {
+      if (!flow.open_ || flow.closed_) {
         continue;
       }
       for (std::size_t node = 0; node < fleet_.balancers_.size(); ++node) {
