--- a/src/cornelshore/routing/table.cpp
+++ b/src/cornelshore/routing/table.cpp
@@ -14,13 +14,36 @@
 constexpr std::size_t kMostSingleChanges = 3;
 constexpr auto kNoIndex = std::numeric_limits<std::uint16_t>::max();
 
-/** Weight over the exponential variate that the pair draws. */
+/** A host's draw for one bucket, uniform in (0, 1). */
 double
-WeightedScore(std::size_t aBucket, HostId aHost, std::uint16_t aSlots) noexcept
+DrawOf(std::size_t aBucket, HostId aHost) noexcept
 {
   const auto hash = HashPair(aHost.value_, aBucket);
-  const auto unit = (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
-  return static_cast<double>(aSlots) / -std::log(unit);
+  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+}
+
+/** Weight over the exponential variate that the draw stands for. */
+double
+ScoreOf(double aDraw, const Weight& aWeight) noexcept
+{
+  return static_cast<double>(aWeight.slots_) / -std::log(aDraw);
+}
+
+/** Order of two scores; equal weights need no logarithm. */
+bool
+Ahead(double aDraw,
+      const Weight& aWeight,
+      double aOtherDraw,
+      const Weight& aOther) noexcept
+{
+  if (aDraw == aOtherDraw) {
+    return aWeight.slots_ != aOther.slots_ ? aWeight.slots_ > aOther.slots_
+                                           : aWeight.host_ < aOther.host_;
+  }
+  if (aWeight.slots_ == aOther.slots_) {
+    return aDraw > aOtherDraw;
+  }
+  return ScoreOf(aDraw, aWeight) > ScoreOf(aOtherDraw, aOther);
 }
 
 } // namespace
@@ -49,13 +72,6 @@
   return rows_.data() + aBucket * owners_;
 }
 
-double
-Table::Score(std::size_t aBucket, Index aIndex) const noexcept
-{
-  const auto& member = members_[aIndex];
-  return WeightedScore(aBucket, member.host_, member.slots_);
-}
-
 Table::Index
 Table::FreeIndex()
 {
@@ -78,14 +94,14 @@
 {
   auto* row = Row(aBucket);
   auto rank = owners_;
-  const auto score = Score(aBucket, aIndex);
+  const auto& weight = members_[aIndex];
+  const auto draw = DrawOf(aBucket, weight.host_);
   const auto behind = [&](Index aOther) {
     if (aOther == kNoIndex) {
       return true;
     }
-    const auto other = Score(aBucket, aOther);
-    return score != other ? score > other
-                          : members_[aIndex].host_ < members_[aOther].host_;
+    const auto& other = members_[aOther];
+    return Ahead(draw, weight, DrawOf(aBucket, other.host_), other);
   };
   for (; rank > 0 && behind(row[rank - 1]); --rank) {
     if (rank < owners_) {
@@ -117,23 +133,22 @@
 void
 Table::Fill(std::size_t aBucket)
 {
-  struct Scored
+  struct Drawn
   {
-    double score_{};
+    double draw_{};
     Index index_{ kNoIndex };
   };
-  std::array<Scored, kMostOwners> best{};
+  std::array<Drawn, kMostOwners> best{};
   std::size_t count = 0;
   for (std::size_t index = 0; index < members_.size(); ++index) {
-    if (members_[index].slots_ == 0) {
+    const auto& weight = members_[index];
+    if (weight.slots_ == 0) {
       continue;
     }
-    const Scored scored{ Score(aBucket, static_cast<Index>(index)),
-                         static_cast<Index>(index) };
-    const auto before = [this, &scored](const Scored& aOther) {
-      return scored.score_ != aOther.score_
-               ? scored.score_ > aOther.score_
-               : members_[scored.index_].host_ < members_[aOther.index_].host_;
+    const Drawn drawn{ DrawOf(aBucket, weight.host_),
+                       static_cast<Index>(index) };
+    const auto before = [&](const Drawn& aOther) {
+      return Ahead(drawn.draw_, weight, aOther.draw_, members_[aOther.index_]);
     };
     auto* const end = best.begin() + count;
     auto* const place = std::find_if(best.begin(), end, before);
@@ -144,7 +159,7 @@
     }
     auto* const last = best.begin() + count;
     std::copy_backward(place, last - 1, last);
-    *place = scored;
+    *place = drawn;
   }
   auto* row = Row(aBucket);
   for (std::size_t rank = 0; rank < owners_; ++rank) {
--- a/src/cornelshore/routing/table.hpp
+++ b/src/cornelshore/routing/table.hpp
@@ -90,7 +90,6 @@
 
   [[nodiscard]] Index* Row(std::size_t aBucket) noexcept;
   [[nodiscard]] const Index* Row(std::size_t aBucket) const noexcept;
-  [[nodiscard]] double Score(std::size_t aBucket, Index aIndex) const noexcept;
   [[nodiscard]] Index FreeIndex();
   void Insert(std::size_t aBucket, Index aIndex);
   void Erase(std::size_t aBucket, Index aIndex);
