Let a stale view name hosts only where nobody else can

Cause: an agent cut off from membership kept naming a dead host, so every walk through it ended there: flows stalled for as long as it was cut off. Change: hosts known gone are struck from an envelope by a fresh view; a stale agent adds none to a walk that has begun, and takes turns among those it knows when it starts one.

--- a/bench/support/flows_fleet.hpp
+++ b/bench/support/flows_fleet.hpp
@@ -271,7 +271,7 @@
       members_[aMember].cutOff_ = false;
       const auto pending = members_[aMember].pending_;
       for (const auto index : pending) {
-        ScheduleRecord(aMember, index);
+        ScheduleRecord(aMember, index, disturbance_.spread_);
       }
     });
   }
@@ -413,7 +413,8 @@
         newest[log_[index].record_.id_] = index;
       } else {
         members_[aMember].pending_.insert(index);
-        ScheduleRecord(aMember, index);
+        const auto age = time_.Now() - log_[index].at_;
+        ScheduleRecord(aMember, index, disturbance_.spread_ - age);
       }
     }
     std::vector<HostRecord> records;
@@ -430,7 +431,7 @@
     for (std::size_t member = 1; member < members_.size(); ++member) {
       if (members_[member].up_) {
         members_[member].pending_.insert(index);
-        ScheduleRecord(member, index);
+        ScheduleRecord(member, index, disturbance_.spread_);
       }
     }
   }
@@ -444,10 +445,10 @@
     Publish(record);
   }
 
-  void ScheduleRecord(std::size_t aMember, std::size_t aIndex)
+  void ScheduleRecord(std::size_t aMember, std::size_t aIndex, Duration aWithin)
   {
     const auto run = members_[aMember].run_;
-    time_.After(Uniform(disturbance_.spread_), [this, aMember, aIndex, run] {
+    time_.After(Uniform(aWithin), [this, aMember, aIndex, run] {
       auto& member = members_[aMember];
       if (member.run_ != run || !member.up_ || member.cutOff_) {
         return;
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -179,6 +179,8 @@
   void SendReset(Envelope&& aEnvelope, ResetReason aReason, Actions& aOut);
   void Count(Outcome aOutcome) noexcept;
 
+  void Prune(TimePoint aNow, Envelope& aEnvelope) const;
+  [[nodiscard]] std::size_t NextTurn(TimePoint aNow, std::size_t aChoices);
   [[nodiscard]] bool AddCandidates(TimePoint aNow,
                                    Envelope& aEnvelope,
                                    bool aWide) const;
@@ -211,6 +213,7 @@
   PointerTable refused_;
   absl::flat_hash_map<HostId, PeerLoad> peerLoads_;
   std::uint64_t claimNumber_{};
+  std::size_t turn_{};
   std::uint32_t reportedLoad_{};
   std::optional<TimePoint> confirmedAsOf_;
   std::optional<HostRecord> formerRun_; ///< Newest record of a run before.
--- a/src/cornelshore/flow/agent_envelope.cpp
+++ b/src/cornelshore/flow/agent_envelope.cpp
@@ -174,7 +174,10 @@
 Agent::LookUpKnownOpen(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
   const bool wide = !view_.Settled(aNow, aEnvelope.bucket_);
-  aEnvelope.unsettled_ |= !AddCandidates(aNow, aEnvelope, wide);
+  Prune(aNow, aEnvelope);
+  if (Fresh(aNow) || aEnvelope.asked_.empty()) {
+    aEnvelope.unsettled_ |= !AddCandidates(aNow, aEnvelope, wide);
+  }
   if (aEnvelope.adopter_ == HostId{} && MayBeRecovered(aNow, aEnvelope)) {
     aEnvelope.adopter_ = self_.id_;
   }
@@ -185,11 +188,28 @@
   } else if (aEnvelope.toAsk_.empty()) {
     Conclude(aNow, std::move(aEnvelope), aOut);
   } else {
-    const auto next = aEnvelope.toAsk_.front();
+    const auto next = aEnvelope.toAsk_[NextTurn(aNow, aEnvelope.toAsk_.size())];
     Send(next, std::move(aEnvelope), aOut);
   }
 }
 
+/** A fresh view goes in order; a stale one may name hosts that are lost. */
+std::size_t
+Agent::NextTurn(TimePoint aNow, std::size_t aChoices)
+{
+  return Fresh(aNow) ? 0 : turn_++ % aChoices;
+}
+
+void
+Agent::Prune(TimePoint aNow, Envelope& aEnvelope) const
+{
+  if (!Fresh(aNow)) {
+    return;
+  }
+  std::erase_if(aEnvelope.toAsk_,
+                [this](HostId aHost) { return view_.KnownGone(aHost); });
+}
+
 void
 Agent::Conclude(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
@@ -214,18 +234,22 @@
 Agent::LookUpOpening(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
   MarkAsked(aEnvelope, self_.id_);
-  const auto owners = view_.Routes().Owners(aEnvelope.bucket_);
-  for (const auto owner : owners) {
-    if (owner == self_.id_ && CanClaim(aNow)) {
+  std::vector<HostId> unasked;
+  for (const auto owner : view_.Routes().Owners(aEnvelope.bucket_)) {
+    if (owner == self_.id_ && unasked.empty() && CanClaim(aNow)) {
       StartClaim(aNow, std::move(aEnvelope), aOut);
       return;
     }
     if (!Contains(aEnvelope.asked_, owner)) {
-      Send(owner, std::move(aEnvelope), aOut);
-      return;
+      unasked.push_back(owner);
     }
   }
-  Count(Outcome::Undecided);
+  if (unasked.empty()) {
+    Count(Outcome::Undecided);
+    return;
+  }
+  const auto next = unasked[NextTurn(aNow, unasked.size())];
+  Send(next, std::move(aEnvelope), aOut);
 }
 
 void
@@ -318,8 +342,9 @@
     }
     claims_.erase(aEnvelope.key_);
   }
-  if (!AddCandidates(
-        aNow, aEnvelope, !view_.Settled(aNow, aEnvelope.bucket_))) {
+  Prune(aNow, aEnvelope);
+  const bool wide = !view_.Settled(aNow, aEnvelope.bucket_);
+  if (Fresh(aNow) && !AddCandidates(aNow, aEnvelope, wide)) {
     Count(Outcome::ListFull);
     return;
   }
