--- a/bench/support/flows_schedule.hpp
+++ b/bench/support/flows_schedule.hpp
@@ -10,75 +10,11 @@
 #include <cornelshore/core/hash.hpp>
 
 #include "flows_fleet.hpp"
+#include "flows_tally.hpp"
 
 /** @brief Random schedules of packets and changes against the truth. */
 namespace cornelshore::bench::flows {
 
-/** @brief One service of a site. */
-struct ServiceSize
-{
-  ServiceId id_;
-  std::size_t hosts_{};
-  std::uint16_t slots_{};
-};
-
-/** @brief A site's services and its way between two VMs. */
-struct Site
-{
-  std::array<ServiceSize, 2> services_;
-  Duration hop_{};
-};
-
-inline constexpr Site kTartu{ { { { { 1 }, 7, 3 }, { { 2 }, 3, 3 } } },
-                              microseconds(1000) };
-inline constexpr Site kAntioquia{ { { { { 1 }, 7, 4 }, { { 2 }, 4, 4 } } },
-                                  microseconds(500) };
-
-/** @brief What one schedule consists of. */
-struct Plan
-{
-  Site site_{ kTartu };
-  std::size_t flows_{ 40 };
-  std::size_t packets_{ 10 }; ///< Data packets a flow.
-  std::size_t changes_{ 8 };
-  std::size_t crashes_{ 1 }; ///< Agents that restart without handing over.
-  std::size_t deaths_{};     ///< Hosts that are lost without notice.
-  Duration firstChange_{ seconds(40) };
-  Duration changesFor_{ seconds(20) };
-  Duration end_{ seconds(130) };
-  Disturbance disturbance_;
-};
-
-/** @brief What came of schedules; sums over all of them. */
-struct Tally
-{
-  std::uint64_t schedules_{};
-  std::uint64_t changes_{};
-  std::uint64_t flows_{};
-  std::uint64_t opened_{};
-  std::uint64_t packets_{};
-  std::uint64_t brokenByReset_{};
-  std::uint64_t brokenByOtherHost_{};
-  std::uint64_t brokenByStall_{};
-  std::uint64_t twoUpstreams_{};
-  std::uint64_t wrongService_{};
-  std::uint64_t openingsReset_{};
-  std::uint64_t naiveBroken_{};
-  std::uint64_t resent_{};
-  std::uint64_t onDeadHost_{};
-  std::uint64_t brokenOnDeadHost_{};
-  std::uint64_t lateToOldService_{};
-  Duration longestStall_{};
-  Duration newAfterLeave_{};
-  Duration sentAfterLeave_{};
-  std::vector<std::uint64_t> hops_ = std::vector<std::uint64_t>(256);
-
-  [[nodiscard]] std::uint64_t Broken() const
-  {
-    return brokenByReset_ + brokenByOtherHost_ + brokenByStall_;
-  }
-};
-
 /** @brief One flow as its caller and the central table see it. */
 struct Flow
 {
@@ -88,6 +24,7 @@
   bool open_{};
   bool closed_{};
   bool dead_{}; ///< Its host was lost.
+  bool deathTold_{};
   bool broken_{};
   HostId naiveOwner_;
   bool naiveBroken_{};
@@ -179,7 +116,6 @@
   void PlanFlows()
   {
     flows_.resize(plan_.flows_);
-    const auto until = plan_.end_ - seconds(45);
     for (std::size_t index = 0; index < flows_.size(); ++index) {
       auto& flow = flows_[index];
       const auto service = random_.Below(10) < 7 ? 0 : 1;
@@ -191,14 +127,14 @@
       flow.key_.service_ = MakeIpv4(0xC6336400U + flow.service_.value_,
                                     static_cast<std::uint16_t>(443));
       flow.key_.transport_ = tcp ? Transport::Tcp : Transport::Udp;
-      const auto opens = seconds(7) + Within(until - seconds(10));
+      const auto opens = seconds(7) + Within(plan_.opensFor_);
       fleet_.time_.After(opens, [this, index] { Open(index); });
       for (std::size_t packet = 0; packet < plan_.packets_; ++packet) {
         const auto at = opens + Within(plan_.end_ - seconds(25) - opens);
         fleet_.time_.After(at, [this, index] { SendData(index); });
       }
       if (random_.Below(4) == 0) {
-        const auto at = opens + seconds(5) + Within(until);
+        const auto at = opens + seconds(5) + Within(plan_.end_ - opens);
         fleet_.time_.After(at, [this, index] { Close(index); });
       }
     }
@@ -249,7 +185,8 @@
         return;
       }
       if (fleet_.time_.Now() - attempt.since_ > kStallLimit) {
-        Break(flow, tally_.brokenByStall_);
+        Break(flow,
+              flow.open_ ? tally_.brokenByStall_ : tally_.openingsStalled_);
         return;
       }
       ++tally_.resent_;
@@ -296,9 +233,9 @@
   void NoteSent(const flow::Send& aSend, const BalancerNode& aNode)
   {
     const auto& host = fleet_.hosts_[aSend.to_];
-    const bool counts = host.leftAt_ &&
-                        aSend.envelope_.opening_ == flow::Opening::Yes &&
-                        !fleet_.members_[aNode.member_].cutOff_;
+    const bool counts =
+      host.leftAt_ && aSend.envelope_.opening_ == flow::Opening::Yes &&
+      fleet_.members_[aNode.member_].cutUntil_ < *host.leftAt_;
     if (counts) {
       tally_.sentAfterLeave_ =
         std::max(tally_.sentAfterLeave_, fleet_.time_.Now() - *host.leftAt_);
@@ -340,6 +277,9 @@
       });
       return;
     }
+    if (flow.dead_) {
+      TellDeath(flow);
+    }
     if (flow.closed_ || flow.dead_) {
       return;
     }
@@ -374,16 +314,26 @@
   void OnReset(const flow::Reset& aReset)
   {
     for (auto& flow : flows_) {
-      if (flow.key_ == aReset.key_ && !flow.closed_ && !flow.dead_) {
-        if (flow.open_) {
-          Break(flow, tally_.brokenByReset_);
-        } else {
-          ++tally_.openingsReset_;
-        }
+      if (flow.key_ != aReset.key_ || flow.closed_) {
+        continue;
+      }
+      if (flow.dead_) {
+        TellDeath(flow);
+      } else if (flow.open_) {
+        Break(flow, tally_.brokenByReset_);
+      } else {
+        ++tally_.openingsReset_;
       }
     }
   }
 
+  /** The caller of a flow on a lost host was told, or opened it anew. */
+  void TellDeath(Flow& aFlow)
+  {
+    tally_.brokenOnDeadHost_ += aFlow.deathTold_ ? 0 : 1;
+    aFlow.deathTold_ = true;
+  }
+
   void Break(Flow& aFlow, std::uint64_t& aHow)
   {
     if (!aFlow.broken_) {
@@ -450,8 +400,7 @@
                       seconds(5) + Within(seconds(25)));
         break;
       default:
-        fleet_.StopBalancer(random_.Below(fleet_.balancers_.size()));
-        fleet_.StartBalancer();
+        ReplaceBalancer(random_.Below(fleet_.balancers_.size()));
         break;
     }
   }
@@ -510,15 +459,20 @@
     });
   }
 
+  void ReplaceBalancer(std::size_t aIndex)
+  {
+    if (fleet_.BalancerUp(aIndex)) {
+      fleet_.StopBalancer(aIndex);
+      fleet_.StartBalancer();
+    }
+  }
+
   void ReplaceBalancers()
   {
     Duration at{};
     for (std::size_t index = 0; index < fleet_.balancers_.size(); ++index) {
       if (fleet_.BalancerUp(index)) {
-        fleet_.time_.After(at, [this, index] {
-          fleet_.StopBalancer(index);
-          fleet_.StartBalancer();
-        });
+        fleet_.time_.After(at, [this, index] { ReplaceBalancer(index); });
         at += Within(seconds(2));
       }
     }
@@ -579,7 +533,7 @@
   {
     for (std::size_t index = 0; index < flows_.size(); ++index) {
       const auto& flow = flows_[index];
-      if (!flow.open_ || flow.closed_ || flow.dead_) {
+      if (!flow.open_ || flow.closed_) {
         continue;
       }
       for (std::size_t node = 0; node < fleet_.balancers_.size(); ++node) {
