--- a/src/cornelshore/admission/concurrency.cpp
+++ b/src/cornelshore/admission/concurrency.cpp
@@ -8,7 +8,6 @@
 
 constexpr double kCutFactor = 0.5;
 constexpr double kSlowFactor = 3.0;
-constexpr double kUsualGain = 0.002;
 constexpr double kWorthHalving = 0.9;
 constexpr std::uint32_t kTrialRounds = 8;
 constexpr Duration kGrowthInterval = std::chrono::seconds{ 1 };
@@ -31,7 +30,10 @@
 }
 
 void
-Concurrency::OnFinish(TimePoint aNow, Result aResult, Duration aHold) noexcept
+Concurrency::OnFinish(TimePoint aNow,
+                      Result aResult,
+                      Duration aHold,
+                      Duration aUsual) noexcept
 {
   if (aResult == Result::Shed) {
     Cut(aNow);
@@ -40,13 +42,11 @@
   if (aResult == Result::Cancelled || aHold < Duration::zero()) {
     return;
   }
-  const auto hold = internal::Seconds(aHold);
-  recent_.Add(hold);
-  if (usual_ == 0.0) {
-    usual_ = hold;
+  recent_.Add(internal::Seconds(aHold));
+  if (aUsual > Duration::zero()) {
+    slowness_.Add(internal::Seconds(aHold) / internal::Seconds(aUsual));
   }
-  usual_ += kUsualGain * (hold - usual_);
-  Compare(aNow, hold);
+  Compare(aNow);
   if (trial_ == Trial::None && aResult == Result::Done) {
     Grow(aNow);
   }
@@ -55,6 +55,9 @@
 void
 Concurrency::Grow(TimePoint aNow) noexcept
 {
+  if (aNow < keptUntil_) {
+    return;
+  }
   const auto before = Limit();
   const auto step = limit_ < threshold_ ? 1.0 : 1.0 / limit_;
   limit_ = std::min<double>(limit_ + step, slots_);
@@ -76,7 +79,8 @@
 Concurrency::NextGrowth() const noexcept
 {
   const bool fixed = Limit() >= slots_ || trial_ != Trial::None;
-  return fixed ? TimePoint::max() : changedAt_ + kGrowthInterval;
+  return fixed ? TimePoint::max()
+               : std::max(changedAt_ + kGrowthInterval, keptUntil_);
 }
 
 void
@@ -93,10 +97,10 @@
 }
 
 void
-Concurrency::Compare(TimePoint aNow, double aHold) noexcept
+Concurrency::Compare(TimePoint aNow) noexcept
 {
   if (trial_ == Trial::None) {
-    const bool slow = recent_.Or(aHold) > kSlowFactor * usual_;
+    const bool slow = slowness_.Or(1.0) > kSlowFactor;
     if (slow && aNow >= noTrialBefore_ && limit_ >= 2.0) {
       trial_ = Trial::Measuring;
       trialStart_ = aNow;
@@ -123,6 +127,8 @@
   threshold_ = limit_;
   if (rate < kWorthHalving * fullRate_) {
     limit_ = fullLimit_;
+  } else {
+    keptUntil_ = noTrialBefore_;
   }
 }
 
--- a/src/cornelshore/admission/concurrency.hpp
+++ b/src/cornelshore/admission/concurrency.hpp
@@ -16,7 +16,8 @@
  * start), is halved at most once a round when the upstream sheds, and grows by
  * one a round after that (additive increase, multiplicative decrease; Chiu and
  * Jain 1989). When work takes three times as long as it used to, half the
- * slots are tried for a round; they stay only if as much was finished.
+ * slots are tried for a round; they stay for half a minute if as much was
+ * finished.
  */
 class Concurrency
 {
@@ -24,8 +25,15 @@
   /** @brief Sets the host's slots; the limit never exceeds them. */
   void SetSlots(std::uint16_t aSlots) noexcept;
 
-  /** @brief Takes the end of one work. */
-  void OnFinish(TimePoint aNow, Result aResult, Duration aHold) noexcept;
+  /**
+   * @brief Takes the end of one work.
+   * @param aHold How long it held its slot.
+   * @param aUsual How long work of its class used to; nought if unknown.
+   */
+  void OnFinish(TimePoint aNow,
+                Result aResult,
+                Duration aHold,
+                Duration aUsual) noexcept;
 
   /**
    * @brief Adds a slot when the limit has stood in the way for a second.
@@ -52,18 +60,19 @@
 
   void Grow(TimePoint aNow) noexcept;
   void Cut(TimePoint aNow) noexcept;
-  void Compare(TimePoint aNow, double aHold) noexcept;
+  void Compare(TimePoint aNow) noexcept;
 
   std::uint16_t slots_{};
   double limit_{ 1.0 };
   double threshold_{}; ///< Doubling below it, single steps above it.
   TimePoint cutUntil_;
   TimePoint changedAt_;
-  internal::MeanTime recent_;
-  double usual_{};
+  internal::MeanTime recent_;   ///< Holds.
+  internal::MeanTime slowness_; ///< Holds over their usual length.
   Trial trial_{ Trial::None };
   TimePoint trialStart_;
   TimePoint noTrialBefore_;
+  TimePoint keptUntil_; ///< Half the slots proved as good until then.
   std::uint32_t trialFinished_{};
   double fullRate_{};
   double fullLimit_{};
--- a/src/cornelshore/admission/internal/class_state.hpp
+++ b/src/cornelshore/admission/internal/class_state.hpp
@@ -22,16 +22,18 @@
   double mostShare_{};      ///< Slots allowed in time; may be a fraction.
   double floorCredit_{};    ///< Slot seconds owed by the floor.
   double mostCredit_{};     ///< Slot seconds left under the limit.
+  bool fresh_{ true };      ///< No credit was ever given.
   double virtualTime_{};    ///< Slot seconds used, over the weight.
   std::uint32_t running_{};
   std::uint32_t longRunning_{};
+  std::uint32_t floorRunning_{}; ///< Short work started to keep the floor.
   CallerQueue short_;
   CallerQueue long_;
-  MeanTime hold_;             ///< Of short work.
-  MeanTime tendency_{ 0.02 }; ///< The same over a longer time.
+  MeanTime hold_;              ///< Of short work.
+  MeanTime tendency_{ 0.01 };  ///< The same over a longer time.
   std::uint32_t undeclared_{}; ///< Samples of the tendency, up to a bound.
-  MeanTime longHold_;         ///< Of long work.
-  MeanTime startInterval_;    ///< Between starts while short work waits.
+  MeanTime longHold_;          ///< Of long work.
+  MeanTime startInterval_;     ///< Between starts while short work waits.
   TimePoint lastStart_;
   TimePoint lastFinish_;
   TimePoint waitingSince_; ///< When the queues last became non-empty.
--- a/src/cornelshore/admission/internal/hold_estimate.hpp
+++ b/src/cornelshore/admission/internal/hold_estimate.hpp
@@ -2,6 +2,7 @@
 #define CORNELSHORE_ADMISSION_INTERNAL_HOLD_ESTIMATE_HPP
 
 #include <algorithm>
+#include <cmath>
 
 #include <cornelshore/core/time.hpp>
 
@@ -45,6 +46,16 @@
 
   void Reset() noexcept { *this = MeanTime(leastGain_); }
 
+  /**
+   * @brief Whether the mean exceeds a bound by two standard errors.
+   *
+   * The error is that of exponentially distributed samples.
+   */
+  [[nodiscard]] bool Exceeds(double aBound) const noexcept
+  {
+    return known_ && mean_ > aBound * (1.0 + 2.0 * std::sqrt(gain_));
+  }
+
   /** @brief The mean, or `aElse` before the first sample. */
   [[nodiscard]] double Or(double aElse) const noexcept
   {
--- a/src/cornelshore/admission/slot_scheduler.cpp
+++ b/src/cornelshore/admission/slot_scheduler.cpp
@@ -82,6 +82,9 @@
                          const FleetSpan& aSpan)
 {
   std::vector<Released> released;
+  if (classes_.empty()) {
+    accruedAt_ = aNow;
+  }
   Accrue(aNow);
   span_ = aSpan;
   ReplaceClasses(aTarget, released);
@@ -286,8 +289,9 @@
   }
   for (const auto& state : classes_) {
     const bool waits = !state.short_.Empty() && state.mostCredit_ <= 0.0;
-    if (waits && state.mostShare_ > 0.0) {
-      const auto delay = FromSeconds(-state.mostCredit_ / state.mostShare_);
+    const auto rate = state.mostShare_ - state.running_;
+    if (waits && rate > 0.0) {
+      const auto delay = FromSeconds(-state.mostCredit_ / rate);
       next = std::min(next, accruedAt_ + delay + Duration{ 1 });
     }
   }
--- a/src/cornelshore/admission/slot_shares.cpp
+++ b/src/cornelshore/admission/slot_shares.cpp
@@ -48,6 +48,11 @@
     state.weight_ = std::ldexp(1.0, state.target_.urgency_);
     state.floorShare_ = slots * state.target_.keeps_ / kWholeShare;
     state.mostShare_ = slots * state.target_.most_ / kWholeShare;
+    if (state.fresh_ && slots > 0) {
+      state.fresh_ = false;
+      state.floorCredit_ = state.floorShare_ * kMostSeconds;
+      state.mostCredit_ = state.mostShare_ * kMostSeconds;
+    }
   }
 }
 
@@ -66,10 +71,13 @@
   const auto mostSeconds = kMostSeconds + 2.0 * longestHold;
   for (auto& state : classes_) {
     const auto floor = state.floorShare_ * inUse;
+    const auto owed = (floor - state.floorRunning_) * elapsed;
+    const auto left = (state.mostShare_ - state.running_) * elapsed;
+    const auto debt = MostDebt(state);
     state.floorCredit_ =
-      std::min(state.floorCredit_ + floor * elapsed, floor * kFloorSeconds);
-    state.mostCredit_ = std::min(state.mostCredit_ + state.mostShare_ * elapsed,
-                                 state.mostShare_ * mostSeconds);
+      std::clamp(state.floorCredit_ + owed, debt, floor * kFloorSeconds);
+    state.mostCredit_ = std::clamp(
+      state.mostCredit_ + left, debt, state.mostShare_ * mostSeconds);
   }
 }
 
@@ -80,7 +88,7 @@
 {
   const bool judged = aState.undeclared_ >= kTendencySamples &&
                       aNow - aState.lastFinish_ < kTendencyAge;
-  const bool tends = aState.tendency_.Or(0.0) > Seconds(lendingBound_);
+  const bool tends = aState.tendency_.Exceeds(Seconds(lendingBound_));
   return aWork.longLived_ || (judged && tends);
 }
 
@@ -267,13 +275,6 @@
   const auto lead = kLeadSeconds * span_.slots_ / aState.weight_;
   aState.virtualTime_ =
     std::min(tag + aSeconds / aState.weight_, virtualTime_ + lead);
-  if (aCandidate.longLived_) {
-    return;
-  }
-  aState.mostCredit_ -= aSeconds;
-  if (aCandidate.byFloor_) {
-    aState.floorCredit_ -= aSeconds;
-  }
 }
 
 void
@@ -296,6 +297,7 @@
   ++state.started_;
   ++state.running_;
   state.longRunning_ += isLong ? 1 : 0;
+  state.floorRunning_ += aCandidate.byFloor_ && !isLong ? 1 : 0;
   running_[aWork.id_] = { aCandidate.class_,  aNow,   seconds,
                           aWork.longLived_,   isLong, false,
                           aCandidate.byFloor_ };
@@ -305,15 +307,17 @@
 SlotScheduler::Settle(TimePoint aNow, const Running& aRunning, Result aResult)
 {
   const auto hold = Seconds(aNow - aRunning.startedAt_);
-  if (!aRunning.longLived_) {
-    concurrency_.OnFinish(aNow, aResult, aNow - aRunning.startedAt_);
-  }
   if (aRunning.class_ == kNoClass) {
     return;
   }
   auto& state = classes_[aRunning.class_];
+  if (!aRunning.longLived_) {
+    const auto usual = internal::FromSeconds(state.tendency_.Or(0.0));
+    concurrency_.OnFinish(aNow, aResult, aNow - aRunning.startedAt_, usual);
+  }
   --state.running_;
   state.longRunning_ -= aRunning.longLived_ || aRunning.overlong_ ? 1 : 0;
+  state.floorRunning_ -= aRunning.byFloor_ && !aRunning.longLived_ ? 1 : 0;
   const auto used = aRunning.longLived_ ? std::min(hold, kLeadSeconds) : hold;
   const auto correction = used - aRunning.charged_;
   state.virtualTime_ += correction / state.weight_;
@@ -325,14 +329,6 @@
     }
     state.lastFinish_ = aNow;
   }
-  if (aRunning.longLived_) {
-    return;
-  }
-  state.mostCredit_ = std::max(state.mostCredit_ - correction, MostDebt(state));
-  if (aRunning.byFloor_) {
-    state.floorCredit_ =
-      std::max(state.floorCredit_ - correction, MostDebt(state));
-  }
 }
 
 } // namespace cornelshore::admission
