--- a/test/cornelshore/admission/slot_scheduler.cpp
+++ b/test/cornelshore/admission/slot_scheduler.cpp
@@ -24,6 +24,8 @@
     , holds_(std::move(aHolds))
     , backlogs_(std::move(aBacklogs))
     , used_(holds_.size())
+    , lastStart_(holds_.size())
+    , largestGap_(holds_.size())
     , random_(7)
     , scheduler_(*SlotScheduler::Builder().WithSeed(1).Build())
   {
@@ -59,6 +61,12 @@
     return used_;
   }
 
+  /** Longest time between two starts of a class. */
+  [[nodiscard]] Duration LargestGap(std::size_t aClass) const
+  {
+    return largestGap_[aClass];
+  }
+
 private:
   void Refill(TimePoint aNow)
   {
@@ -90,6 +98,8 @@
     const auto index = classOf_[aId];
     classOf_.erase(aId);
     const auto hold = -holds_[index] * std::log(1.0 - random_.Unit());
+    largestGap_[index] = std::max(largestGap_[index], aNow - lastStart_[index]);
+    lastStart_[index] = aNow;
     ends_.emplace(aNow + internal::FromSeconds(hold), aId);
     runs_[aId] = { index, aNow };
   }
@@ -107,6 +117,8 @@
   std::vector<double> holds_;
   std::vector<std::uint32_t> backlogs_;
   std::vector<double> used_;
+  std::vector<TimePoint> lastStart_;
+  std::vector<Duration> largestGap_;
   Random random_;
   SlotScheduler scheduler_;
   std::uint64_t next_{};
@@ -153,5 +165,55 @@
   }
 }
 
+/** Random targets, holds and slots; some classes have little to do. */
+TEST(SlotScheduler, DividesAnySaturatedHostAsTheCentralAllocatorDoes)
+{
+  Random random(11);
+  for (int round = 0; round < 24; ++round) {
+    std::vector<Row> rows;
+    std::vector<double> holds;
+    std::uint64_t left = 900;
+    for (const auto* name : { "a", "b", "c", "d", "e" }) {
+      const auto keeps = random.Below(left / 2);
+      left -= keeps;
+      rows.push_back({ name,
+                       static_cast<std::uint8_t>(random.Below(10)),
+                       static_cast<std::uint16_t>(
+                         keeps + 1 + random.Below(kWholeShare - keeps)),
+                       static_cast<std::uint16_t>(keeps) });
+      holds.push_back(0.02 + 0.2 * random.Unit());
+    }
+    const auto slots = static_cast<std::uint16_t>(2 + random.Below(4));
+    const auto target = MakeService(rows);
+    SaturatedHost host(target, slots, holds, { 8, 8, 8, 8, 8 });
+    const auto used = host.Run(20 * kSecond, 320 * kSecond);
+    const auto ideal =
+      AllocateCentrally(target, std::vector<double>(used.size(), 100.0), slots);
+    double total = 0.0;
+    double idealTotal = 0.0;
+    for (std::size_t index = 0; index < used.size(); ++index) {
+      EXPECT_NEAR(used[index], ideal[index], 0.02 * slots)
+        << "round " << round << " class " << index;
+      total += used[index];
+      idealTotal += ideal[index];
+    }
+    EXPECT_GE(total, 0.97 * idealTotal) << "round " << round;
+  }
+}
+
+/** After ten seconds it takes the next slot that no floor is owed. */
+TEST(SlotScheduler, AClassWithoutAFloorDoesNotStarve)
+{
+  constexpr double kMeanHold = 0.5;
+  constexpr int kHoldsUntilUnowed = 10;
+  const auto target =
+    MakeService({ { "urgent", 9, 1000, 500 }, { "least", 0, 1000, 0 } });
+  SaturatedHost host(target, 3, { kMeanHold, kMeanHold }, { 32, 32 });
+  const auto used = host.Run(0, 600 * kSecond);
+  EXPECT_LE(host.LargestGap(1),
+            internal::FromSeconds(10.0 + kHoldsUntilUnowed * kMeanHold));
+  EXPECT_LE(used[1], 0.1);
+}
+
 } // namespace
 } // namespace cornelshore::admission
