--- a/test/cornelshore/admission/connection_limiter.cpp
+++ b/test/cornelshore/admission/connection_limiter.cpp
@@ -14,7 +14,9 @@
 Fill(ConnectionLimiter& aLimiter, ClassId aClass)
 {
   std::uint32_t opened = 0;
-  while (aLimiter.Open(At(0), aClass, CallerId{ opened * 7919U }).accepted_) {
+  while (
+    aLimiter.Open(At(0), aClass, CallerId{ std::uint64_t{ opened } * 7919 })
+      .accepted_) {
     ++opened;
   }
   return opened;
@@ -79,7 +81,7 @@
   EXPECT_EQ(limiter.Dump()[0].open_, kLimit);
   EXPECT_EQ(limiter.Open(At(0), id, CallerId{ 3 }).reason_, Refusal::OverMost);
   for (std::uint32_t flow = 0; flow < kLimit + 5; ++flow) {
-    limiter.Close(At(0), id, CallerId{ flow * 7919U });
+    limiter.Close(At(0), id, CallerId{ std::uint64_t{ flow } * 7919 });
   }
   EXPECT_EQ(limiter.Dump()[0].open_, 0U);
   EXPECT_EQ(Fill(limiter, id), kLimit / 10);
--- a/test/cornelshore/admission/slot_failures.cpp
+++ b/test/cornelshore/admission/slot_failures.cpp
@@ -191,7 +191,7 @@
   const auto target = MakeService({ { "a", 5, 1000, 0 } });
   auto scheduler = Scheduler(target, { 0, 3, 3 });
   auto now = WarmUp(scheduler, target, 0);
-  constexpr int kSeconds = 20;
+  constexpr std::uint64_t kSeconds = 20;
   double bytes = 0.0;
   std::uint64_t sequence = 0;
   std::uint16_t refused = 0;
@@ -207,8 +207,9 @@
     }
   }
   EXPECT_GT(refused, 900);
-  EXPECT_GT(bytes, 0.5 * kSeconds * kPushbackBytesPerSecond);
-  EXPECT_LE(bytes, (kSeconds + 1) * kPushbackBytesPerSecond);
+  EXPECT_GT(bytes,
+            0.5 * static_cast<double>(kSeconds) * kPushbackBytesPerSecond);
+  EXPECT_LE(bytes, static_cast<double>(kSeconds + 1) * kPushbackBytesPerSecond);
 }
 
 /** Random events; checks that each work has one fate and slots suffice. */
