--- a/bench/support/classes_cost.hpp
+++ b/bench/support/classes_cost.hpp
@@ -134,13 +134,12 @@
   {
     now_ += std::chrono::microseconds{ 100 };
     const admission::CallerId caller{ ++next_ % 1000 };
-    const auto class_ = target_.classes_[0].id_;
+    const auto id = target_.classes_[0].id_;
     if (next_ % 1000 == 0) {
       shedder_.OnPushback(
-        now_, HostId{ 2 }, { {}, next_, { { class_, 990, {} } } });
+        now_, HostId{ 2 }, { {}, next_, { { id, 990, {} } } });
     }
-    passed_ +=
-      shedder_.Admit(now_, target_.id_, class_, caller).passed_ ? 1 : 0;
+    passed_ += shedder_.Admit(now_, target_.id_, id, caller).passed_ ? 1 : 0;
   }
 
   static constexpr Duration kSecond = std::chrono::seconds{ 1 };
--- a/src/cornelshore/admission/apportion.cpp
+++ b/src/cornelshore/admission/apportion.cpp
@@ -36,7 +36,7 @@
     if (left.urgency_ != right.urgency_) {
       return left.urgency_ > right.urgency_;
     }
-    return left.id_ < right.id_;
+    return left.id_.value_ < right.id_.value_;
   });
   return order;
 }
--- a/src/cornelshore/admission/host_health.cpp
+++ b/src/cornelshore/admission/host_health.cpp
@@ -38,6 +38,12 @@
   return *middle;
 }
 
+bool
+IdLess(HostId aLeft, HostId aRight)
+{
+  return aLeft.value_ < aRight.value_;
+}
+
 } // namespace
 
 HostHealth::HostHealth(std::uint64_t aSeed)
@@ -158,7 +164,7 @@
       avoided.push_back(id);
     }
   }
-  std::sort(avoided.begin(), avoided.end());
+  std::sort(avoided.begin(), avoided.end(), IdLess);
   return avoided;
 }
 
@@ -205,12 +211,12 @@
       ? 0
       : std::max<std::size_t>(1, hosts_.size() / kAvoidDivisor);
   std::size_t avoided = 0;
-  std::vector<std::pair<double, HostId>> bad;
+  std::vector<std::pair<double, std::uint64_t>> bad;
   for (const auto& [id, host] : hosts_) {
     avoided += host.avoided_ ? 1 : 0;
     const auto badness = Badness(host);
     if (!host.avoided_ && host.evidence_ >= kLeastEvidence && badness > 1.0) {
-      bad.emplace_back(badness, id);
+      bad.emplace_back(badness, id.value_);
     }
   }
   std::sort(bad.rbegin(), bad.rend());
@@ -218,7 +224,7 @@
     if (avoided >= bound) {
       break;
     }
-    Avoid(aNow, hosts_[id]);
+    Avoid(aNow, hosts_[HostId{ id }]);
     ++avoided;
   }
 }
@@ -238,7 +244,7 @@
   }
   std::sort(
     dump.begin(), dump.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.host_ < aRight.host_;
+      return IdLess(aLeft.host_, aRight.host_);
     });
   return dump;
 }
--- a/src/cornelshore/admission/shedder.cpp
+++ b/src/cornelshore/admission/shedder.cpp
@@ -257,8 +257,9 @@
   Witness* stalest = nullptr;
   for (auto& witness : aClass.witnesses_) {
     if (witness.host_ == aHost) {
-      const auto last = std::pair(witness.incarnation_, witness.sequence_);
-      if (last < std::pair(heard.incarnation_, heard.sequence_)) {
+      const auto last =
+        std::pair(witness.incarnation_.value_, witness.sequence_);
+      if (last < std::pair(heard.incarnation_.value_, heard.sequence_)) {
         witness = heard;
       }
       return;
--- a/test/cornelshore/admission/apportion.cpp
+++ b/test/cornelshore/admission/apportion.cpp
@@ -39,8 +39,8 @@
       const auto& own = host.classes_[index];
       ASSERT_LE(own.keeps_, own.most_);
       ASSERT_LE(own.most_, span.slots_);
-      const auto exact =
-        span.slots_ * aTarget.classes_[index].keeps_ / kWholeShare;
+      const auto exact = std::uint32_t{ span.slots_ } *
+                         aTarget.classes_[index].keeps_ / kWholeShare;
       ASSERT_LE(own.keeps_, exact + aSpread);
       ASSERT_GE(own.keeps_ + aSpread + own.missing_, exact);
       left.classes_[index].keeps_ -= own.keeps_;
