--- a/src/cornelshore/consensus/entry.hpp
+++ b/src/cornelshore/consensus/entry.hpp
@@ -48,6 +48,8 @@
   Term term_;
   std::optional<ReplicaId> vote_; ///< Voted for in `term_`.
   LogIndex commit_;               ///< Lower bound, written with the rest.
+  /** Nothing synced was lost, or the group has made up for it since. */
+  bool proven_{ true };
 
   bool operator==(const HardState&) const noexcept = default;
 };
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -64,7 +64,7 @@
   , random_(aSeed)
   , verifier_(
       id_,
-      aVerification,
+      aState.hard_.proven_ ? aVerification : Verification::Unproven,
       aNow + LongEnough(aSettings.electionTimeout_, aSettings.clockDriftPpm_),
       random_.Next())
   , hard_(std::move(aState.hard_))
@@ -79,6 +79,7 @@
     commit_ = applied_ = log_.Newest()->last_.index_;
   }
   syncedIndex_ = log_.Last().index_;
+  hard_.proven_ = hard_.proven_ && aVerification == Verification::Continued;
   wasMember_ = log_.MembersAt(commit_).Find(id_) != nullptr;
   commit_ = std::max(commit_, hard_.commit_);
   ApplyCommitted();
@@ -94,6 +95,7 @@
   if (fault_ == Fault::None) {
     verifier_.Learn(log_.MembersAt(commit_), log_.Members());
     verifier_.Update(now_);
+    NoteProven();
     Flush();
   }
   return std::exchange(actions_, {});
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -210,6 +210,7 @@
   void AbandonRequests();
   void ResetElectionTimer();
   void Fail(Fault aFault);
+  void NoteProven();
   void SendHellos();
   void SendJoins();
 
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -188,6 +188,19 @@
                  Duration{ static_cast<std::int64_t>(extra) };
 }
 
+void
+Replica::NoteProven()
+{
+  if (hard_.proven_ || !verifier_.Proves(hard_.term_, OwnLast())) {
+    return;
+  }
+  if (!hard_.vote_) {
+    hard_.vote_ = id_;
+  }
+  hard_.proven_ = true;
+  hardChanged_ = true;
+}
+
 void
 Replica::SendHellos()
 {
--- a/src/cornelshore/consensus/verifier.cpp
+++ b/src/cornelshore/consensus/verifier.cpp
@@ -79,6 +79,13 @@
   return asked;
 }
 
+bool
+Verifier::Proves(Term aTerm, Position aLast) const noexcept
+{
+  return verified_ && (mode_ == Verification::Continued ||
+                       (aTerm >= termFloor_ && aLast >= floor_));
+}
+
 bool
 Verifier::MayElect(Term aTerm, Position aLast) const noexcept
 {
--- a/src/cornelshore/consensus/verifier.hpp
+++ b/src/cornelshore/consensus/verifier.hpp
@@ -53,6 +53,9 @@
   /** @brief Voters to ask: all but this replica. */
   [[nodiscard]] std::vector<ReplicaId> Asked() const;
 
+  /** @brief Whether this replica's own state makes up for any loss. */
+  [[nodiscard]] bool Proves(Term aTerm, Position aLast) const noexcept;
+
   /** @brief Whether a log's end is recent enough to elect its replica. */
   [[nodiscard]] bool MayElect(Term aTerm, Position aLast) const noexcept;
 
--- a/src/cornelshore/wire/consensus_codec.cpp
+++ b/src/cornelshore/wire/consensus_codec.cpp
@@ -478,6 +478,7 @@
 {
   aWriter.Write(aHard.term_);
   aWriter.Write(aHard.commit_);
+  aWriter.Bool(aHard.proven_);
   EncodeOptional(
     aWriter, aHard.vote_, [&](const ReplicaId& aId) { Encode(aWriter, aId); });
 }
@@ -487,6 +488,7 @@
 {
   aReader.Read(aHard.term_);
   aReader.Read(aHard.commit_);
+  aHard.proven_ = aReader.Bool();
   aHard.vote_.reset();
   if (aReader.Bool()) {
     Decode(aReader, aHard.vote_.emplace());
--- a/test/cornelshore/consensus/schedule.hpp
+++ b/test/cornelshore/consensus/schedule.hpp
@@ -163,6 +163,8 @@
     for (std::size_t other = 0; other < vms_.size(); ++other) {
       seeds.push_back(NodeId{ other });
     }
+    vm.disk_.hard_.proven_ =
+      vm.disk_.hard_.proven_ && aVerification == Verification::Continued;
     auto replica = ReplicaBuilder()
                      .Settings(settings_)
                      .State(vm.disk_)
