Verify a continued disk by the newest membership alone

Change: for a continued disk the answers only bring warnings, so the newest membership decides; an unproven one still needs enough of each.

--- a/src/cornelshore/consensus/verifier.cpp
+++ b/src/cornelshore/consensus/verifier.cpp
@@ -57,10 +57,18 @@
   if (verified_ || aNow < end_ || memberships_.empty()) {
     return;
   }
-  verified_ =
-    std::all_of(memberships_.begin(),
-                memberships_.end(),
-                [&](const Membership& aRow) { return Suffices(aRow); });
+  const auto newest =
+    std::max_element(memberships_.begin(),
+                     memberships_.end(),
+                     [](const Membership& aLeft, const Membership& aRight) {
+                       return aLeft.index_ < aRight.index_;
+                     });
+  const auto first =
+    mode_ == Verification::Continued ? newest : memberships_.begin();
+  const auto last =
+    mode_ == Verification::Continued ? newest + 1 : memberships_.end();
+  verified_ = std::all_of(
+    first, last, [&](const Membership& aRow) { return Suffices(aRow); });
 }
 
 std::vector<ReplicaId>
