--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -83,6 +83,7 @@
   wasMember_ = log_.MembersAt(commit_).Find(id_) != nullptr;
   commit_ = std::max(commit_, hard_.commit_);
   ApplyCommitted();
+  verifier_.Learn(log_.MembersAt(commit_), log_.Members());
   ResetElectionTimer();
 }
 
@@ -337,6 +338,13 @@
   dump.snapshot_ = log_.SnapshotIndex();
   dump.version_ = register_.Current().version_;
   dump.membership_ = log_.Members();
+  for (const auto& [id, progress] : progress_) {
+    dump.progress_.push_back(
+      { id, progress.match_, progress.next_, IsRecent(progress.matchSentAt_) });
+  }
+  dump.votes_.assign(votes_.begin(), votes_.end());
+  std::sort(dump.votes_.begin(), dump.votes_.end());
+  dump.knowsLeader_ = KnowsOtherLeader();
   dump.joining_ = joining_;
   dump.pendingProposals_ = requesters_.size() + forwards_.size();
   dump.pendingReads_ =
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -58,6 +58,15 @@
   std::size_t pendingReads_{ 1024 };        ///< Most under way.
 };
 
+/** @brief What a leader knows of another member. */
+struct MemberProgress
+{
+  ReplicaId id_;
+  LogIndex match_; ///< Synced there.
+  LogIndex next_;  ///< To be sent next.
+  bool recent_{};  ///< Proved so within the lease's length.
+};
+
 /** @brief State of a replica as the state dump shows it. */
 struct ReplicaDump
 {
@@ -75,6 +84,9 @@
   LogIndex snapshot_;
   ConfigVersion version_;
   Membership membership_;
+  std::vector<MemberProgress> progress_; ///< At a leader.
+  std::vector<ReplicaId> votes_;         ///< At a candidate.
+  bool knowsLeader_{};                   ///< Gives no vote for now.
   std::vector<ReplicaId> joining_; ///< Ask to join; nobody added them yet.
   std::size_t pendingProposals_{};
   std::size_t pendingReads_{};
--- a/test/cornelshore/consensus/schedule.hpp
+++ b/test/cornelshore/consensus/schedule.hpp
@@ -101,6 +101,7 @@
     std::deque<Persist> unsynced_;
     Duration syncDue_{ Duration::max() };
     Duration startDue_{ Duration::max() };
+    Duration crashDue_{ Duration::max() }; ///< While a write is unsynced.
     Duration tickDue_{ Duration::max() };
     Verification verification_{};
     double rate_{ 1 };
@@ -215,6 +216,10 @@
     if (vm.syncDue_ == Duration::max()) {
       vm.syncDue_ = now_ + Within(200, Chance(20) ? 60000 : 6000);
     }
+    if (!healed_ && Chance(80)) {
+      vm.syncDue_ = now_ + Within(30000, 90000);
+      vm.crashDue_ = now_ + Within(1, 30000);
+    }
   }
 
   void Carry(std::size_t, Send& aAction)
@@ -353,6 +358,14 @@
     vm.startDue_ = now_ + Within(1000, Chance(3) ? 6000000 : 400000);
   }
 
+  /** All VMs of a site lose power in mid-write. */
+  void CrashAll()
+  {
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      Crash(vm);
+    }
+  }
+
   void LoseDisk(std::size_t aVm)
   {
     NoteCaughtUp();
@@ -411,7 +424,7 @@
   void Disturb()
   {
     const auto vm = random_.Below(vms_.size());
-    switch (random_.Below(10)) {
+    switch (random_.Below(11)) {
       case 0:
       case 1:
         Partition();
@@ -433,6 +446,9 @@
       case 7:
         blocked_.clear();
         break;
+      case 8:
+        CrashAll();
+        break;
       default:
         Crash(vm);
         break;
@@ -507,7 +523,8 @@
       due = std::min(due, flights_.top().at_);
     }
     for (const auto& vm : vms_) {
-      due = std::min({ due, vm.syncDue_, vm.startDue_, vm.tickDue_ });
+      due =
+        std::min({ due, vm.syncDue_, vm.startDue_, vm.tickDue_, vm.crashDue_ });
     }
     for (const auto& client : clients_) {
       due = std::min(due, client.due_);
@@ -541,6 +558,10 @@
   void StepVm(std::size_t aVm)
   {
     auto& vm = vms_[aVm];
+    if (vm.crashDue_ <= now_) {
+      vm.crashDue_ = Duration::max();
+      Crash(aVm);
+    }
     if (vm.syncDue_ <= now_) {
       SyncDisk(aVm);
     }
