Split the schedule's parts from the schedule

Change: its value types stand in a file of their own; nothing else changed. Conclusion: the schedules' tests pass as before.

--- a/test/cornelshore/consensus/schedule.hpp
+++ b/test/cornelshore/consensus/schedule.hpp
@@ -12,36 +12,10 @@
 #include <cornelshore/core/check.hpp>
 
 #include "history.hpp"
+#include "schedule_parts.hpp"
 
 namespace cornelshore::consensus {
 
-/** @brief One random run of a control group under faults. */
-struct ScheduleOptions
-{
-  std::uint64_t seed_{};
-  std::size_t vms_{ 3 };
-  Duration length_{ std::chrono::seconds{ 24 } }; ///< Of the faulty part.
-  bool rollbacks_{ true }; ///< Disks are rolled back and emptied, too.
-};
-
-/** @brief What a run came to. */
-struct ScheduleResult
-{
-  Breaches breaches_;
-  std::uint64_t leadersOfOneTerm_{}; ///< Terms with two leaders.
-  std::uint64_t accepted_{};
-  std::uint64_t conflicts_{};
-  std::uint64_t confirmedReads_{};
-  std::uint64_t unconfirmedReads_{};
-  std::uint64_t faultsOfRollback_{}; ///< Replicas that found out.
-  bool stuck_{};                     ///< Did not recover once healed.
-
-  [[nodiscard]] std::uint64_t Broken() const
-  {
-    return breaches_.Sum() + leadersOfOneTerm_;
-  }
-};
-
 /** @brief VMs, network, disks, clocks and operators around real replicas. */
 class Schedule
 {
@@ -93,43 +67,6 @@
   static constexpr std::size_t kClients = 4;
   static constexpr Duration kResend{ std::chrono::milliseconds{ 700 } };
 
-  struct Vm
-  {
-    std::optional<Replica> replica_;
-    DurableState disk_;
-    std::deque<DurableState> older_; ///< Copies of the disk, oldest first.
-    std::deque<Persist> unsynced_;
-    Duration syncDue_{ Duration::max() };
-    Duration startDue_{ Duration::max() };
-    Duration crashDue_{ Duration::max() }; ///< While a write is unsynced.
-    Duration tickDue_{ Duration::max() };
-    Verification verification_{};
-    double rate_{ 1 };
-    double offset_{};
-    std::uint64_t diskIds_{ 1 };
-    bool amnesiac_{}; ///< Lost synced state, and has not caught up again.
-  };
-
-  struct Flight
-  {
-    Duration at_{};
-    std::uint64_t order_{};
-    Message message_;
-
-    bool operator<(const Flight& aOther) const
-    {
-      return std::tie(aOther.at_, aOther.order_) < std::tie(at_, order_);
-    }
-  };
-
-  struct Client
-  {
-    Duration due_{};
-    std::optional<std::size_t> operation_; ///< The one under way.
-    Change change_;
-    ConfigVersion known_;
-  };
-
   double Spread(double aMost) { return (2 * random_.Unit() - 1) * aMost; }
 
   bool Chance(std::uint64_t aOf) { return random_.Below(aOf) == 0; }
