Take a newly set up member for unproven, too

Cause: a control VM whose disk was emptied and which is set up once more would start with the first state of a proven member, and its earlier votes and acknowledgements would be forgotten unseen after a second restart. Change: the first state is not proven; and a replica started as unproven writes that mark before anything else leaves it.

--- a/src/cornelshore/consensus/entry.cpp
+++ b/src/cornelshore/consensus/entry.cpp
@@ -160,7 +160,7 @@
   }
   DurableState state;
   state.id_ = aId;
-  state.hard_ = { first.term_, std::nullopt, first.index_ };
+  state.hard_ = { first.term_, std::nullopt, first.index_, false };
   state.snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
   return state;
 }
--- a/src/cornelshore/consensus/entry.hpp
+++ b/src/cornelshore/consensus/entry.hpp
@@ -94,6 +94,10 @@
 
 /**
  * @brief State of a first member, written once when a group is set up.
+ *
+ * It is not proven: a VM whose disk was emptied and set up once more must not
+ * be taken for one that never voted.
+ *
  * @param aVoters All first members, the same list at each of them.
  */
 [[nodiscard]] DurableState FirstState(const ReplicaId& aId,
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -79,7 +79,10 @@
     commit_ = applied_ = log_.Newest()->last_.index_;
   }
   syncedIndex_ = log_.Last().index_;
-  hard_.proven_ = hard_.proven_ && aVerification == Verification::Continued;
+  if (hard_.proven_ && aVerification == Verification::Unproven) {
+    hard_.proven_ = false;
+    hardChanged_ = true;
+  }
   wasMember_ = log_.MembersAt(commit_).Find(id_) != nullptr;
   commit_ = std::max(commit_, hard_.commit_);
   ApplyCommitted();
