--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -64,7 +64,7 @@
   , random_(aSeed)
   , verifier_(
       id_,
-      aVerification,
+      aState.hard_.proven_ ? aVerification : Verification::Unproven,
       aNow + LongEnough(aSettings.electionTimeout_, aSettings.clockDriftPpm_),
       random_.Next())
   , hard_(std::move(aState.hard_))
@@ -79,9 +79,14 @@
     commit_ = applied_ = log_.Newest()->last_.index_;
   }
   syncedIndex_ = log_.Last().index_;
+  if (hard_.proven_ && aVerification == Verification::Unproven) {
+    hard_.proven_ = false;
+    hardChanged_ = true;
+  }
   wasMember_ = log_.MembersAt(commit_).Find(id_) != nullptr;
   commit_ = std::max(commit_, hard_.commit_);
   ApplyCommitted();
+  verifier_.Learn(log_.MembersAt(commit_), log_.Members());
   ResetElectionTimer();
 }
 
@@ -94,6 +99,7 @@
   if (fault_ == Fault::None) {
     verifier_.Learn(log_.MembersAt(commit_), log_.Members());
     verifier_.Update(now_);
+    NoteProven();
     Flush();
   }
   return std::exchange(actions_, {});
@@ -335,6 +341,13 @@
   dump.snapshot_ = log_.SnapshotIndex();
   dump.version_ = register_.Current().version_;
   dump.membership_ = log_.Members();
+  for (const auto& [id, progress] : progress_) {
+    dump.progress_.push_back(
+      { id, progress.match_, progress.next_, IsRecent(progress.matchSentAt_) });
+  }
+  dump.votes_.assign(votes_.begin(), votes_.end());
+  std::sort(dump.votes_.begin(), dump.votes_.end());
+  dump.knowsLeader_ = KnowsOtherLeader();
   dump.joining_ = joining_;
   dump.pendingProposals_ = requesters_.size() + forwards_.size();
   dump.pendingReads_ =
