--- a/src/cornelshore/dissemination/config_store.hpp
+++ b/src/cornelshore/dissemination/config_store.hpp
@@ -24,7 +24,7 @@
 {
 public:
   static constexpr std::size_t kMostDeltas = 4096;
-  static constexpr std::size_t kMostDeltaBytes = 256 * 1024;
+  static constexpr std::size_t kMostDeltaBytes = 262'144;
   static constexpr std::size_t kImages = 3;
 
   /** @brief Takes a whole configuration; false when it is not newer. */
--- a/src/cornelshore/dissemination/message.hpp
+++ b/src/cornelshore/dissemination/message.hpp
@@ -23,7 +23,7 @@
 inline constexpr std::size_t kPieceBytes = 900;
 
 /** @brief Most bytes of an encoded configuration or delta. */
-inline constexpr std::size_t kMostConfigBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMostConfigBytes = 4'194'304;
 
 /** @brief Children of each inner node of the digest tree. */
 inline constexpr std::size_t kTreeFanout = 16;
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -182,7 +182,7 @@
 };
 
 /** @brief Least burst that lets single messages through. */
-inline constexpr std::uint32_t kLeastBurstBytes = 8 * 1024;
+inline constexpr std::uint32_t kLeastBurstBytes = 8'192;
 
 /** @brief Settings of a `Node`. */
 struct NodeSettings
@@ -199,8 +199,8 @@
   Duration peerRefresh_{ std::chrono::hours(1) };
   Duration tombstoneLife_{ std::chrono::hours(6) };
   std::uint32_t bytesPerSecond_{ 2000 }; ///< Sent on average, at most.
-  std::uint32_t burstBytes_{ 96 * 1024 };
-  std::size_t mostHosts_{ 32 * 1024 };
+  std::uint32_t burstBytes_{ 98'304 };
+  std::size_t mostHosts_{ 32'768 };
   std::size_t mostPeers_{ 4096 };
 };
 
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -163,8 +163,8 @@
 void
 Node::State::AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const
 {
-  if (auto host = ledger_.HostOf(aNow, aSubject)) {
-    aPacker.Add(*std::move(host));
+  if (const auto host = ledger_.HostOf(aNow, aSubject)) {
+    aPacker.Add(*host);
   } else if (const auto peer = ledger_.PeerOf(aNow, aSubject)) {
     aPacker.Add(*peer);
   }
@@ -302,7 +302,7 @@
 {
   auto header = HeaderFor(aNow, aPeer, MessageKind::Round);
   header.compare_ = true;
-  Packer packer(std::move(header));
+  Packer packer(header);
   AddRumors(aNow, kRumorsARound, packer);
   if (!IsAgent() && released_ && round_ - configRound_ <= kConfigRounds) {
     AddNewestDelta(packer);
--- a/src/cornelshore/dissemination/packer.hpp
+++ b/src/cornelshore/dissemination/packer.hpp
@@ -14,16 +14,16 @@
 {
 public:
   /** @param aHeader Of each message. */
-  explicit Packer(Header aHeader)
-    : header_(std::move(aHeader))
+  explicit Packer(const Header& aHeader)
+    : header_(aHeader)
   {
     Open();
   }
 
-  void Add(HostUpdate aUpdate)
+  void Add(const HostUpdate& aUpdate)
   {
     Reserve(BytesOf(aUpdate), Last().hosts_.size());
-    Last().hosts_.push_back(std::move(aUpdate));
+    Last().hosts_.push_back(aUpdate);
   }
 
   void Add(const PeerUpdate& aUpdate)
--- a/src/cornelshore/membership/view.hpp
+++ b/src/cornelshore/membership/view.hpp
@@ -111,7 +111,7 @@
   [[nodiscard]] absl::StatusOr<View> Build() const;
 
 private:
-  std::size_t mostHosts_{ 32 * 1024 };
+  std::size_t mostHosts_{ 32'768 };
   Duration tombstoneLife_{ std::chrono::hours(6) };
 };
 
--- a/src/cornelshore/wire/seal.hpp
+++ b/src/cornelshore/wire/seal.hpp
@@ -163,7 +163,7 @@
 {
 public:
   static constexpr std::size_t kReplayWindow = 1024;
-  static constexpr std::size_t kMostSendersDefault = 24 * 1024;
+  static constexpr std::size_t kMostSendersDefault = 24'576;
 
   explicit Opener(const KeyRing& aKeys,
                   std::size_t aMostSenders = kMostSendersDefault);
