--- a/src/cornelshore/request/balancer.cpp
+++ b/src/cornelshore/request/balancer.cpp
@@ -1,6 +1,8 @@
 #include <cornelshore/request/balancer.hpp>
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <type_traits>
 #include <utility>
 
@@ -32,22 +34,23 @@
 HostId
 PickHome(RequestId aId,
          ServiceId aService,
-         std::span<const HostRecord> aHosts) noexcept
+         std::span<const HostRecord> aHosts,
+         std::uint32_t aChoice)
 {
   const auto seed = HashPair(aId.high_, aId.low_);
-  HostId best;
-  std::uint64_t bestWeight = 0;
+  std::vector<std::pair<std::uint64_t, HostId>> ranked;
   for (const auto& host : aHosts) {
-    if (host.service_ != aService || host.state_ != HostState::Ready) {
-      continue;
-    }
-    const auto weight = HashPair(seed, host.id_.value_);
-    if (best.value_ == 0 || weight > bestWeight) {
-      best = host.id_;
-      bestWeight = weight;
+    if (host.service_ == aService && host.state_ == HostState::Ready) {
+      ranked.emplace_back(HashPair(seed, host.id_.value_), host.id_);
     }
   }
-  return best;
+  if (ranked.empty()) {
+    return {};
+  }
+  const auto place =
+    ranked.begin() + static_cast<std::ptrdiff_t>(aChoice % ranked.size());
+  std::nth_element(ranked.begin(), place, ranked.end(), std::greater<>());
+  return place->second;
 }
 
 std::vector<BalancerAction>
@@ -83,7 +86,8 @@
   if (admission_) {
     refusal = admission_(aNow, aRequest.work_);
   }
-  const auto home = PickHome(aRequest.id_, aRequest.work_.service_, aHosts);
+  const auto home =
+    PickHome(aRequest.id_, aRequest.work_.service_, aHosts, aRequest.choice_);
   if (!refusal && home.value_ == 0) {
     refusal = Refusal{ Reason::NoHost, Duration{} };
   }
--- a/src/cornelshore/request/balancer.hpp
+++ b/src/cornelshore/request/balancer.hpp
@@ -52,10 +52,15 @@
   std::uint64_t ignored_{}; ///< Messages not meant for a balancer.
 };
 
-/** @brief The host whose agent gives the ticket for an id; 0 for none. */
+/**
+ * @brief The host whose agent gives the ticket for an id; 0 for none.
+ * @param aChoice Place in the id's order of hosts (rendezvous hashing); beyond
+ * the last host it starts again with the first.
+ */
 [[nodiscard]] HostId PickHome(RequestId aId,
                               ServiceId aService,
-                              std::span<const HostRecord> aHosts) noexcept;
+                              std::span<const HostRecord> aHosts,
+                              std::uint32_t aChoice = 0);
 
 /**
  * @brief Relays between callers and agents; keeps nothing but counters.
--- a/src/cornelshore/request/caller.cpp
+++ b/src/cornelshore/request/caller.cpp
@@ -43,6 +43,7 @@
     bool mayHaveRun_{}; ///< Under an earlier ticket.
     bool stopped_{};
     std::uint32_t bindings_{};
+    std::uint32_t asked_{}; ///< Requests for the ticket that it waits for.
     Reason lastReason_{ Reason::NoTicket };
     AnswerAssembly assembly_;
     TimePoint due_;
@@ -133,7 +134,9 @@
                    submission.class_,
                    settings_.identity_ };
   if (!aEntry.ticket_) {
-    Send(aActions, TicketRequest{ submission.id_, work, {} });
+    Send(aActions,
+         TicketRequest{ submission.id_, work, aEntry.asked_ / 2, {} });
+    ++aEntry.asked_;
   } else if (aEntry.stopped_) {
     Send(aActions, Cancel{ { submission.id_, *aEntry.ticket_ }, {} });
   } else {
@@ -160,6 +163,7 @@
   aEntry.last_ = aEntry.ticket_;
   aEntry.ticket_.reset();
   aEntry.assembly_ = {};
+  aEntry.asked_ = 0;
   Restart(aNow, aEntry, aActions);
 }
 
@@ -173,7 +177,8 @@
   aEntry.ticket_ = aTicket;
   aEntry.repeatable_ = aRepeatable;
   ++aEntry.bindings_;
-  aActions.emplace_back(Bound{ { aEntry.submission_.id_, aTicket } });
+  aActions.emplace_back(
+    Bound{ { aEntry.submission_.id_, aTicket }, aEntry.mayHaveRun_ });
   Restart(aNow, aEntry, aActions);
 }
 
@@ -249,7 +254,7 @@
     const RequestId id{ random_.Next(), random_.Next() };
     wanted_.emplace(id, Wanted{ aKey, aNow });
     const Work work{ aKey.first, aKey.second, settings_.identity_ };
-    Send(aActions, TicketRequest{ id, work, {} });
+    Send(aActions, TicketRequest{ id, work, 0, {} });
   }
 }
 
@@ -385,6 +390,7 @@
   const State::PoolKey key{ aSubmission.service_, aSubmission.class_ };
   auto& entry = state.open_[id];
   entry.submission_ = std::move(aSubmission);
+  entry.mayHaveRun_ = entry.submission_.mayHaveRun_;
   state.budget_.First();
   if (entry.submission_.ticket_) {
     state.Bind(aNow, entry, *entry.submission_.ticket_, false, actions);
--- a/src/cornelshore/request/caller.hpp
+++ b/src/cornelshore/request/caller.hpp
@@ -48,6 +48,8 @@
   std::string body_;
   /** The ticket of an earlier run of this caller, from its `Bound`. */
   std::optional<Ticket> ticket_;
+  /** `mayHaveRun_` of that `Bound`. */
+  bool mayHaveRun_{};
 };
 
 /** @brief Send to a balancer. */
@@ -66,6 +68,7 @@
 struct Bound
 {
   RequestKey key_;
+  bool mayHaveRun_{}; ///< Under an earlier ticket; the class is repeatable.
 };
 
 /** @brief The one outcome of a submission. */
--- a/src/cornelshore/request/home_run.cpp
+++ b/src/cornelshore/request/home_run.cpp
@@ -274,6 +274,7 @@
   } else if (progress.deadline_ <= aStep.now_) {
     CloseIdle(aStep, aExecutor, aId, Reason::DeadlinePassed);
   } else if (progress.giveUpAt_ <= aStep.now_) {
+    aStep.peers_.Silent(records_.at(aId).ticket_.backup_.host_);
     CloseIdle(aStep, aExecutor, aId, Reason::BackupSilent);
   } else {
     const auto key = KeyOf(aId);
--- a/src/cornelshore/request/message.hpp
+++ b/src/cornelshore/request/message.hpp
@@ -51,6 +51,7 @@
 {
   RequestId id_;
   Work work_;
+  std::uint32_t choice_{}; ///< Hosts passed over, as they stayed silent.
   Route route_;
 
   bool operator==(const TicketRequest&) const noexcept = default;
--- a/src/cornelshore/request/peers.cpp
+++ b/src/cornelshore/request/peers.cpp
@@ -90,6 +90,15 @@
   found->second.stampedAt_ = aNow;
 }
 
+void
+Peers::Silent(HostId aHost)
+{
+  const auto found = peers_.find(aHost);
+  if (found != peers_.end()) {
+    found->second.stampedAt_.reset();
+  }
+}
+
 bool
 Peers::IsOver(const Authority& aAuthority) const
 {
--- a/src/cornelshore/request/peers.hpp
+++ b/src/cornelshore/request/peers.hpp
@@ -41,6 +41,9 @@
                Incarnation aIncarnation,
                Stamp aStamp);
 
+  /** @brief The agent did not answer: it is not named until it does. */
+  void Silent(HostId aHost);
+
   /** @brief Whether this run of the agent is known to be over. */
   [[nodiscard]] bool IsOver(const Authority& aAuthority) const;
 
--- a/src/cornelshore/wire/request_codec.cpp
+++ b/src/cornelshore/wire/request_codec.cpp
@@ -137,6 +137,7 @@
 {
   aArchive(aValue.id_);
   Fields(aArchive, aValue.work_);
+  aArchive(aValue.choice_);
   Fields(aArchive, aValue.route_);
 }
 
--- a/test/cornelshore/wire/request_codec.cpp
+++ b/test/cornelshore/wire/request_codec.cpp
@@ -23,7 +23,7 @@
   const Work work{ ServiceId{ 10 }, ClassId{ 11 }, 12 };
   const Duration left{ 13 };
   return {
-    TicketRequest{ key.id_, work, route },
+    TicketRequest{ key.id_, work, 1, route },
     TicketReply{ key.id_, key.ticket_, true, Reason::Leaving, left, route },
     Submit{ key, work, Duration{ -14 }, "body", route },
     Cancel{ key, route },
