--- a/bench/support/requests_history.hpp
+++ b/bench/support/requests_history.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include <cornelshore/core/time.hpp>
 #include <cornelshore/core/types.hpp>
 #include <cornelshore/request/caller.hpp>
 
@@ -63,11 +64,14 @@
     std::uint64_t starts_{};
     std::vector<std::string> answers_; ///< One for each run.
     std::vector<request::Done> told_;
+    TimePoint startedAt_;
+    TimePoint toldAt_;
   };
 
-  void Start(RequestId aId, bool aRepeatable)
+  void Start(TimePoint aNow, RequestId aId, bool aRepeatable)
   {
     auto& entry = entries_[aId];
+    entry.startedAt_ = aNow;
     entry.repeatable_ = aRepeatable;
     ++entry.starts_;
   }
@@ -94,9 +98,16 @@
     entries_[aId].answers_.push_back(std::move(aAnswer));
   }
 
-  void Tell(request::Done aDone)
+  void Tell(TimePoint aNow, request::Done aDone)
   {
-    entries_[aDone.id_].told_.push_back(std::move(aDone));
+    auto& entry = entries_[aDone.id_];
+    entry.toldAt_ = aNow;
+    entry.told_.push_back(std::move(aDone));
+  }
+
+  [[nodiscard]] bool IsTold(RequestId aId) const
+  {
+    return !entries_.at(aId).told_.empty();
   }
 
   [[nodiscard]] const std::map<RequestId, Entry>& Entries() const
--- a/bench/support/requests_world.hpp
+++ b/bench/support/requests_world.hpp
@@ -47,6 +47,8 @@
   std::uint64_t resumes_{ 100 }; ///< Submitted again by a restarted caller.
   std::uint64_t repeatable_{ 250 };
   std::size_t answerMost_{ 5'000 };
+  Duration runLeast_{ milliseconds{ 2 } };
+  Duration runMost_{ milliseconds{ 400 } };
 };
 
 /** @brief Processes of one system over a lossy network, in virtual time. */
@@ -99,7 +101,7 @@
   void SubmitAll()
   {
     for (std::size_t index = 0; index < shape_.requests_; ++index) {
-      After(warmUp_ + Between({}, shape_.arrivals_), [this] { SubmitOne(); });
+      After(kWarmUp + Between({}, shape_.arrivals_), [this] { SubmitOne(); });
     }
   }
 
@@ -314,7 +316,7 @@
     submission.class_ = { repeatable ? 1U : 2U };
     submission.deadline_ = now_ + shape_.deadline_;
     submission.body_.assign(random_.Below(400), 'b');
-    history_.Start(submission.id_, repeatable);
+    history_.Start(now_, submission.id_, repeatable);
     const auto id = submission.id_;
     std::size_t caller = 0;
     if (Chance(shape_.resumes_)) {
@@ -349,7 +351,7 @@
     aSubmission.mayHaveRun_ = bound->second.mayHaveRun_;
     aSubmission.deadline_ = now_ + shape_.deadline_;
     const bool repeatable = IsRepeatableClass(aSubmission.class_);
-    history_.Start(aSubmission.id_, repeatable);
+    history_.Start(now_, aSubmission.id_, repeatable);
     callers_.push_back(NewCaller());
     const auto caller = callers_.size() - 1;
     ToCaller(caller, callers_[caller].start_(now_, std::move(aSubmission)));
@@ -371,7 +373,7 @@
       } else if (const auto* bound = std::get_if<request::Bound>(&action)) {
         bound_[bound->key_.id_] = *bound;
       } else if (auto* done = std::get_if<request::Done>(&action)) {
-        history_.Tell(std::move(*done));
+        history_.Tell(now_, std::move(*done));
       }
     }
     ArmCaller(aCaller);
@@ -595,7 +597,7 @@
                   static_cast<char>('a' + runs_ % 26));
     history_.Ran(aAction.id_, answer);
     hosts_[aHost].running_.emplace(run, aAction.id_);
-    const auto took = Between(milliseconds{ 2 }, milliseconds{ 400 });
+    const auto took = Between(shape_.runLeast_, shape_.runMost_);
     Later(aHost, took, [this, aHost, run, answer] {
       if (hosts_[aHost].running_.erase(run) != 0) {
         ToAgent(aHost, request::UpstreamFinished{ run, answer });
@@ -656,7 +658,6 @@
   Random random_;
   Tap tap_;
   ServiceId service_{ 7 };
-  Duration warmUp_{ kWarmUp };
   TimePoint now_{ seconds{ 1'000 } };
   std::uint64_t order_{};
   std::uint64_t runs_{};
--- a/src/cornelshore/request/caller.hpp
+++ b/src/cornelshore/request/caller.hpp
@@ -28,8 +28,8 @@
   std::uint64_t identity_{};       ///< Identity for fairness.
   std::uint64_t seed_{};           ///< Of the choice and the jitter.
   /** Wait before the first resend; it doubles up to `resendMost_`. */
-  Duration resendAfter_{ std::chrono::milliseconds{ 50 } };
-  Duration resendMost_{ std::chrono::seconds{ 1 } };
+  Duration resendAfter_{ std::chrono::milliseconds{ 200 } };
+  Duration resendMost_{ std::chrono::seconds{ 2 } };
   /** How long a ticket may wait in the pool. */
   Duration ticketAge_{ std::chrono::seconds{ 20 } };
   std::size_t ticketPool_{ 0 }; ///< Tickets kept ahead for each service.
