--- a/bench/support/requests_cost.hpp
+++ b/bench/support/requests_cost.hpp
@@ -15,8 +15,8 @@
 #include <cornelshore/wire/request_codec.hpp>
 #include <cornelshore/wire/writer.hpp>
 
-#include <bench/support/report.hpp>
-#include <bench/support/requests_world.hpp>
+#include "report.hpp"
+#include "requests_world.hpp"
 
 namespace cornelshore::bench {
 
--- a/bench/support/requests_death.hpp
+++ b/bench/support/requests_death.hpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <set>
 
-#include <bench/support/requests_world.hpp>
+#include "requests_world.hpp"
 
 namespace cornelshore::bench {
 
--- a/bench/support/requests_faults.hpp
+++ b/bench/support/requests_faults.hpp
@@ -8,7 +8,7 @@
 
 #include <cornelshore/core/names.hpp>
 
-#include <bench/support/requests_world.hpp>
+#include "requests_world.hpp"
 
 namespace cornelshore::bench {
 
--- a/bench/support/requests_host.hpp
+++ b/bench/support/requests_host.hpp
@@ -16,7 +16,7 @@
 #include <cornelshore/core/time.hpp>
 #include <cornelshore/request/event.hpp>
 
-#include <bench/support/requests_ports.hpp>
+#include "requests_ports.hpp"
 
 namespace cornelshore::bench {
 
--- a/bench/support/requests_naive.hpp
+++ b/bench/support/requests_naive.hpp
@@ -15,7 +15,7 @@
 
 #include <cornelshore/core/random.hpp>
 
-#include <bench/support/requests_ports.hpp>
+#include "requests_ports.hpp"
 
 namespace cornelshore::bench {
 
--- a/src/cornelshore/request/balancer.cpp
+++ b/src/cornelshore/request/balancer.cpp
@@ -63,13 +63,13 @@
   const Route route{ aCaller, self_ };
   if (auto* request = std::get_if<TicketRequest>(&aMessage)) {
     request->route_ = route;
-    actions.push_back(RelayTicketRequest(aNow, std::move(*request), aHosts));
+    actions.push_back(RelayTicketRequest(aNow, *request, aHosts));
   } else if (auto* submit = std::get_if<Submit>(&aMessage)) {
     submit->route_ = route;
     actions.push_back(Relay(std::move(*submit), aHosts));
   } else if (auto* cancel = std::get_if<Cancel>(&aMessage)) {
     cancel->route_ = route;
-    actions.push_back(Relay(std::move(*cancel), aHosts));
+    actions.push_back(Relay(*cancel, aHosts));
   } else {
     ++dump_.ignored_;
   }
@@ -78,7 +78,7 @@
 
 BalancerAction
 Balancer::RelayTicketRequest(TimePoint aNow,
-                             TicketRequest aRequest,
+                             const TicketRequest& aRequest,
                              std::span<const HostRecord> aHosts)
 {
   ++dump_.ticketRequests_;
@@ -92,7 +92,7 @@
     refusal = Refusal{ Reason::NoHost, Duration{} };
   }
   if (!refusal) {
-    return SendToHost{ home, std::move(aRequest) };
+    return SendToHost{ home, aRequest };
   }
   ++dump_.ticketsRefused_;
   TicketReply reply;
@@ -100,7 +100,7 @@
   reply.reason_ = refusal->reason_;
   reply.retryAfter_ = refusal->retryAfter_;
   reply.route_ = aRequest.route_;
-  return SendToCaller{ aRequest.route_.caller_, std::move(reply) };
+  return SendToCaller{ aRequest.route_.caller_, reply };
 }
 
 template<typename Relayed>
@@ -121,7 +121,7 @@
   outcome.key_ = aMessage.key_;
   outcome.reason_ = Reason::HomeLost;
   outcome.route_ = aMessage.route_;
-  return SendToCaller{ aMessage.route_.caller_, std::move(outcome) };
+  return SendToCaller{ aMessage.route_.caller_, outcome };
 }
 
 std::vector<BalancerAction>
--- a/src/cornelshore/request/balancer.hpp
+++ b/src/cornelshore/request/balancer.hpp
@@ -93,7 +93,7 @@
 
   [[nodiscard]] BalancerAction RelayTicketRequest(
     TimePoint aNow,
-    TicketRequest aRequest,
+    const TicketRequest& aRequest,
     std::span<const HostRecord> aHosts);
   template<typename Relayed>
   [[nodiscard]] BalancerAction Relay(Relayed aMessage,
--- a/src/cornelshore/request/caller.cpp
+++ b/src/cornelshore/request/caller.cpp
@@ -303,7 +303,7 @@
 }
 
 void
-Caller::State::On(TimePoint, AnswerPart aPart, Actions& aActions)
+Caller::State::On(TimePoint aNow, AnswerPart aPart, Actions& aActions)
 {
   auto* entry = Find(aPart.key_);
   if (entry == nullptr) {
@@ -315,6 +315,9 @@
     entry->assembly_.Take(std::move(aPart), settings_.answerLimit_);
   if (effect == PartEffect::Rejected) {
     ++dump_.partsRejected_;
+  } else if (effect == PartEffect::Kept) {
+    entry->backoff_ = settings_.resendAfter_;
+    Schedule(aNow, *entry);
   } else if (effect == PartEffect::Whole) {
     Done done;
     done.verdict_ = Verdict::Answered;
--- a/src/cornelshore/request/caller.hpp
+++ b/src/cornelshore/request/caller.hpp
@@ -29,7 +29,7 @@
   std::uint64_t seed_{};           ///< Of the choice and the jitter.
   /** Wait before the first resend; it doubles up to `resendMost_`. */
   Duration resendAfter_{ std::chrono::milliseconds{ 200 } };
-  Duration resendMost_{ std::chrono::seconds{ 2 } };
+  Duration resendMost_{ std::chrono::seconds{ 1 } };
   /** How long a ticket may wait in the pool. */
   Duration ticketAge_{ std::chrono::seconds{ 20 } };
   std::size_t ticketPool_{ 0 }; ///< Tickets kept ahead for each service.
--- a/src/cornelshore/request/message.hpp
+++ b/src/cornelshore/request/message.hpp
@@ -17,7 +17,7 @@
 namespace cornelshore::request {
 
 /** @brief Most bytes of a body, an answer or one part of it on the wire. */
-inline constexpr std::size_t kMostBytes = 48 * 1024;
+inline constexpr std::size_t kMostBytes = 49'152;
 
 /** @brief Most parts of one answer. */
 inline constexpr std::size_t kMostParts = 1024;
