--- a/src/cornelshore/request/balancer.cpp
+++ b/src/cornelshore/request/balancer.cpp
@@ -1,6 +1,8 @@
 #include <cornelshore/request/balancer.hpp>
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <type_traits>
 #include <utility>
 
@@ -35,22 +37,23 @@
 HostId
 PickHome(RequestId aId,
          ServiceId aService,
-         std::span<const HostRecord> aHosts) noexcept
+         std::span<const HostRecord> aHosts,
+         std::uint32_t aChoice)
 {
   const auto seed = HashPair(aId.high_, aId.low_);
-  HostId best;
-  std::uint64_t bestWeight = 0;
+  std::vector<std::pair<std::uint64_t, HostId>> ranked;
   for (const auto& host : aHosts) {
-    if (host.service_ != aService || host.state_ != HostState::Ready) {
-      continue;
-    }
-    const auto weight = HashPair(seed, host.id_.value_);
-    if (best.value_ == 0 || weight > bestWeight) {
-      best = host.id_;
-      bestWeight = weight;
+    if (host.service_ == aService && host.state_ == HostState::Ready) {
+      ranked.emplace_back(HashPair(seed, host.id_.value_), host.id_);
     }
   }
-  return best;
+  if (ranked.empty()) {
+    return {};
+  }
+  const auto place =
+    ranked.begin() + static_cast<std::ptrdiff_t>(aChoice % ranked.size());
+  std::nth_element(ranked.begin(), place, ranked.end(), std::greater<>());
+  return place->second;
 }
 
 std::vector<BalancerAction>
@@ -63,13 +66,13 @@
   const Route route{ aCaller, self_ };
   if (auto* request = std::get_if<TicketRequest>(&aMessage)) {
     request->route_ = route;
-    actions.push_back(RelayTicketRequest(aNow, std::move(*request), aHosts));
+    actions.push_back(RelayTicketRequest(aNow, *request, aHosts));
   } else if (auto* submit = std::get_if<Submit>(&aMessage)) {
     submit->route_ = route;
     actions.push_back(Relay(std::move(*submit), aHosts));
   } else if (auto* cancel = std::get_if<Cancel>(&aMessage)) {
     cancel->route_ = route;
-    actions.push_back(Relay(std::move(*cancel), aHosts));
+    actions.push_back(Relay(*cancel, aHosts));
   } else {
     ++dump_.ignored_;
   }
@@ -78,7 +81,7 @@
 
 BalancerAction
 Balancer::RelayTicketRequest(TimePoint aNow,
-                             TicketRequest aRequest,
+                             const TicketRequest& aRequest,
                              std::span<const HostRecord> aHosts)
 {
   ++dump_.ticketRequests_;
@@ -86,12 +89,13 @@
   if (admission_) {
     refusal = admission_(aNow, aRequest.work_);
   }
-  const auto home = PickHome(aRequest.id_, aRequest.work_.service_, aHosts);
+  const auto home =
+    PickHome(aRequest.id_, aRequest.work_.service_, aHosts, aRequest.choice_);
   if (!refusal && home.value_ == 0) {
     refusal = Refusal{ Reason::NoHost, Duration{} };
   }
   if (!refusal) {
-    return SendToHost{ home, std::move(aRequest) };
+    return SendToHost{ home, aRequest };
   }
   ++dump_.ticketsRefused_;
   TicketReply reply;
@@ -99,7 +103,7 @@
   reply.reason_ = refusal->reason_;
   reply.retryAfter_ = refusal->retryAfter_;
   reply.route_ = aRequest.route_;
-  return SendToCaller{ aRequest.route_.caller_, std::move(reply) };
+  return SendToCaller{ aRequest.route_.caller_, reply };
 }
 
 template<typename Relayed>
@@ -120,7 +124,7 @@
   outcome.key_ = aMessage.key_;
   outcome.reason_ = Reason::HomeLost;
   outcome.route_ = aMessage.route_;
-  return SendToCaller{ aMessage.route_.caller_, std::move(outcome) };
+  return SendToCaller{ aMessage.route_.caller_, outcome };
 }
 
 std::vector<BalancerAction>
--- a/src/cornelshore/request/caller.hpp
+++ b/src/cornelshore/request/caller.hpp
@@ -28,7 +28,7 @@
   std::uint64_t identity_{};       ///< Identity for fairness.
   std::uint64_t seed_{};           ///< Of the choice and the jitter.
   /** Wait before the first resend; it doubles up to `resendMost_`. */
-  Duration resendAfter_{ std::chrono::milliseconds{ 50 } };
+  Duration resendAfter_{ std::chrono::milliseconds{ 200 } };
   Duration resendMost_{ std::chrono::seconds{ 1 } };
   /** How long a ticket may wait in the pool. */
   Duration ticketAge_{ std::chrono::seconds{ 20 } };
@@ -48,6 +48,8 @@
   std::string body_;
   /** The ticket of an earlier run of this caller, from its `Bound`. */
   std::optional<Ticket> ticket_;
+  /** `mayHaveRun_` of that `Bound`. */
+  bool mayHaveRun_{};
 };
 
 /** @brief Send to a balancer. */
@@ -66,6 +68,7 @@
 struct Bound
 {
   RequestKey key_;
+  bool mayHaveRun_{}; ///< Under an earlier ticket; the class is repeatable.
 };
 
 /** @brief The one outcome of a submission. */
