Let agents that are far behind ask the agents of their service

Cause: after an hour's partition (trial, 40 balancers and 400 agents) every balancer had to send 100 changes to ten agents; its byte budget ran out and 100 agents were behind for over a minute. Change: an agent more than eight versions behind asks another agent of its service each round, and its balancers only now and then.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kWantedPieceBytes = 8400;
 constexpr std::size_t kFewPieces = 4;
 constexpr std::size_t kRecentAnAnswer = 4;
+constexpr std::uint64_t kFarBehind = 8;
+constexpr std::uint64_t kAskBalancerOneIn = 16;
 constexpr std::size_t kSampledPeers = 2;
 constexpr std::uint64_t kSampleOneIn = 8;
 constexpr std::size_t kRumorsAnAnswer = 6;
@@ -49,7 +51,8 @@
   CompareLeaves(aNow, message, packer);
   const bool behind = header.config_ > config_.Version();
   const bool goesOn = aProgress && aEvent.from_ == wantedFrom_;
-  if (behind && (goesOn || aNow - wantedAt_ >= kWantAgainAfter)) {
+  const bool again = aNow - wantedAt_ >= kWantAgainAfter;
+  if (behind && (goesOn || (again && !LeavesToFellows()))) {
     packer.Add(config_.Missing());
     wantedAt_ = aNow;
     wantedFrom_ = aEvent.from_;
@@ -62,6 +65,15 @@
   SendTo(aNow, aEvent.from_, aEvent.address_, std::move(messages), priority);
 }
 
+bool
+Node::State::LeavesToFellows()
+{
+  const auto missed = newestHeard_.value_ - config_.Version().value_;
+  const bool far = config_.Version() != ConfigVersion{} && missed > kFarBehind;
+  return IsAgent() && far &&
+         partners_.Randomness().Below(kAskBalancerOneIn) != 0;
+}
+
 void
 Node::State::AddPieces(TimePoint aNow, const Received& aEvent, Packer& aPacker)
 {
--- /dev/null
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -0,0 +1,141 @@
+#include <cornelshore/dissemination/node_state.hpp>
+
+#include <utility>
+
+namespace cornelshore::dissemination {
+
+namespace {
+
+constexpr std::size_t kUrgentFanout = 5;
+constexpr std::size_t kConfigFanout = 6;
+constexpr std::size_t kMostPushedAgents = 64;
+constexpr std::size_t kMostPushedAgain = 64;
+constexpr Duration kSpreadInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+std::vector<Action>
+Node::State::TakeActions(TimePoint aNow)
+{
+  Release(aNow);
+  Spread(aNow);
+  std::vector<Action> actions;
+  if (InForce() != announcedConfig_) {
+    announcedConfig_ = InForce();
+    actions.emplace_back(
+      ConfigChanged{ announcedConfig_,
+                     config_.Bytes(),
+                     confirmation_.Covers(aNow, announcedConfig_) });
+  }
+  if (!changedHosts_.empty()) {
+    actions.emplace_back(HostsChanged{ std::exchange(changedHosts_, {}) });
+  }
+  if (!changedPeers_.empty()) {
+    actions.emplace_back(PeersChanged{ std::exchange(changedPeers_, {}) });
+  }
+  for (auto& send : sends_) {
+    actions.push_back(std::move(send));
+  }
+  sends_.clear();
+  return actions;
+}
+
+void
+Node::State::Spread(TimePoint aNow)
+{
+  if (config_.Version() != spreadConfig_) {
+    spreadConfig_ = config_.Version();
+    configRound_ = round_;
+    if (!IsAgent() && released_ && spreadConfig_ >= newestHeard_) {
+      SpreadConfig(aNow);
+    }
+  }
+  spreadAt_.reset();
+  if (urgentSubjects_.empty()) {
+    return;
+  }
+  if (aNow - spreadLast_ < kSpreadInterval) {
+    spreadAt_ = spreadLast_ + kSpreadInterval;
+    return;
+  }
+  spreadLast_ = aNow;
+  SpreadRecords(aNow, urgentSubjects_);
+  if (pushedSubjects_.size() < kMostPushedAgain) {
+    pushedSubjects_.insert(
+      pushedSubjects_.end(), urgentSubjects_.begin(), urgentSubjects_.end());
+  }
+  urgentSubjects_.clear();
+}
+
+void
+Node::State::SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects)
+{
+  const auto push = [&](NodeId aTo, const Address& aAddress, auto aWanted) {
+    Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
+    for (const auto subject : aSubjects) {
+      if (aWanted(subject)) {
+        AddSubject(aNow, subject, packer);
+      }
+    }
+    if (!packer.Empty()) {
+      SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
+    }
+  };
+  const auto all = [](NodeId) { return true; };
+  const auto peers = IsAgent() ? partners_.PickForAgent(ledger_)
+                               : partners_.Pick(ledger_, kUrgentFanout);
+  for (const auto peer : peers) {
+    push(peer, *AddressOf(peer), all);
+  }
+  for (const auto& [agent, attached] : partners_.Attached()) {
+    const auto interest = attached.interest_;
+    const auto followed = [this, interest](NodeId aSubject) {
+      const auto* host = ledger_.Hosts().Find(HostId{ aSubject.value_ });
+      return host != nullptr && host->service_ == interest;
+    };
+    push(agent, attached.address_, followed);
+  }
+}
+
+void
+Node::State::SpreadConfig(TimePoint aNow)
+{
+  for (const auto peer : partners_.Pick(ledger_, kConfigFanout)) {
+    PushConfig(aNow, peer, *AddressOf(peer));
+  }
+  PushToLaggards(aNow);
+}
+
+void
+Node::State::PushToLaggards(TimePoint aNow)
+{
+  for (const auto agent :
+       partners_.TakeLaggards(config_.Version(), kMostPushedAgents)) {
+    PushConfig(aNow, agent, partners_.Attached().at(agent).address_);
+  }
+}
+
+void
+Node::State::PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress)
+{
+  Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
+  AddNewestDelta(packer);
+  SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
+}
+
+void
+Node::State::AddNewestDelta(Packer& aPacker) const
+{
+  if (config_.Base() == ConfigVersion{}) {
+    return;
+  }
+  ConfigWant step;
+  step.held_ = config_.Base();
+  auto pieces = config_.PiecesFor(step, kMostMessageBytes);
+  if (pieces.size() == 1 &&
+      pieces.front().size_ == pieces.front().bytes_.size()) {
+    aPacker.Add(std::move(pieces.front()));
+  }
+}
+
+} // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kUrgentFanout = 5;
-constexpr std::size_t kConfigFanout = 6;
-constexpr Duration kSpreadInterval = std::chrono::milliseconds(100);
-constexpr std::size_t kMostPushedAgents = 64;
 constexpr std::uint32_t kFreshCopies = 4;
 constexpr std::uint32_t kMendedCopies = 2;
 constexpr std::size_t kRumorsARound = 12;
@@ -21,7 +17,6 @@
 constexpr std::size_t kJoiningPartners = 3;
 constexpr std::uint64_t kConfigRounds = 5;
 constexpr std::size_t kMostRecent = 16;
-constexpr std::size_t kMostPushedAgain = 64;
 constexpr std::uint64_t kAgentRoundEvery = 2;
 constexpr std::uint64_t kExpireEvery = 10;
 constexpr std::int64_t kAttachedRounds = 20;
@@ -138,6 +133,8 @@
     header.receiver_ = peer->incarnation_;
   } else if (attached != partners_.Attached().end()) {
     header.receiver_ = attached->second.incarnation_;
+  } else if (const auto* host = ledger_.Hosts().Find(HostId{ aTo.value_ })) {
+    header.receiver_ = host->incarnation_;
   }
   return header;
 }
@@ -280,6 +277,9 @@
   if (!IsAgent() && released_) {
     PushToLaggards(aNow);
   }
+  if (IsAgent() && newestHeard_ > config_.Version()) {
+    AskFellow(aNow);
+  }
   const bool alone = IsAgent() ? partners_.PickForAgent(ledger_).empty()
                                : ledger_.LivePeers().size() <= 1;
   if (!alone || seeds_.empty()) {
@@ -317,6 +317,29 @@
   SendTo(aNow, aPeer, *address, std::move(packer).Finish(), Priority::Normal);
 }
 
+void
+Node::State::AskFellow(TimePoint aNow)
+{
+  auto fellows = ledger_.Hosts().OfService(settings_.interest_);
+  std::erase_if(fellows, [this](const HostRecord& aRecord) {
+    return SubjectOf(aRecord.id_) == settings_.self_;
+  });
+  if (fellows.empty()) {
+    return;
+  }
+  const auto pick = partners_.Randomness().Below(fellows.size());
+  const auto fellow = SubjectOf(fellows[pick].id_);
+  Packer packer(HeaderFor(aNow, fellow, MessageKind::Round));
+  packer.Add(config_.Missing());
+  wantedAt_ = aNow;
+  wantedFrom_ = fellow;
+  SendTo(aNow,
+         fellow,
+         fellows[pick].agent_,
+         std::move(packer).Finish(),
+         Priority::Normal);
+}
+
 void
 Node::State::Handle(TimePoint aNow, const Received& aEvent)
 {
@@ -324,7 +347,9 @@
     return;
   }
   const auto& message = aEvent.message_;
-  partners_.Heard(aNow, aEvent.from_, aEvent.address_, message.header_);
+  if (!IsAgent() || message.header_.role_ != NodeRole::Agent) {
+    partners_.Heard(aNow, aEvent.from_, aEvent.address_, message.header_);
+  }
   newestHeard_ = std::max(newestHeard_, message.header_.config_);
   Adopt(aNow, aEvent);
   for (const auto& update : message.hosts_) {
@@ -456,128 +481,4 @@
   }
 }
 
-std::vector<Action>
-Node::State::TakeActions(TimePoint aNow)
-{
-  Release(aNow);
-  Spread(aNow);
-  std::vector<Action> actions;
-  if (InForce() != announcedConfig_) {
-    announcedConfig_ = InForce();
-    actions.emplace_back(
-      ConfigChanged{ announcedConfig_,
-                     config_.Bytes(),
-                     confirmation_.Covers(aNow, announcedConfig_) });
-  }
-  if (!changedHosts_.empty()) {
-    actions.emplace_back(HostsChanged{ std::exchange(changedHosts_, {}) });
-  }
-  if (!changedPeers_.empty()) {
-    actions.emplace_back(PeersChanged{ std::exchange(changedPeers_, {}) });
-  }
-  for (auto& send : sends_) {
-    actions.push_back(std::move(send));
-  }
-  sends_.clear();
-  return actions;
-}
-
-void
-Node::State::Spread(TimePoint aNow)
-{
-  if (config_.Version() != spreadConfig_) {
-    spreadConfig_ = config_.Version();
-    configRound_ = round_;
-    if (!IsAgent() && released_ && spreadConfig_ >= newestHeard_) {
-      SpreadConfig(aNow);
-    }
-  }
-  spreadAt_.reset();
-  if (urgentSubjects_.empty()) {
-    return;
-  }
-  if (aNow - spreadLast_ < kSpreadInterval) {
-    spreadAt_ = spreadLast_ + kSpreadInterval;
-    return;
-  }
-  spreadLast_ = aNow;
-  SpreadRecords(aNow, urgentSubjects_);
-  if (pushedSubjects_.size() < kMostPushedAgain) {
-    pushedSubjects_.insert(
-      pushedSubjects_.end(), urgentSubjects_.begin(), urgentSubjects_.end());
-  }
-  urgentSubjects_.clear();
-}
-
-void
-Node::State::SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects)
-{
-  const auto push = [&](NodeId aTo, const Address& aAddress, auto aWanted) {
-    Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
-    for (const auto subject : aSubjects) {
-      if (aWanted(subject)) {
-        AddSubject(aNow, subject, packer);
-      }
-    }
-    if (!packer.Empty()) {
-      SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
-    }
-  };
-  const auto all = [](NodeId) { return true; };
-  const auto peers = IsAgent() ? partners_.PickForAgent(ledger_)
-                               : partners_.Pick(ledger_, kUrgentFanout);
-  for (const auto peer : peers) {
-    push(peer, *AddressOf(peer), all);
-  }
-  for (const auto& [agent, attached] : partners_.Attached()) {
-    const auto interest = attached.interest_;
-    const auto followed = [this, interest](NodeId aSubject) {
-      const auto* host = ledger_.Hosts().Find(HostId{ aSubject.value_ });
-      return host != nullptr && host->service_ == interest;
-    };
-    push(agent, attached.address_, followed);
-  }
-}
-
-void
-Node::State::SpreadConfig(TimePoint aNow)
-{
-  for (const auto peer : partners_.Pick(ledger_, kConfigFanout)) {
-    PushConfig(aNow, peer, *AddressOf(peer));
-  }
-  PushToLaggards(aNow);
-}
-
-void
-Node::State::PushToLaggards(TimePoint aNow)
-{
-  for (const auto agent :
-       partners_.TakeLaggards(config_.Version(), kMostPushedAgents)) {
-    PushConfig(aNow, agent, partners_.Attached().at(agent).address_);
-  }
-}
-
-void
-Node::State::PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress)
-{
-  Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
-  AddNewestDelta(packer);
-  SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
-}
-
-void
-Node::State::AddNewestDelta(Packer& aPacker) const
-{
-  if (config_.Base() == ConfigVersion{}) {
-    return;
-  }
-  ConfigWant step;
-  step.held_ = config_.Base();
-  auto pieces = config_.PiecesFor(step, kMostMessageBytes);
-  if (pieces.size() == 1 &&
-      pieces.front().size_ == pieces.front().bytes_.size()) {
-    aPacker.Add(std::move(pieces.front()));
-  }
-}
-
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -81,6 +81,8 @@
   void AddNewestDelta(Packer& aPacker) const;
   void Round(TimePoint aNow);
   void RoundWith(TimePoint aNow, NodeId aPeer);
+  void AskFellow(TimePoint aNow);
+  [[nodiscard]] bool LeavesToFellows();
   void Renew(TimePoint aNow);
   void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
   void AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const;
