Ask for the next part of a configuration once a batch is through

Cause: an answer to a request for pieces is several messages, and each of them led to the next request, so that most pieces came twice or more.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -50,12 +50,19 @@
   CompareHashes(aNow, aEvent, packer);
   CompareLeaves(aNow, message, packer);
   const bool behind = header.config_ > config_.Version();
-  const bool goesOn = aProgress && aEvent.from_ == wantedFrom_;
+  if (aEvent.from_ == wantedFrom_) {
+    for (const auto& piece : message.pieces_) {
+      wantedBytes_ += BytesOf(piece);
+    }
+  }
+  const bool goesOn = aProgress && aEvent.from_ == wantedFrom_ &&
+                      wantedBytes_ + kMostMessageBytes > kWantedPieceBytes;
   const bool again = aNow - wantedAt_ >= kWantAgainAfter;
   if (behind && (goesOn || (again && !LeavesToFellows()))) {
     packer.Add(config_.Missing());
     wantedAt_ = aNow;
     wantedFrom_ = aEvent.from_;
+    wantedBytes_ = 0;
   }
   if (!round && packer.Empty()) {
     return;
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -311,6 +311,7 @@
     packer.Add(config_.Missing());
     wantedAt_ = aNow;
     wantedFrom_ = aPeer;
+    wantedBytes_ = 0;
   }
   const auto address = AddressOf(aPeer);
   partners_.Asked(aPeer);
@@ -333,6 +334,7 @@
   packer.Add(config_.Missing());
   wantedAt_ = aNow;
   wantedFrom_ = fellow;
+  wantedBytes_ = 0;
   SendTo(aNow,
          fellow,
          fellows[pick].agent_,
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -110,6 +110,7 @@
   TimePoint renewAt_;
   TimePoint wantedAt_;
   NodeId wantedFrom_;
+  std::size_t wantedBytes_{}; ///< Of pieces that came since it was asked.
   TimePoint spreadLast_;
   std::optional<TimePoint> candidateSince_;
   absl::flat_hash_map<NodeId, ConfigVersion> vouchers_;
