--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -81,6 +81,8 @@
   void AddNewestDelta(Packer& aPacker) const;
   void Round(TimePoint aNow);
   void RoundWith(TimePoint aNow, NodeId aPeer);
+  void AskFellow(TimePoint aNow);
+  [[nodiscard]] bool LeavesToFellows();
   void Renew(TimePoint aNow);
   void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
   void AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const;
@@ -108,6 +110,7 @@
   TimePoint renewAt_;
   TimePoint wantedAt_;
   NodeId wantedFrom_;
+  std::size_t wantedBytes_{}; ///< Of pieces that came since it was asked.
   TimePoint spreadLast_;
   std::optional<TimePoint> candidateSince_;
   absl::flat_hash_map<NodeId, ConfigVersion> vouchers_;
