--- a/src/cornelshore/tool/commands.cpp
+++ b/src/cornelshore/tool/commands.cpp
@@ -64,7 +64,7 @@
     }
     const auto share = left / untried--;
     last = rpc::Call(
-      ToEndpoint(address), aOptions.tls_, aMethod, ToJsonLine(aParams), left);
+      ToEndpoint(address), aOptions.tls_, aMethod, ToJsonLine(aParams), share);
     if (last.code_ == rpc::ErrorCode::None ||
         last.code_ == rpc::ErrorCode::Refused) {
       return last;
