Bound an agent's flows and the loads it remembers

Cause: a host without a connection limit had no bound, and a load was kept for every host that declined. Change: a limit of flows; loads are kept for the other owner of a bucket and dropped when they are old. Conclusion: the agent's tests pass.

--- a/src/cornelshore/flow/agent.cpp
+++ b/src/cornelshore/flow/agent.cpp
@@ -217,6 +217,9 @@
     pointers_.Expire(aNow);
     found_.Expire(aNow);
     refused_.Expire(aNow);
+    absl::erase_if(peerLoads_, [aNow](const auto& aPeer) {
+      return aPeer.second.until_ < aNow;
+    });
     absl::erase_if(claims_, [&](const auto& aClaim) {
       return aClaim.second.since_ + limits_.claimFor_ < aNow;
     });
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -48,6 +48,8 @@
   Duration udpIdle_{ std::chrono::hours(1) };
   /** How long another host's load counts as known. */
   Duration loadFor_{ std::chrono::seconds(1) };
+  /** Flows of a host that names no connection limit, or a higher one. */
+  std::size_t mostFlows_{ 1U << 20U };
   std::size_t mostPointers_{ 65536 };
   std::size_t mostClaims_{ 16384 };
 };
--- a/src/cornelshore/flow/agent_claim.cpp
+++ b/src/cornelshore/flow/agent_claim.cpp
@@ -243,7 +243,9 @@
 Agent::OnDeclined(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
   const auto decliner = std::exchange(aEnvelope.adopter_, {});
-  peerLoads_[decliner] = { aEnvelope.load_, aNow + limits_.loadFor_ };
+  if (decliner == OtherOwner(aEnvelope.bucket_)) {
+    peerLoads_[decliner] = { aEnvelope.load_, aNow + limits_.loadFor_ };
+  }
   const auto* pointer = pointers_.Find(aNow, aEnvelope.key_);
   const bool mine = pointer != nullptr && pointer->host_ == decliner &&
                     pointer->kind_ == PointerKind::Placed;
