Never take a placement back from a host that may still open it

A claimant took a copy that the second owner had passed on before it got the placement for an answer, and both opened the flow; in the other, two pointers and a claim went round until the hop limit. Change: a host that cannot take a placement clears it with whom it had ceded the flow to, on the claimant's behalf, remembers that it declined, and never takes that flow from it later; only that answer lets the claimant open.

--- a/bench/flows.cpp
+++ b/bench/flows.cpp
@@ -187,10 +187,10 @@
     RunSchedules("death", seed + 3, kDeathSchedules, OneDeath);
   ReportTally(report, "death.elsewhere.", deaths);
   ReportDeaths(report, deaths);
-  for (const std::size_t hosts : { 7, 70, 700 }) {
+  for (const std::size_t hosts : { 7U, 70U, 700U }) {
     flows::MeasureControlTraffic(report, hosts);
   }
-  for (const std::size_t hosts : { 7, 15, 70 }) {
+  for (const std::size_t hosts : { 7U, 15U, 70U }) {
     flows::MeasureImbalance(report, hosts);
   }
   flows::MeasureDecision(report);
--- a/bench/support/flows_fleet.hpp
+++ b/bench/support/flows_fleet.hpp
@@ -306,7 +306,7 @@
   }
 
 private:
-  struct Published_
+  struct Announced
   {
     HostRecord record_;
     TimePoint at_;
@@ -418,6 +418,7 @@
       }
     }
     std::vector<HostRecord> records;
+    records.reserve(newest.size());
     for (const auto& [id, index] : newest) {
       records.push_back(log_[index].record_);
     }
@@ -511,7 +512,7 @@
     });
   }
 
-  std::vector<Published_> log_;
+  std::vector<Announced> log_;
 };
 
 } // namespace cornelshore::bench::flows
--- a/bench/support/flows_schedule.hpp
+++ b/bench/support/flows_schedule.hpp
@@ -118,7 +118,7 @@
     flows_.resize(plan_.flows_);
     for (std::size_t index = 0; index < flows_.size(); ++index) {
       auto& flow = flows_[index];
-      const auto service = random_.Below(10) < 7 ? 0 : 1;
+      const std::size_t service = random_.Below(10) < 7 ? 0 : 1;
       const bool tcp = random_.Below(2) == 0;
       flow.service_ = plan_.site_.services_[service].id_;
       flow.key_.caller_ =
--- a/src/cornelshore/flow/agent.cpp
+++ b/src/cornelshore/flow/agent.cpp
@@ -25,6 +25,7 @@
   , held_(aLimits.announceAfter_, aLimits.withdrawAfter_)
   , pointers_(aLimits.mostPointers_)
   , found_(aLimits.mostPointers_)
+  , declined_(aLimits.mostPointers_)
   , refused_(aLimits.mostPointers_)
 {
   self_.state_ = HostState::Starting;
@@ -216,6 +217,7 @@
     sweepDue_ = aNow + kSweepEvery;
     pointers_.Expire(aNow);
     found_.Expire(aNow);
+    declined_.Expire(aNow);
     refused_.Expire(aNow);
     absl::erase_if(peerLoads_, [aNow](const auto& aPeer) {
       return aPeer.second.until_ < aNow;
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -160,6 +160,12 @@
   void OnClaimReturned(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnPlace(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnDeclined(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
+  void ClearPlacement(TimePoint aNow,
+                      Envelope&& aEnvelope,
+                      Pointer aPointer,
+                      Actions& aOut);
+  void OnPlacementCleared(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
+  void SendToAdopter(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnPassedBack(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnAdopt(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnFound(TimePoint aNow, const Envelope& aEnvelope);
@@ -212,6 +218,7 @@
   absl::flat_hash_map<FlowKey, Claim> claims_;
   PointerTable pointers_;
   PointerTable found_;
+  PointerTable declined_; ///< To who placed a flow that was not taken.
   PointerTable refused_;
   absl::flat_hash_map<HostId, PeerLoad> peerLoads_;
   std::uint64_t claimNumber_{};
--- a/src/cornelshore/flow/agent_claim.cpp
+++ b/src/cornelshore/flow/agent_claim.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::uint32_t kOfferMarginPart = 16;
 
+/** Number of a claim that clears a placement; others start from 1. */
+constexpr std::uint64_t kPlacementClaim = 0;
+
 /** Of two that claim one flow at once, the one that both let have it. */
 bool
 Outranks(HostId aOne, HostId aOther)
@@ -47,6 +50,10 @@
   if (pointer != nullptr) {
     others.push_back(pointer->host_);
   }
+  const auto* placer = declined_.Find(aNow, aEnvelope.key_);
+  if (placer != nullptr && !Contains(others, placer->host_)) {
+    others.push_back(placer->host_);
+  }
   std::erase(others, self_.id_);
   pointers_.Erase(aEnvelope.key_);
   found_.Erase(aEnvelope.key_);
@@ -83,8 +90,13 @@
 void
 Agent::OnClaim(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
+  const bool clears = aEnvelope.claim_ == kPlacementClaim;
   if (aEnvelope.claimant_ == self_.id_) {
-    OnClaimReturned(aNow, std::move(aEnvelope), aOut);
+    if (clears) {
+      OnPlacementCleared(aNow, std::move(aEnvelope), aOut);
+    } else {
+      OnClaimReturned(aNow, std::move(aEnvelope), aOut);
+    }
     return;
   }
   if (!KnowsItsPast()) {
@@ -104,7 +116,7 @@
   }
   const auto claimant = aEnvelope.claimant_;
   if (CurrentClaim(aNow, aEnvelope.key_) != nullptr) {
-    if (CanClaim(aNow) && Outranks(self_.id_, claimant)) {
+    if (!clears && CanClaim(aNow) && Outranks(self_.id_, claimant)) {
       for (const auto host : std::exchange(aEnvelope.asked_, {})) {
         static_cast<void>(ListToAsk(aEnvelope, host));
       }
@@ -116,7 +128,7 @@
   }
   Prune(aNow, aEnvelope);
   const bool wide = !view_.Settled(aNow, aEnvelope.bucket_);
-  if (Fresh(aNow) && !AddCandidates(aNow, aEnvelope, wide)) {
+  if (!clears && Fresh(aNow) && !AddCandidates(aNow, aEnvelope, wide)) {
     Count(Outcome::ListFull);
     return;
   }
@@ -154,11 +166,17 @@
   if (aEnvelope.load_ != 0 && other != HostId{}) {
     peerLoads_[other] = { aEnvelope.load_ - 1, aNow + limits_.loadFor_ };
   }
-  const auto adopter = aEnvelope.adopter_;
-  if (adopter == HostId{} || MayBeRecovered(aNow, aEnvelope)) {
+  if (aEnvelope.adopter_ == HostId{} || MayBeRecovered(aNow, aEnvelope)) {
     Decide(aNow, std::move(aEnvelope), aOut);
-    return;
+  } else {
+    SendToAdopter(aNow, std::move(aEnvelope), aOut);
   }
+}
+
+void
+Agent::SendToAdopter(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
+{
+  const auto adopter = aEnvelope.adopter_;
   const Pointer pointer{ adopter, PointerKind::Ceded, aNow + limits_.cedeFor_ };
   if (!pointers_.Put(aEnvelope.key_, pointer)) {
     Count(Outcome::TableFull);
@@ -214,21 +232,20 @@
   const auto claimant = aEnvelope.claimant_;
   const auto* pointer = Follow(aNow, aEnvelope);
   if (pointer != nullptr && pointer->host_ != claimant) {
-    auto longer = *pointer;
-    longer.until_ = aNow + limits_.cedeFor_;
-    static_cast<void>(pointers_.Put(aEnvelope.key_, longer));
-    RestartLookup(aNow, std::move(aEnvelope), aOut);
+    ClearPlacement(aNow, std::move(aEnvelope), *pointer, aOut);
     return;
   }
-  const bool takes = pointer == nullptr && self_.state_ == HostState::Ready &&
-                     !declaredGone_ && !superseded_ && !Full() &&
-                     Load() < aEnvelope.load_;
+  const bool declinedBefore = declined_.Find(aNow, aEnvelope.key_) != nullptr;
+  const bool takes = pointer == nullptr && !declinedBefore &&
+                     self_.state_ == HostState::Ready && !declaredGone_ &&
+                     !superseded_ && !Full() && Load() < aEnvelope.load_;
   if (takes) {
     OpenHere(aNow, std::move(aEnvelope), aOut);
     return;
   }
   const Pointer ceded{ claimant, PointerKind::Ceded, aNow + limits_.cedeFor_ };
-  if (!pointers_.Put(aEnvelope.key_, ceded)) {
+  if (!pointers_.Put(aEnvelope.key_, ceded) ||
+      !declined_.Put(aEnvelope.key_, ceded)) {
     Count(Outcome::TableFull);
     return;
   }
@@ -239,6 +256,47 @@
   Send(claimant, std::move(aEnvelope), aOut);
 }
 
+/** Asks the host that this one ceded the flow to on the placer's behalf. */
+void
+Agent::ClearPlacement(TimePoint aNow,
+                      Envelope&& aEnvelope,
+                      Pointer aPointer,
+                      Actions& aOut)
+{
+  aPointer.until_ = aNow + limits_.cedeFor_;
+  const Pointer placer{ aEnvelope.claimant_,
+                        PointerKind::Ceded,
+                        aPointer.until_ };
+  if (!pointers_.Put(aEnvelope.key_, aPointer) ||
+      !declined_.Put(aEnvelope.key_, placer)) {
+    Count(Outcome::TableFull);
+    return;
+  }
+  claims_.erase(aEnvelope.key_);
+  aEnvelope.phase_ = Phase::Claim;
+  aEnvelope.claim_ = kPlacementClaim;
+  aEnvelope.adopter_ = {};
+  aEnvelope.asked_.assign(1, self_.id_);
+  aEnvelope.toAsk_.clear();
+  Send(aPointer.host_, std::move(aEnvelope), aOut);
+}
+
+void
+Agent::OnPlacementCleared(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
+{
+  const auto* pointer = pointers_.Find(aNow, aEnvelope.key_);
+  const bool mine = pointer != nullptr &&
+                    pointer->kind_ == PointerKind::Placed &&
+                    Contains(aEnvelope.asked_, pointer->host_);
+  if (!mine) {
+    RestartLookup(aNow, std::move(aEnvelope), aOut);
+  } else if (aEnvelope.adopter_ != HostId{}) {
+    SendToAdopter(aNow, std::move(aEnvelope), aOut);
+  } else {
+    OnPassedBack(aNow, std::move(aEnvelope), aOut);
+  }
+}
+
 void
 Agent::OnDeclined(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut)
 {
--- a/src/cornelshore/flow/agent_envelope.cpp
+++ b/src/cornelshore/flow/agent_envelope.cpp
@@ -108,10 +108,6 @@
   const auto* pointer = Follow(aNow, aEnvelope);
   if (pointer != nullptr && pointer->kind_ == PointerKind::Placed &&
       aEnvelope.opening_ != Opening::No) {
-    if (Contains(aEnvelope.asked_, pointer->host_)) {
-      OnPassedBack(aNow, std::move(aEnvelope), aOut);
-      return;
-    }
     aEnvelope.phase_ = Phase::Place;
     aEnvelope.claimant_ = self_.id_;
     aEnvelope.load_ = Load();
--- a/test/cornelshore/routing/table.cpp
+++ b/test/cornelshore/routing/table.cpp
@@ -55,6 +55,7 @@
   }
   std::sort(scored.rbegin(), scored.rend());
   std::vector<HostId> hosts;
+  hosts.reserve(scored.size());
   for (const auto& [score, host] : scored) {
     hosts.push_back(host);
   }
