Measure imbalance while flows end as well as open

Cause: flows only grew, so late and zero load reports could not mislead and the three figures were the same by construction. Change: hosts in turn lose half of their flows each second while 1,000 open.

--- a/bench/support/flows_measures.hpp
+++ b/bench/support/flows_measures.hpp
@@ -4,12 +4,14 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cmath>
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -17,7 +19,6 @@
 #include <cornelshore/core/hash.hpp>
 #include <cornelshore/flow/agent.hpp>
 #include <cornelshore/flow/balancer.hpp>
-#include <cornelshore/wire/flow_codec.hpp>
 #include <cornelshore/wire/writer.hpp>
 
 #include "report.hpp"
@@ -257,54 +258,126 @@
   return static_cast<double>(most * aHosts) / static_cast<double>(sum);
 }
 
+/**
+ * @brief Opens flows, 1,000 a second, while hosts in turn lose half of theirs.
+ *
+ * What a host reported some seconds ago is then now too low, now too high.
+ */
+class Balance
+{
+public:
+  using Place = std::function<HostId(const flow::Packet& aPacket)>;
+
+  Balance(Direct& aFleet, Place aPlace)
+    : fleet_(aFleet)
+    , place_(std::move(aPlace))
+  {
+  }
+
+  /** @brief Mean over the seconds of the last half of largest over mean. */
+  double Run(std::size_t aSeconds, std::optional<Reports> aReports)
+  {
+    double sum = 0;
+    for (std::size_t second = 0; second < aSeconds; ++second) {
+      for (std::size_t flow = 0; flow < kFlowsASecond; ++flow) {
+        Open();
+      }
+      sum += second < aSeconds / 2 ? 0.0 : Largest();
+      CloseHalf(second % fleet_.agents_.size());
+      if (aReports) {
+        Report(*aReports);
+        fleet_.Pass(std::chrono::seconds(1));
+      }
+    }
+    return sum / static_cast<double>(aSeconds - aSeconds / 2);
+  }
+
+private:
+  static constexpr std::size_t kFlowsASecond = 1000;
+  static constexpr std::size_t kReportsKept = 6;
+
+  void Open()
+  {
+    const auto packet = OpeningPacket(++lastFlow_);
+    flows_[place_(packet)].push_back(packet.key_);
+  }
+
+  double Largest() const
+  {
+    std::map<HostId, std::uint64_t> counts;
+    for (const auto& [host, keys] : flows_) {
+      counts[host] = keys.size();
+    }
+    return LargestOverMean(counts, fleet_.agents_.size());
+  }
+
+  void CloseHalf(std::size_t aIndex)
+  {
+    const auto host =
+      std::next(fleet_.agents_.begin(), static_cast<std::ptrdiff_t>(aIndex))
+        ->first;
+    auto& keys = flows_[host];
+    for (std::size_t left = keys.size() / 2; left > 0; --left) {
+      fleet_.Feed(host, flow::UpstreamClosed{ keys.back() });
+      keys.pop_back();
+    }
+  }
+
+  void Report(Reports aReports)
+  {
+    std::map<HostId, std::size_t> now;
+    for (const auto& [host, keys] : flows_) {
+      now[host] = keys.size();
+    }
+    past_.push_back(std::move(now));
+    if (past_.size() > kReportsKept) {
+      past_.pop_front();
+    }
+    const auto& told =
+      aReports == Reports::FiveSecondsLate ? past_.front() : past_.back();
+    for (const auto& [host, count] : told) {
+      const auto load = aReports == Reports::Zero ? 0 : count * 1000 / 3;
+      fleet_.Feed(host, flow::LoadReported{ static_cast<std::uint32_t>(load) });
+    }
+  }
+
+  Direct& fleet_;
+  Place place_;
+  std::uint64_t lastFlow_{};
+  std::map<HostId, std::vector<FlowKey>> flows_;
+  std::deque<std::map<HostId, std::size_t>> past_;
+};
+
 /** @brief Plain hashing: every flow at its bucket's first owner. */
 inline double
-PlainImbalance(Direct& aFleet, std::uint64_t aFlows)
+PlainImbalance(Direct& aFleet, std::size_t aSeconds)
 {
   routing::Table table(1);
   std::vector<routing::Weight> weights;
+  weights.reserve(aFleet.agents_.size());
   for (const auto& [id, agent] : aFleet.agents_) {
     weights.push_back({ id, 3 });
   }
   table.Apply(weights);
-  std::map<HostId, std::uint64_t> flows;
-  for (std::uint64_t flow = 0; flow < aFlows; ++flow) {
-    ++flows[table.First(routing::BucketOf(OpeningPacket(flow).key_))];
-  }
-  return LargestOverMean(flows, weights.size());
+  Balance balance(aFleet, [&](const flow::Packet& aPacket) {
+    return table.First(routing::BucketOf(aPacket.key_));
+  });
+  return balance.Run(aSeconds, std::nullopt);
 }
 
 /** @brief Second choice, with load reports of one kind. */
 inline double
-SecondChoiceImbalance(Direct& aFleet, std::uint64_t aFlows, Reports aReports)
+SecondChoiceImbalance(Direct& aFleet, std::size_t aSeconds, Reports aReports)
 {
-  constexpr std::uint64_t kFlowsASecond = 1000;
-  std::map<HostId, std::uint64_t> flows;
-  std::deque<std::map<HostId, std::uint64_t>> past;
-  for (std::uint64_t flow = 0; flow < aFlows; ++flow) {
-    const auto host = aFleet.Send(OpeningPacket(flow));
-    ++flows[host];
-    if (flow % kFlowsASecond != kFlowsASecond - 1) {
-      continue;
-    }
-    past.push_back(flows);
-    if (past.size() > 6) {
-      past.pop_front();
-    }
-    const auto& told = aReports == Reports::True ? past.back() : past.front();
-    for (const auto& [id, count] : told) {
-      const auto load = aReports == Reports::Zero ? 0 : count * 1000 / 3;
-      aFleet.Feed(id, flow::LoadReported{ static_cast<std::uint32_t>(load) });
-    }
-    aFleet.Pass(std::chrono::seconds(1));
-  }
-  return LargestOverMean(flows, aFleet.agents_.size());
+  Balance balance(
+    aFleet, [&](const flow::Packet& aPacket) { return aFleet.Send(aPacket); });
+  return balance.Run(aSeconds, aReports);
 }
 
 inline void
 MeasureImbalance(Report& aReport, std::size_t aHosts)
 {
-  const auto flows = aHosts * 2000;
+  const auto runFor = aHosts * 4;
   const auto prefix = "imbalance." + std::to_string(aHosts) + "_hosts.";
   const auto fresh = [aHosts] {
     Direct fleet(3);
@@ -313,7 +386,7 @@
     return fleet;
   };
   auto plain = fresh();
-  aReport.Value(prefix + "plain_hashing", PlainImbalance(plain, flows));
+  aReport.Value(prefix + "plain_hashing", PlainImbalance(plain, runFor));
   const std::array<std::pair<Reports, const char*>, 3> kinds{
     { { Reports::True, "second_choice.true_reports" },
       { Reports::FiveSecondsLate, "second_choice.late_5s_reports" },
@@ -321,7 +394,7 @@
   };
   for (const auto& [kind, name] : kinds) {
     auto fleet = fresh();
-    aReport.Value(prefix + name, SecondChoiceImbalance(fleet, flows, kind));
+    aReport.Value(prefix + name, SecondChoiceImbalance(fleet, runFor, kind));
   }
 }
 
