--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -48,6 +48,8 @@
   Duration udpIdle_{ std::chrono::hours(1) };
   /** How long another host's load counts as known. */
   Duration loadFor_{ std::chrono::seconds(1) };
+  /** Flows of a host that names no connection limit, or a higher one. */
+  std::size_t mostFlows_{ 1U << 20U };
   std::size_t mostPointers_{ 65536 };
   std::size_t mostClaims_{ 16384 };
 };
@@ -158,6 +160,12 @@
   void OnClaimReturned(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnPlace(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnDeclined(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
+  void ClearPlacement(TimePoint aNow,
+                      Envelope&& aEnvelope,
+                      Pointer aPointer,
+                      Actions& aOut);
+  void OnPlacementCleared(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
+  void SendToAdopter(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnPassedBack(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnAdopt(TimePoint aNow, Envelope&& aEnvelope, Actions& aOut);
   void OnFound(TimePoint aNow, const Envelope& aEnvelope);
@@ -210,6 +218,7 @@
   absl::flat_hash_map<FlowKey, Claim> claims_;
   PointerTable pointers_;
   PointerTable found_;
+  PointerTable declined_; ///< To who placed a flow that was not taken.
   PointerTable refused_;
   absl::flat_hash_map<HostId, PeerLoad> peerLoads_;
   std::uint64_t claimNumber_{};
