--- a/bench/classes.cpp
+++ b/bench/classes.cpp
@@ -113,6 +113,9 @@
     Demands(scenario, aFlooder, aTimes * aSite.Slots());
     Fleet fleet(scenario);
     auto& after = fleet.Run();
+    if (aPolicy == 0) {
+      EarlyRefusals(aPrefix, after[aFlooder]);
+    }
     for (std::size_t index = 0; index < after.size(); ++index) {
       if (index == aFlooder || aSite.rows_[index].keeps_ == 0) {
         continue;
@@ -132,6 +135,15 @@
     }
   }
 
+  /** Part of the flood's refusals that cost no host anything. */
+  void EarlyRefusals(const std::string& aPrefix, const ClassOutcome& aFlood)
+  {
+    const auto shed = static_cast<double>(aFlood.shed_);
+    const auto part = shed / (shed + static_cast<double>(aFlood.refused_));
+    refusedEarly_ = std::min(refusedEarly_, part);
+    report_.Value(aPrefix + ".refused_at_balancer_part", part);
+  }
+
   /** Others demand more than their floors. */
   void Over(const Site& aSite,
             std::size_t aFlooder,
@@ -394,6 +406,8 @@
     report_.AtLeast(
       "floods.targets.got_over_no_flood_least", least_[0].noFlood_, 0.95);
     report_.Value("floods.targets.flooder_over_most_largest", flooderOverMost_);
+    report_.Value("floods.targets.refused_at_balancer_part_least",
+                  refusedEarly_);
     report_.AtLeast(
       "reports.others_got_over_promised_least", reportsLeast_, 0.99);
     report_.AtMost("full.distance_to_central_largest", distance_, 0.02);
@@ -407,6 +421,7 @@
   double distance_{};
   double utilisation_{ 1.0 };
   double reportsLeast_{ 1.0 };
+  double refusedEarly_{ 1.0 };
 };
 
 } // namespace
--- a/src/cornelshore/admission/shedder.cpp
+++ b/src/cornelshore/admission/shedder.cpp
@@ -17,8 +17,9 @@
 constexpr Duration kPeriod = std::chrono::milliseconds{ 200 };
 constexpr Duration kEvidenceAge = std::chrono::seconds{ 1 };
 constexpr Duration kWitnessAge = std::chrono::seconds{ 5 };
-constexpr double kRefusedGoal = 0.2;
+constexpr double kRefusedGoal = 0.3;
 constexpr double kRateGain = 0.4;
+constexpr double kCallerGain = 0.1;
 constexpr double kLeastRate = 1.0;
 constexpr double kBurst = 1.5;
 constexpr std::uint32_t kHardBurst = 3;
@@ -41,7 +42,7 @@
     }
     left -= counts[index];
   }
-  return static_cast<double>(counts.back()) + left;
+  return counts.back() + left;
 }
 
 } // namespace
@@ -142,8 +143,7 @@
 Shedder::Control(TimePoint aNow, ClassShed& aClass)
 {
   aClass.refused_ = MiddleRefusal(aNow, aClass);
-  const bool overloaded = aClass.refused_ > kRefusedGoal;
-  if (overloaded) {
+  if (aClass.refused_ > kRefusedGoal) {
     const auto taken = aClass.passedRate_ * (1.0 - aClass.refused_);
     aClass.rate_ = std::max(taken / (1.0 - kRefusedGoal), kLeastRate);
     aClass.calmPeriods_ = 0;
@@ -185,27 +185,27 @@
   aClass.seed_ = random_.Next();
   aClass.periods_ = 0;
   aClass.callers_->arrived_.fill(0);
+  aClass.callers_->rate_.fill(aClass.arrivedRate_ / kCallerCounters);
 }
 
 void
 Shedder::ShareAmongCallers(ClassShed& aClass, double aSeconds)
 {
   auto& callers = *aClass.callers_;
-  const auto allowed = aClass.rate_ * aSeconds;
-  const auto level = FairLevel(callers.arrived_, allowed);
-  const auto arrived = std::max(aClass.arrivedRate_ * aSeconds, 1.0);
-  const auto common = static_cast<float>(std::min(1.0, allowed / arrived));
-  const bool fresh = aClass.periods_ == 0;
+  const auto gain = std::max(kCallerGain, 1.0 / (1.0 + aClass.periods_));
   for (std::size_t index = 0; index < kCallerCounters; ++index) {
-    const auto count = callers.arrived_[index];
-    const auto part =
-      static_cast<float>(count == 0 ? 1.0 : std::min(1.0, level / count));
-    callers.pass_[index] = fresh ? common : part;
+    const auto arrived = callers.arrived_[index] / aSeconds;
+    callers.rate_[index] += gain * (arrived - callers.rate_[index]);
+  }
+  const auto level = FairLevel(callers.rate_, aClass.rate_);
+  for (std::size_t index = 0; index < kCallerCounters; ++index) {
+    const auto rate = callers.rate_[index];
+    callers.pass_[index] =
+      rate <= level ? 1.0F : static_cast<float>(level / rate);
   }
   callers.arrived_.fill(0);
   aClass.passBound_ = static_cast<std::uint32_t>(
-                        std::ceil(aClass.rate_ * Seconds(kPeriod) * kBurst)) +
-                      1;
+    std::ceil(aClass.rate_ * Seconds(kPeriod) * kBurst) + 1.0);
   ++aClass.periods_;
   if (aClass.periods_ > kReseedPeriods) {
     Reseed(aClass);
--- a/src/cornelshore/admission/shedder.hpp
+++ b/src/cornelshore/admission/shedder.hpp
@@ -40,7 +40,7 @@
 /**
  * @brief Sheds work at a balancer before it costs a host anything.
  *
- * While the middle host refuses more than a tenth of a class, the class's
+ * While the middle host refuses more than three tenths of a class, the class's
  * rate follows what the hosts take; callers share the rate max-min fairly by
  * hashed counters (after Stoica, Shenker and Zhang 1998). The middle host (a
  * weighted median over at most `kWitnesses` hosts) bounds what one lying host
@@ -85,6 +85,7 @@
   struct CallerCounts
   {
     std::array<std::uint32_t, kCallerCounters> arrived_{};
+    std::array<double, kCallerCounters> rate_{}; ///< Arrivals a second.
     std::array<float, kCallerCounters> pass_{};
   };
 
--- a/src/cornelshore/admission/slot_scheduler.hpp
+++ b/src/cornelshore/admission/slot_scheduler.hpp
@@ -88,7 +88,7 @@
     Incarnation incarnation_;
     std::uint32_t queueBound_{ 32 };
     Duration lendingBound_{ std::chrono::seconds{ 2 } };
-    Duration waitBound_{ std::chrono::seconds{ 10 } };
+    Duration waitBound_{ std::chrono::seconds{ 2 } };
   };
 
   /**
