--- a/src/cornelshore/consensus/entry.cpp
+++ b/src/cornelshore/consensus/entry.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/consensus/entry.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 
@@ -151,10 +152,12 @@
 }
 
 DurableState
-FirstState(const ReplicaId& aId, const std::vector<ReplicaId>& aVoters)
+FirstState(const ReplicaId& aId,
+           const std::vector<ReplicaId>& aVoters,
+           RegisterState aRegister)
 {
   const Position first{ Term{ 1 }, LogIndex{ 1 } };
-  Snapshot snapshot{ first, { first.index_, {} }, {} };
+  Snapshot snapshot{ first, { first.index_, {} }, std::move(aRegister) };
   for (const auto& voter : aVoters) {
     snapshot.membership_.Set(voter, MemberRole::Voter);
   }
--- a/src/cornelshore/consensus/entry.hpp
+++ b/src/cornelshore/consensus/entry.hpp
@@ -99,9 +99,12 @@
  * be taken for one that never voted.
  *
  * @param aVoters All first members, the same list at each of them.
+ * @param aRegister What to begin with, the same at each of them: for a group
+ * that takes the place of one that lost its quorum, so that versions go on.
  */
 [[nodiscard]] DurableState FirstState(const ReplicaId& aId,
-                                      const std::vector<ReplicaId>& aVoters);
+                                      const std::vector<ReplicaId>& aVoters,
+                                      RegisterState aRegister = {});
 
 /** @brief State of a replica on an empty disk, which asks to join. */
 [[nodiscard]] DurableState JoiningState(const ReplicaId& aId);
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -249,7 +249,9 @@
 void
 Replica::On(const Message&, const Refusal& aBody)
 {
-  Fail(aBody.fault_ == Fault::RolledBack ? Fault::RolledBack : Fault::Removed);
+  if (aBody.fault_ == Fault::RolledBack || wasMember_) {
+    Fail(aBody.fault_);
+  }
 }
 
 void
