Push on at once only what was pushed

Cause: after a reunion records that rode on rounds were pushed to all again, 30 to 40 messages a second and node. Change: only records from a push, or from the host itself, are pushed on at once; others spread by rounds.

--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -355,12 +355,12 @@
   newestHeard_ = std::max(newestHeard_, message.header_.config_);
   Adopt(aNow, aEvent);
   for (const auto& update : message.hosts_) {
-    const bool mended = message.header_.kind_ == MessageKind::Answer &&
+    const bool mended = message.header_.kind_ != MessageKind::Push &&
                         SubjectOf(update.record_.id_) != aEvent.from_;
     TakeHost(aNow, update, mended);
   }
   for (const auto& update : message.peers_) {
-    TakePeer(aNow, update, message.header_.kind_ == MessageKind::Answer);
+    TakePeer(aNow, update, message.header_.kind_ != MessageKind::Push);
   }
   const auto before = config_.Missing();
   for (const auto& piece : message.pieces_) {
