Request: never say not run for an id that an earlier ticket may have run

Cause: a repeatable id that was lost under one ticket and refused under a newer one was held like any refusal, for the window only. A late copy of the older submission then found nothing and was told 'not run', though it may have run. Also, ids cancelled under ever newer tickets grew the queue of expiries beyond the table's bound, and two tickets of one microsecond could not be told apart.

Change: the record remembers that the id may have run, tells 'unknown' and is held for the whole retention; the expiries count towards the bound; the stamps of one home strictly grow.

--- a/src/cornelshore/request/expiry.hpp
+++ b/src/cornelshore/request/expiry.hpp
@@ -1,6 +1,7 @@
 #ifndef CORNELSHORE_REQUEST_EXPIRY_HPP
 #define CORNELSHORE_REQUEST_EXPIRY_HPP
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -34,6 +35,8 @@
     return front;
   }
 
+  [[nodiscard]] std::size_t Size() const noexcept { return queue_.size(); }
+
   [[nodiscard]] std::optional<TimePoint> Next() const
   {
     if (queue_.empty()) {
--- a/src/cornelshore/request/home.cpp
+++ b/src/cornelshore/request/home.cpp
@@ -67,10 +67,10 @@
     reply.ticket_ = found->second.ticket_;
   } else if (leaving_ || aRequest.work_.service_ != aStep.settings_.service_) {
     reply.reason_ = leaving_ ? Reason::Leaving : Reason::NoHost;
-  } else if (records_.size() >= aStep.settings_.idLimit_) {
+  } else if (IsFull(aStep)) {
     reply.reason_ = Reason::TableFull;
   } else {
-    lastStamp_ = StampOf(aStep.now_);
+    lastStamp_ = std::max(StampOf(aStep.now_), Stamp{ lastStamp_.value_ + 1 });
     reply.ticket_.home_ = { aStep.settings_.self_,
                             aStep.settings_.incarnation_,
                             lastStamp_ };
@@ -91,7 +91,7 @@
   Told told;
   switch (aStep.Judge(fence_, stamp)) {
     case Standing::Open:
-      if (records_.size() < aStep.settings_.idLimit_) {
+      if (!IsFull(aStep)) {
         return true;
       }
       fence_.Raise(stamp, Reason::TableFull);
@@ -112,11 +112,23 @@
   return false;
 }
 
+bool
+Home::IsFull(const Step& aStep) const
+{
+  const auto limit = aStep.settings_.idLimit_;
+  return records_.size() >= limit ||
+         held_.Size() + tombstones_.Size() >= 2 * limit;
+}
+
 Home::Record&
 Home::Add(const RequestKey& aKey)
 {
   auto& record = records_[aKey.id_];
+  const bool ranBefore =
+    record.ranBefore_ ||
+    (!record.open_ && record.told_.verdict_ != Verdict::NotRun);
   record = Record{};
+  record.ranBefore_ = ranBefore;
   record.ticket_ = aKey.ticket_;
   return record;
 }
@@ -188,13 +200,14 @@
     aStep.now_ + std::min(aSubmit.timeLeft_, aStep.settings_.retention_);
   progress.executor_.host_ = aStep.settings_.self_;
   progress.tried_.push_back(aStep.settings_.self_);
+  progress.mayHaveRun_ = record.ranBefore_;
   if (!objection) {
     progress.body_ = std::move(aSubmit.body_);
     bodyBytes_ += progress.body_.size();
   }
   auto& placed = open_.insert_or_assign(id, std::move(progress)).first->second;
   if (objection) {
-    Close(aStep, id, { Verdict::NotRun, *objection, {}, 0 }, {});
+    CloseIdle(aStep, aExecutor, id, *objection);
     return;
   }
   budget_.First();
@@ -215,9 +228,11 @@
   const bool same = held && found->second.ticket_ == aCancel.key_.ticket_;
   if (!held || (!same && IsReplaceable(found->second))) {
     if (Admits(aStep, aCancel.key_, aCancel.route_)) {
-      Add(aCancel.key_);
-      open_[id].route_ = aCancel.route_;
-      Close(aStep, id, { Verdict::NotRun, Reason::Cancelled, {}, 0 }, {});
+      const auto& record = Add(aCancel.key_);
+      auto& progress = open_[id];
+      progress.route_ = aCancel.route_;
+      progress.mayHaveRun_ = record.ranBefore_;
+      CloseIdle(aStep, aExecutor, id, Reason::Cancelled);
     }
     return;
   }
--- a/src/cornelshore/request/home.hpp
+++ b/src/cornelshore/request/home.hpp
@@ -78,6 +78,7 @@
     std::uint64_t print_{}; ///< Hash of work and body; 0 for a tombstone.
     bool open_{ true };
     bool repeatable_{};
+    bool ranBefore_{}; ///< It may have run under an earlier ticket.
     Told told_;
     std::string answer_;
     TimePoint expiresAt_;
@@ -117,6 +118,7 @@
   [[nodiscard]] bool Admits(Step& aStep,
                             const RequestKey& aKey,
                             const Route& aRoute);
+  [[nodiscard]] bool IsFull(const Step& aStep) const;
   Record& Add(const RequestKey& aKey);
   void Accept(Step& aStep, Executor& aExecutor, Submit aSubmit);
   [[nodiscard]] std::optional<Reason> Objection(const Step& aStep,
--- a/src/cornelshore/request/home_close.cpp
+++ b/src/cornelshore/request/home_close.cpp
@@ -57,7 +57,8 @@
     aRecord.told_ = { Verdict::Unknown, Reason::TableFull, {}, 0 };
   }
   answerBytes_ += aRecord.answer_.size();
-  const bool tombstone = aRecord.told_.verdict_ == Verdict::NotRun;
+  const bool tombstone =
+    aRecord.told_.verdict_ == Verdict::NotRun && !aRecord.ranBefore_;
   aRecord.expiresAt_ =
     aStep.now_ + (tombstone ? settings.window_ : settings.retention_);
   (tombstone ? tombstones_ : held_).Push(aRecord.expiresAt_, aId);
--- a/test/cornelshore/request/ledger.cpp
+++ b/test/cornelshore/request/ledger.cpp
@@ -279,6 +279,26 @@
   EXPECT_EQ(future->reason_, Reason::InvalidTicket);
 }
 
+TEST(Ledger, TellsUnknownUnderANewTicketOnceAnOldOneMayHaveRun)
+{
+  Driver driver;
+  driver.agent_ = *AgentBuilder()
+                     .With(Settings())
+                     .WithRepeatable([](ClassId) { return true; })
+                     .Build();
+  driver.On(kStart, SubmitOf(1, kStart), 1);
+  driver.On(kStart, RunStarted{ driver.offered_[1] }, 1);
+  const auto lost = driver.On(kStart, UpstreamLost{ driver.offered_[1] }, 1);
+  EXPECT_EQ(lost->verdict_, Verdict::Unknown);
+  const auto later = kStart + 1s;
+  EXPECT_FALSE(driver.On(later, SubmitOf(1, later), 1));
+  EXPECT_FALSE(driver.On(later, SubmitOf(1, kStart), 1));
+  const auto stopped = driver.On(later, CancelOf(1, later), 1);
+  EXPECT_EQ(stopped->verdict_, Verdict::Unknown);
+  const auto expired = later + Settings().window_;
+  EXPECT_FALSE(driver.On(expired, SubmitOf(1, kStart), 1));
+}
+
 TEST(Schedules, KeepEveryPromiseUnderTwoFaults)
 {
   bench::Findings sum;
