--- a/bench/support/requests_world.hpp
+++ b/bench/support/requests_world.hpp
@@ -573,7 +573,9 @@
   }
 
   /** Runs the action unless the agent died in between. */
-  void Later(std::size_t aHost, Duration aDelay, std::function<void()> aAction)
+  void Later(std::size_t aHost,
+             Duration aDelay,
+             const std::function<void()>& aAction)
   {
     const auto life = hosts_[aHost].life_;
     After(aDelay, [this, aHost, life, aAction] {
--- a/src/cornelshore/request/executor.hpp
+++ b/src/cornelshore/request/executor.hpp
@@ -26,6 +26,7 @@
   RequestKey key_;
   std::uint32_t attempt_{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14
   constexpr auto operator<=>(const AttemptKey&) const noexcept = default;
 
   template<typename Hash>
--- a/src/cornelshore/request/home.cpp
+++ b/src/cornelshore/request/home.cpp
@@ -81,7 +81,7 @@
   }
   ++(reply.reason_ == Reason::None ? counts_.ticketsGiven_
                                    : counts_.ticketsRefused_);
-  aStep.ToCaller(std::move(reply));
+  aStep.ToCaller(reply);
 }
 
 bool
--- a/src/cornelshore/request/ticket.hpp
+++ b/src/cornelshore/request/ticket.hpp
@@ -34,6 +34,7 @@
   Incarnation incarnation_; ///< Only this run of the agent has a say.
   Stamp stamp_;             ///< That agent's clock, no later than the issue.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14
   constexpr auto operator<=>(const Authority&) const noexcept = default;
 
   template<typename Hash>
@@ -58,6 +59,7 @@
   Authority home_;
   Authority backup_;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14
   constexpr auto operator<=>(const Ticket&) const noexcept = default;
 
   template<typename Hash>
@@ -73,6 +75,7 @@
   RequestId id_;
   Ticket ticket_;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm of clang-tidy 14
   constexpr auto operator<=>(const RequestKey&) const noexcept = default;
 
   template<typename Hash>
