Let processes begin with balancers as seeds, and keep the bad input test whole

Cause: a balancer that restarted while all of control was lost had no seed left and never learnt of the hosts (system test of control, last stage). The bad input test ended by SIGPIPE when a port closed the connection.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -74,7 +74,7 @@
 data_centre = "$3"
 [node]
 address = "$(at "$4")"
-seeds = ["$(at 10)", "$(at 20)", "$(at 30)"]
+seeds = ["$(at 10)", "$(at 20)", "$(at 30)", "$(at 110)", "$(at 120)", "$(at 130)"]
 key_file = "$work/cluster.key"
 [operator]
 address = "$(at $(($4 + 1)))"
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -93,7 +93,7 @@
   std::string name_;
   std::string dataCentre_;
   Address node_;               ///< Datagrams between processes.
-  std::vector<Address> seeds_; ///< Control VMs to announce to.
+  std::vector<Address> seeds_; ///< Control VMs and balancers to begin with.
   std::string keyFile_;
   Address operator_; ///< JSON-RPC for operators.
   Tls tls_;
--- a/test/system/bad_input.sh
+++ b/test/system/bad_input.sh
@@ -6,6 +6,7 @@
 BASE_PORT=${BASE_PORT:-24000}
 source scripts/lib/cluster.sh
 
+trap '' PIPE
 udp_offsets="10 20 30 110 120 130 115 125 135 116 126 136 117 127 137 210 220 230 240"
 tcp_offsets="10 20 30 11 21 31 111 121 131 211 221 231 241"
 processes="control-1 control-2 control-3 balancer-1 balancer-2 balancer-3 agent-1 agent-2 agent-3 agent-4"
