--- a/bench/support/control_dissemination.hpp
+++ b/bench/support/control_dissemination.hpp
@@ -524,7 +524,11 @@
   constexpr std::size_t kHosts = 19'000;
   constexpr std::size_t kPeers = 1'907;
   constexpr std::size_t kMessageItems = 16;
-  const auto heapBefore = mallinfo2().uordblks;
+  const auto heap = [] {
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  const auto heapBefore = heap();
   dissemination::NodeSettings settings;
   settings.self_ = NodeId{ 1 };
   settings.incarnation_ = Incarnation{ 1 };
@@ -575,8 +579,7 @@
     static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
   aReport.Value("replica.records", static_cast<double>(kHosts + kPeers));
   aReport.Value("replica.encoded_bytes", static_cast<double>(bytes));
-  aReport.Value("replica.heap_bytes",
-                static_cast<double>(mallinfo2().uordblks - heapBefore));
+  aReport.Value("replica.heap_bytes", static_cast<double>(heap() - heapBefore));
   aReport.Value("replica.merge_microseconds",
                 seconds * 1e6 / static_cast<double>(kHosts + kPeers));
 }
