Survive a request that contradicts its header

Cause: a message whose header names an older configuration than held here, but whose request names a newer one, made the node read the first of no pieces and crash; any process with the key could send it. Change: no pieces, no answer. The test sends 2,000 messages that contradict themselves; it crashes the code before and passes now.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -94,6 +94,9 @@
   want.held_ = header.config_;
   auto pieces =
     config_.PiecesFor(message.want_.value_or(want), kWantedPieceBytes);
+  if (pieces.empty()) {
+    return;
+  }
   const bool isLong = pieces.size() > kFewPieces ||
                       pieces.front().size_ > pieces.front().bytes_.size();
   const bool agent = header.role_ == NodeRole::Agent;
@@ -101,7 +104,7 @@
       (!message.want_ || !transfers_.Admit(aNow, aEvent.from_, agent))) {
     return;
   }
-  if (!pieces.empty() && pieces.back().version_ == config_.Version()) {
+  if (pieces.back().version_ == config_.Version()) {
     const auto& last = pieces.back();
     if (last.offset_ + last.bytes_.size() >= last.size_) {
       transfers_.Release(aEvent.from_);
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -310,6 +310,44 @@
   }
 }
 
+TEST(Node, SurvivesMessagesThatContradictThemselves)
+{
+  Fleet fleet(8);
+  Fill(fleet, 2, 1, 1);
+  fleet.Feed(0, ConfigAccepted{ { 5 }, std::string(5000, 'a') });
+  Random random(1);
+  for (int step = 0; step < 2000; ++step) {
+    Message message;
+    auto& header = message.header_;
+    header.kind_ = static_cast<MessageKind>(random.Below(3));
+    header.role_ = static_cast<NodeRole>(random.Below(3));
+    header.scope_ = ServiceId{ static_cast<std::uint32_t>(random.Below(9)) };
+    header.compare_ = random.Below(2) == 0;
+    header.config_ = ConfigVersion{ random.Below(8) };
+    message.want_ =
+      ConfigWant{ { random.Below(8) },
+                  { random.Below(8) },
+                  { random.Below(8) },
+                  static_cast<std::uint32_t>(random.Below(9000)) };
+    message.pieces_.push_back(
+      { { random.Below(8) },
+        { random.Below(8) },
+        static_cast<std::uint32_t>(random.Below(3000)),
+        random.Next(),
+        static_cast<std::uint32_t>(kPieceBytes * random.Below(4)),
+        std::string(random.Below(kPieceBytes + 1), 'p') });
+    message.hashes_.push_back(
+      { 2, static_cast<std::uint16_t>(random.Below(256)), { 7 } });
+    message.leaves_.push_back({ static_cast<std::uint16_t>(random.Below(4096)),
+                                { { NodeId{ random.Below(9) }, {} } } });
+    message.wants_.push_back(NodeId{ random.Below(9) });
+    fleet.Feed(
+      step % 4,
+      Received{ NodeId{ 90 + random.Below(9) }, Fleet::AddressAt(0), message });
+  }
+  EXPECT_EQ(fleet.At(0).Config().value_, 5U);
+}
+
 TEST(Node, RefusesSettingsThatMeanNothing)
 {
   NodeSettings settings;
