Count closed flows, name the remedy of a fault, and let operators change the control group

Change: the flow agent tells of each admitted flow that ended; faults are logged with their remedy; cornelshorectl group add, remove and trust-disk; an agent keeps at most 64 peers.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -82,6 +82,7 @@
         const std::function<double(std::size_t)>& aCost)
 {
   std::vector<Sample> samples;
+  samples.reserve(aSizes.size());
   for (const auto size : aSizes) {
     samples.push_back({ static_cast<double>(size), aCost(size) });
   }
--- a/bench/forwarding.cpp
+++ b/bench/forwarding.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <functional>
 #include <string>
 #include <thread>
@@ -11,7 +12,6 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <boost/asio/executor_work_guard.hpp>
--- a/src/cornelshore/daemon/agent_process.cpp
+++ b/src/cornelshore/daemon/agent_process.cpp
@@ -71,7 +71,7 @@
 
   absl::Status Start()
   {
-    const auto status = flows_.Open();
+    auto status = flows_.Open();
     if (!status.ok()) {
       return status;
     }
--- a/src/cornelshore/daemon/balancer_process.cpp
+++ b/src/cornelshore/daemon/balancer_process.cpp
@@ -44,7 +44,7 @@
   {
     const auto& settings = runtime_.Settings().balancer_;
     for (const auto& listener : settings.listeners_) {
-      const auto status = OpenListener(listener);
+      auto status = OpenListener(listener);
       if (!status.ok()) {
         return status;
       }
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -341,6 +341,13 @@
       [&](const Json::Value& aParams) {
         return Apply(aDecider, aCalls, aParams);
       } },
+    { "trust_disk",
+      [&](const Json::Value&) {
+        return AskDecider(aDecider, [&aDecider](auto aNow, auto& aRole) {
+          aDecider.Feed(role::TrustRequested{});
+          return aRole.State(aNow);
+        });
+      } },
     { "add_replica",
       [&](const Json::Value& aParams) {
         return ChangeGroup(
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::size_t kMostKeyFileBytes = 64 * 1024;
+constexpr std::size_t kMostPeersOfAgent = 64;
 
 absl::StatusOr<std::string>
 ReadKeyFile(const std::string& aFile)
@@ -115,7 +116,7 @@
   if (settings_.role_ == settings::Role::Control) {
     streams_ = std::make_unique<net::PeerStreams>(
       context_, [this](std::string_view aFrame) { Receive({}, aFrame); });
-    const auto status = streams_->Listen(settings_.node_);
+    auto status = streams_->Listen(settings_.node_);
     if (!status.ok()) {
       return status;
     }
@@ -223,6 +224,9 @@
   node.incarnation_ = incarnation_;
   node.dataCentre_ = DataCentreIdOf(settings_.dataCentre_);
   node.address_ = settings_.node_;
+  if (settings_.role_ == settings::Role::Agent) {
+    node.mostPeers_ = kMostPeersOfAgent;
+  }
   node.seed_ = (std::uint64_t{ device() } << 32U) | device();
   return node;
 }
--- a/src/cornelshore/flow/agent.cpp
+++ b/src/cornelshore/flow/agent.cpp
@@ -316,6 +316,9 @@
     return;
   }
   held_.Closed(aNow, found->second.bucket_);
+  if (closing_ && !found->second.adopted_) {
+    closing_(aNow, { found->second.class_, aKey });
+  }
   flows_.erase(found);
 }
 
@@ -422,6 +425,13 @@
   return *this;
 }
 
+AgentBuilder&
+AgentBuilder::SetClosing(Closing aClosing)
+{
+  closing_ = std::move(aClosing);
+  return *this;
+}
+
 absl::StatusOr<Agent>
 AgentBuilder::Build() const
 {
@@ -440,7 +450,9 @@
   if (limits_.linger_ < limits_.freshFor_) {
     return absl::InvalidArgumentError("linger is below fresh_for");
   }
-  return Agent(self_, limits_, admission_);
+  Agent agent(self_, limits_, admission_);
+  agent.closing_ = closing_;
+  return agent;
 }
 
 } // namespace cornelshore::flow
--- a/src/cornelshore/flow/agent.hpp
+++ b/src/cornelshore/flow/agent.hpp
@@ -64,6 +64,9 @@
 /** @brief Decides whether a new flow may open at this host. */
 using Admission = std::function<bool(TimePoint aNow, const NewFlow& aFlow)>;
 
+/** @brief Told of the end of each flow that the admission let open. */
+using Closing = std::function<void(TimePoint aNow, const NewFlow& aFlow)>;
+
 /**
  * @brief Owner of the flows of one upstream host.
  *
@@ -212,6 +215,7 @@
   HostRecord self_;
   Limits limits_;
   Admission admission_;
+  Closing closing_;
   routing::View view_;
   HeldBuckets held_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
@@ -251,6 +255,8 @@
   AgentBuilder& SetLimits(const Limits& aLimits);
   /** @brief Sets the admission hook; without one every flow is admitted. */
   AgentBuilder& SetAdmission(Admission aAdmission);
+  /** @brief Sets what is told of flows that ended; may be left out. */
+  AgentBuilder& SetClosing(Closing aClosing);
 
   /**
    * @return The agent, or `InvalidArgument` for a zero id, zero slots, or
@@ -262,6 +268,7 @@
   HostRecord self_;
   Limits limits_;
   Admission admission_;
+  Closing closing_;
 };
 
 } // namespace cornelshore::flow
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -18,6 +18,19 @@
 /** How often control says that it stands behind the configuration. */
 constexpr Duration kConfirmEvery = std::chrono::seconds{ 1 };
 
+/** What an operator does about a replica that takes no further part. */
+std::string
+RemedyOf(consensus::Fault aFault)
+{
+  if (aFault == consensus::Fault::RolledBack) {
+    return "stop the process, empty its data folder, set bootstrap = false, "
+           "start it again";
+  }
+  return aFault == consensus::Fault::Removed
+           ? "stop the process; the group goes on without it"
+           : "mend the disk, then start the process again";
+}
+
 } // namespace
 
 struct Control::Parts
@@ -106,11 +119,12 @@
 
   void Carry(TimePoint, consensus::Faulted& aAction, Actions& aOut)
   {
-    aOut.emplace_back(Log{
-      Weight::Error,
-      "replica_faulted",
-      { { "fault",
-          std::string(NameIn(consensus::kFaultNames, aAction.fault_)) } } });
+    aOut.emplace_back(
+      Log{ Weight::Error,
+           "replica_faulted",
+           { { "fault",
+               std::string(NameIn(consensus::kFaultNames, aAction.fault_)) },
+             { "remedy", RemedyOf(aAction.fault_) } } });
   }
 
   void Spread(TimePoint aNow, Actions& aOut)
@@ -178,6 +192,11 @@
                 aOut);
   }
 
+  void Handle(TimePoint aNow, TrustRequested&, Actions& aOut)
+  {
+    FeedReplica(aNow, consensus::TrustDisk{}, aOut);
+  }
+
   void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
   {
     FeedNode(aNow, dissemination::SelfAnnounced{ self_, true }, aOut);
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -44,6 +44,10 @@
   consensus::ReplicaId replica_;
 };
 
+/** @brief An operator vouches that the disk is the latest; see `TrustDisk`. */
+struct TrustRequested
+{};
+
 /** @brief What happens to a control process. */
 using ControlEvent = std::variant<NodeMessage,
                                   consensus::Synced,
@@ -51,6 +55,7 @@
                                   ApplyRequested,
                                   ShowRequested,
                                   GroupRequested,
+                                  TrustRequested,
                                   StopRequested,
                                   Tick>;
 
--- a/src/cornelshore/tool/commands.cpp
+++ b/src/cornelshore/tool/commands.cpp
@@ -289,6 +289,28 @@
   return AskOperand(aOptions, "drain");
 }
 
+/** Adds or removes a replica of the control group, or trusts a disk. */
+ExitCode
+RunGroup(const Options& aOptions)
+{
+  const auto& words = aOptions.words_;
+  if (words.size() == 3 && words[1] == "trust-disk") {
+    auto options = aOptions;
+    options.words_ = { words[0], words[2] };
+    return AskOperand(options, "trust_disk");
+  }
+  const bool adds = words.size() == 4 && words[1] == "add";
+  const bool removes = words.size() == 4 && words[1] == "remove";
+  if (!adds && !removes) {
+    return UsageError(aOptions, "group takes add, remove or trust-disk");
+  }
+  Json::Value params;
+  params["node"] = words[2];
+  params["disk"] = words[3];
+  return Ask(
+    aOptions, adds ? "add_replica" : "remove_replica", params, ToOutline);
+}
+
 ExitCode
 RunCheck(const Options& aOptions)
 {
@@ -316,6 +338,7 @@
     { "apply", RunApply }, { "show", RunShow },   { "history", RunHistory },
     { "hosts", RunHosts }, { "flows", RunFlows }, { "state", RunState },
     { "drain", RunDrain }, { "send", RunSend },   { "check", RunCheck },
+    { "group", RunGroup },
   };
   if (aOptions.words_.empty()) {
     return Fail(ExitCode::Usage, HelpOf(""));
--- a/src/cornelshore/tool/options.cpp
+++ b/src/cornelshore/tool/options.cpp
@@ -22,7 +22,7 @@
   std::string_view text_;
 };
 
-constexpr std::array<CommandHelp, 9> kCommands{ {
+constexpr std::array<CommandHelp, 10> kCommands{ {
   { "apply",
     "apply FILE --to CONTROL[,CONTROL...] [--version N] [--change-id ID]\n"
     "  Proposes the targets in FILE (TOML). --version is the version the "
@@ -54,6 +54,14 @@
     "send --to REQUEST_ADDRESS[,...] --service S --class C --body TEXT\n"
     "     [--count N] [--deadline-ms N]\n"
     "  Sends requests as a caller does and prints each outcome.\n" },
+  { "group",
+    "group add NODE DISK --to CONTROL[,CONTROL...]\n"
+    "group remove NODE DISK --to CONTROL[,CONTROL...]\n"
+    "group trust-disk ADDRESS\n"
+    "  Changes the control group; `state` shows the ids of NODE and DISK.\n"
+    "  trust-disk vouches that the disk of the process at ADDRESS is its "
+    "latest,\n"
+    "  for a group in which too few others are left to tell.\n" },
   { "check",
     "check FILE...\n"
     "  Checks files of targets and says what is wrong with them.\n" },
@@ -61,7 +69,8 @@
 
 constexpr std::string_view kGeneralHelp =
   "usage: cornelshorectl COMMAND [options]\n\n"
-  "commands: apply, show, history, hosts, flows, state, drain, send, check\n"
+  "commands: apply, show, history, hosts, flows, state, drain, send, group,\n"
+  "  check\n"
   "options for all: --to ADDRESS[,ADDRESS...] (or CORNELSHORE_TO), --json,\n"
   "  --timeout-ms N, --certificate F --private-key F --authority F (TLS)\n"
   "exit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 not run, 5 "
