--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -109,6 +109,7 @@
   aReport.AtMost("balancer.memory_bytes", memory, kMostMemoryBytes);
 
   const auto balancer = FleetBalancer(kAddresses, 19'000);
+  const auto services = FleetServices(kAddresses);
   std::uint64_t flow = 0;
   const auto growth = PrintLine(
     aReport,
@@ -118,7 +119,7 @@
               const auto before = AllocatedBytes();
               for (std::size_t count = 0; count < aFlows; ++count) {
                 static_cast<void>(balancer->On(
-                  kFleetStart, FleetPacket(++flow, kAddresses, "packet")));
+                  kFleetStart, FleetPacket(++flow, services, "packet")));
               }
               return static_cast<double>(AllocatedBytes()) -
                      static_cast<double>(before);
--- a/bench/forwarding.cpp
+++ b/bench/forwarding.cpp
@@ -153,7 +153,7 @@
 {
 public:
   Pipeline(std::size_t aAddresses, std::size_t aHosts)
-    : addresses_(aAddresses)
+    : services_(FleetServices(aAddresses))
     , balancer_(FleetBalancer(aAddresses, aHosts))
     , sealer_(Keys(), NodeId{ 1 }, Incarnation{ 1 })
     , sink_(*net::UdpSocket::Open(context_, kLoopback))
@@ -169,7 +169,7 @@
   {
     std::array<double, 3> seconds{};
     in_->StartReceiving([this](const Address&, std::string_view aBytes) {
-      packets_.Push(FleetPacket(received_++, addresses_, std::string(aBytes)));
+      packets_.Push(FleetPacket(received_++, services_, std::string(aBytes)));
     });
     std::thread receive([&] {
       const auto guard = boost::asio::make_work_guard(context_);
@@ -235,7 +235,7 @@
     }
   }
 
-  std::size_t addresses_;
+  std::vector<ServiceId> services_;
   std::unique_ptr<role::Balancer> balancer_;
   wire::Sealer sealer_;
   boost::asio::io_context context_;
@@ -272,10 +272,12 @@
   const auto hosts =
     std::max<std::size_t>(2, aAddresses * kTargetHosts / kTargetAddresses);
   const auto balancer = FleetBalancer(aAddresses, hosts);
+  const auto services = FleetServices(aAddresses);
   std::vector<flow::Packet> packets;
+  packets.reserve(kPrepared);
   for (std::size_t index = 0; index < kPrepared; ++index) {
     packets.push_back(
-      FleetPacket(index * 7919, aAddresses, std::string(kPayloadBytes, 'x')));
+      FleetPacket(index * 7919, services, std::string(kPayloadBytes, 'x')));
   }
   std::uint64_t sent = 0;
   const auto copying = NanosOf(kCalls, [&](std::uint64_t aCall) {
--- a/bench/support/balancer_fleet.hpp
+++ b/bench/support/balancer_fleet.hpp
@@ -76,13 +76,27 @@
   return balancer;
 }
 
+/** @brief Services of the first so many addresses, by address. */
+inline std::vector<ServiceId>
+FleetServices(std::size_t aAddresses)
+{
+  std::vector<ServiceId> services;
+  services.reserve(aAddresses);
+  for (std::size_t address = 0; address < aAddresses; ++address) {
+    services.push_back(FleetService(address));
+  }
+  return services;
+}
+
 /** @brief Packet of one of many flows to one of the addresses. */
 inline flow::Packet
-FleetPacket(std::uint64_t aNumber, std::size_t aAddresses, std::string aPayload)
+FleetPacket(std::uint64_t aNumber,
+            const std::vector<ServiceId>& aServices,
+            std::string aPayload)
 {
   flow::Packet packet;
-  const auto address = aNumber % aAddresses;
-  packet.service_ = FleetService(address);
+  const auto address = aNumber % aServices.size();
+  packet.service_ = aServices[address];
   packet.key_.caller_ =
     MakeIpv4(0xC0000200U + static_cast<std::uint32_t>(aNumber % 250),
              static_cast<std::uint16_t>(1024 + aNumber % 50'000));
--- a/src/cornelshore/daemon/agent_process.cpp
+++ b/src/cornelshore/daemon/agent_process.cpp
@@ -223,30 +223,18 @@
 Methods
 MethodsOf(AgentDecider& aDecider)
 {
-  return {
-    { "state",
-      [&](const Json::Value&) {
-        return AskDecider(
-          aDecider, [](auto aNow, auto& aRole) { return aRole.State(aNow); });
-      } },
-    { "flows",
-      [&](const Json::Value&) {
-        return AskDecider(
-          aDecider, [](auto aNow, auto& aRole) { return aRole.Flows(aNow); });
-      } },
-    { "hosts",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider,
-                          [](auto, auto& aRole) { return aRole.Hosts(); });
-      } },
-    { "drain",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider, [&aDecider](auto aNow, auto& aRole) {
-          aDecider.Feed(role::StopRequested{});
-          return aRole.Flows(aNow);
-        });
-      } },
+  auto methods = CommonMethods(aDecider);
+  methods["flows"] = [&](const Json::Value&) {
+    return AskDecider(aDecider,
+                      [](auto aNow, auto& aRole) { return aRole.Flows(aNow); });
   };
+  methods["drain"] = [&](const Json::Value&) {
+    return AskDecider(aDecider, [&aDecider](auto aNow, auto& aRole) {
+      aDecider.Feed(role::StopRequested{});
+      return aRole.Flows(aNow);
+    });
+  };
+  return methods;
 }
 
 HostRecord
--- a/src/cornelshore/daemon/balancer_process.cpp
+++ b/src/cornelshore/daemon/balancer_process.cpp
@@ -222,23 +222,9 @@
 Methods
 MethodsOf(BalancerDecider& aDecider)
 {
-  return {
-    { "state",
-      [&](const Json::Value&) {
-        return AskDecider(
-          aDecider, [](auto aNow, auto& aRole) { return aRole.State(aNow); });
-      } },
-    { "flows",
-      [&](const Json::Value&) {
-        return AskDecider(
-          aDecider, [](auto aNow, auto& aRole) { return aRole.State(aNow); });
-      } },
-    { "hosts",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider,
-                          [](auto, auto& aRole) { return aRole.Hosts(); });
-      } },
-  };
+  auto methods = CommonMethods(aDecider);
+  methods["flows"] = methods["state"];
+  return methods;
 }
 
 } // namespace
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -315,50 +315,33 @@
 MethodsOf(ControlDecider& aDecider, WaitingCalls& aCalls)
 {
   using consensus::MembershipChangeKind;
-  return {
-    { "state",
-      [&](const Json::Value&) {
-        return AskDecider(
-          aDecider, [](auto aNow, auto& aRole) { return aRole.State(aNow); });
-      } },
-    { "hosts",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider,
-                          [](auto, auto& aRole) { return aRole.Hosts(); });
-      } },
-    { "history",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider,
-                          [](auto, auto& aRole) { return aRole.History(); });
-      } },
-    { "show",
-      [&](const Json::Value&) {
-        return CallAndWait(aDecider, aCalls, [](consensus::Token aToken) {
-          return role::ShowRequested{ aToken };
-        });
-      } },
-    { "apply",
-      [&](const Json::Value& aParams) {
-        return Apply(aDecider, aCalls, aParams);
-      } },
-    { "trust_disk",
-      [&](const Json::Value&) {
-        return AskDecider(aDecider, [&aDecider](auto aNow, auto& aRole) {
-          aDecider.Feed(role::TrustRequested{});
-          return aRole.State(aNow);
-        });
-      } },
-    { "add_replica",
-      [&](const Json::Value& aParams) {
-        return ChangeGroup(
-          aDecider, aCalls, MembershipChangeKind::AddLearner, aParams);
-      } },
-    { "remove_replica",
-      [&](const Json::Value& aParams) {
-        return ChangeGroup(
-          aDecider, aCalls, MembershipChangeKind::Remove, aParams);
-      } },
+  auto methods = CommonMethods(aDecider);
+  methods["history"] = [&](const Json::Value&) {
+    return AskDecider(aDecider,
+                      [](auto, auto& aRole) { return aRole.History(); });
   };
+  methods["show"] = [&](const Json::Value&) {
+    return CallAndWait(aDecider, aCalls, [](consensus::Token aToken) {
+      return role::ShowRequested{ aToken };
+    });
+  };
+  methods["apply"] = [&](const Json::Value& aParams) {
+    return Apply(aDecider, aCalls, aParams);
+  };
+  methods["trust_disk"] = [&](const Json::Value&) {
+    return AskDecider(aDecider, [&aDecider](auto aNow, auto& aRole) {
+      aDecider.Feed(role::TrustRequested{});
+      return aRole.State(aNow);
+    });
+  };
+  methods["add_replica"] = [&](const Json::Value& aParams) {
+    return ChangeGroup(
+      aDecider, aCalls, MembershipChangeKind::AddLearner, aParams);
+  };
+  methods["remove_replica"] = [&](const Json::Value& aParams) {
+    return ChangeGroup(aDecider, aCalls, MembershipChangeKind::Remove, aParams);
+  };
+  return methods;
 }
 
 /** Disk number of a member at the group's first start. */
--- a/src/cornelshore/daemon/operator_port.hpp
+++ b/src/cornelshore/daemon/operator_port.hpp
@@ -54,6 +54,23 @@
 using Methods =
   std::map<std::string, std::function<rpc::Reply(const Json::Value&)>>;
 
+/** @brief Methods that every role has: its state dump and the hosts it knows.
+ */
+template<typename Decider>
+[[nodiscard]] Methods
+CommonMethods(Decider& aDecider)
+{
+  const auto state = [&](const Json::Value&) {
+    return AskDecider(aDecider,
+                      [](auto aNow, auto& aRole) { return aRole.State(aNow); });
+  };
+  const auto hosts = [&](const Json::Value&) {
+    return AskDecider(aDecider,
+                      [](auto, auto& aRole) { return aRole.Hosts(); });
+  };
+  return { { "state", state }, { "hosts", hosts } };
+}
+
 /** @brief Serves a process's methods to operators. */
 class OperatorPort
 {
--- a/src/cornelshore/net/ring.hpp
+++ b/src/cornelshore/net/ring.hpp
@@ -20,7 +20,8 @@
   void Wake() noexcept
   {
     std::atomic_thread_fence(std::memory_order_seq_cst);
-    if (sleeping_.exchange(false)) {
+    if (sleeping_.load(std::memory_order_relaxed) &&
+        sleeping_.exchange(false)) {
       semaphore_.release();
     }
   }
