--- a/src/cornelshore/core/types.hpp
+++ b/src/cornelshore/core/types.hpp
@@ -28,7 +28,7 @@
   }
 };
 
-/** @brief A process of the system (balancer, agent or control). */
+/** @brief A process of the system: a balancer, an agent or control. */
 using NodeId = StrongId<struct NodeIdTag, std::uint64_t>;
 
 /** @brief An upstream host; equal in value to the `NodeId` of its agent. */
