--- a/src/cornelshore/consensus/entry.cpp
+++ b/src/cornelshore/consensus/entry.cpp
@@ -12,11 +12,16 @@
 constexpr std::size_t kEntryBytes = 64;
 constexpr std::size_t kNamedBytes = 24;
 constexpr std::size_t kMemberBytes = 24;
+constexpr std::size_t kRouteBytes = 48;
+constexpr std::size_t kShareBytes = 8;
 
 std::size_t
 SizeOf(const Change& aChange) noexcept
 {
-  auto size = kEntryBytes + aChange.operator_.size();
+  auto size = kEntryBytes + aChange.operator_.size() + aChange.document_.size();
+  for (const auto& route : aChange.routes_) {
+    size += kRouteBytes + route.name_.size() + kShareBytes * route.to_.size();
+  }
   for (const auto& service : aChange.services_) {
     size += kNamedBytes + service.name_.size();
     for (const auto& target : service.classes_) {
@@ -190,6 +195,15 @@
       return status;
     }
   }
+  for (const auto& route : aChange.routes_) {
+    if (route.name_.size() > kMostNameBytes ||
+        route.to_.size() > kMostRouteShares) {
+      return absl::InvalidArgumentError("a route is out of bounds");
+    }
+  }
+  if (aChange.routes_.size() > kMostRoutes) {
+    return absl::InvalidArgumentError("too many routes");
+  }
   if (SizeOf(aChange) > kMostChangeBytes) {
     return absl::InvalidArgumentError("the configuration is too large");
   }
--- a/src/cornelshore/consensus/event.hpp
+++ b/src/cornelshore/consensus/event.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <variant>
+#include <vector>
 
 #include <cornelshore/consensus/message.hpp>
 
@@ -75,8 +76,15 @@
 struct TrustDisk
 {};
 
+/** @brief Control nodes found; one that joins asks them besides its seeds. */
+struct GroupKnown
+{
+  std::vector<NodeId> nodes_;
+};
+
 /** @brief What a replica is told. */
 using Event = std::variant<Received,
+                           GroupKnown,
                            Synced,
                            StorageFailed,
                            Tick,
--- a/src/cornelshore/consensus/register.cpp
+++ b/src/cornelshore/consensus/register.cpp
@@ -1,5 +1,6 @@
 #include <cornelshore/consensus/register.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <cornelshore/core/hash.hpp>
@@ -28,6 +29,29 @@
   return hash;
 }
 
+std::uint64_t
+FingerprintOf(const Route& aRoute) noexcept
+{
+  auto hash = HashPair(HashText(ToString(aRoute.address_)),
+                       static_cast<std::uint64_t>(aRoute.timeout_.count()));
+  for (const auto& share : aRoute.to_) {
+    hash = HashPair(hash, HashPair(share.service_.value_, share.weight_));
+  }
+  return hash;
+}
+
+/** Whether the change may take the place of what is in force. */
+ChangeOutcome
+OutcomeOf(const Change& aChange, ConfigVersion aCurrent) noexcept
+{
+  if (aChange.chosen_.value_ != 0) {
+    return aChange.chosen_ > aCurrent ? ChangeOutcome::Accepted
+                                      : ChangeOutcome::Superseded;
+  }
+  return aChange.expected_ == aCurrent ? ChangeOutcome::Accepted
+                                       : ChangeOutcome::Conflict;
+}
+
 } // namespace
 
 std::uint64_t
@@ -37,7 +61,11 @@
   for (const auto& service : aChange.services_) {
     hash = HashPair(hash, FingerprintOf(service));
   }
-  return hash;
+  for (const auto& route : aChange.routes_) {
+    hash = HashPair(hash, FingerprintOf(route));
+  }
+  hash = HashPair(hash, aChange.chosen_.value_);
+  return HashPair(hash, HashText(aChange.document_));
 }
 
 Register::Register(RegisterState aState)
@@ -83,11 +111,16 @@
 Register::Decide(const Change& aChange)
 {
   auto& current = state_.configuration_;
-  if (aChange.expected_ != current.version_) {
-    return { ChangeOutcome::Conflict, current.version_, state_.winner_ };
+  const auto outcome = OutcomeOf(aChange, current.version_);
+  if (outcome != ChangeOutcome::Accepted) {
+    return { outcome, current.version_, state_.winner_ };
   }
-  ++current.version_.value_;
+  const ConfigVersion next{ current.version_.value_ + 1 };
+  current.version_ = std::max(next, aChange.chosen_);
   current.services_ = aChange.services_;
+  current.routes_ = aChange.routes_;
+  current.flowIdle_ = aChange.flowIdle_;
+  state_.document_ = aChange.document_;
   state_.winner_ = aChange.id_;
   state_.history_.push_back(
     { current.version_, aChange.id_, aChange.operator_, aChange.wallMillis_ });
--- a/src/cornelshore/consensus/register.hpp
+++ b/src/cornelshore/consensus/register.hpp
@@ -33,6 +33,14 @@
   std::string operator_;       ///< Name of the operator.
   std::uint64_t wallMillis_{}; ///< Proposer's wall time, ms since 1970.
   std::vector<ServiceTarget> services_; ///< The whole new configuration.
+  std::vector<Route> routes_;
+  Duration flowIdle_{};
+  /**
+   * Version that the operator chose; the highest one wins whatever is in
+   * force. 0: compare-and-set with `expected_`.
+   */
+  ConfigVersion chosen_;
+  std::string document_; ///< Operator's own text, kept for reads; opaque.
 
   bool operator==(const Change&) const noexcept = default;
 };
@@ -40,16 +48,18 @@
 /** @brief What became of a change. */
 enum class ChangeOutcome : std::uint8_t
 {
-  Accepted, ///< In force as `version_`, and durable on a quorum.
-  Conflict, ///< Another change took the expected version's place.
-  IdReused, ///< The id was used before for another change.
+  Accepted,   ///< In force as `version_`, and durable on a quorum.
+  Conflict,   ///< Another change took the expected version's place.
+  IdReused,   ///< The id was used before for another change.
+  Superseded, ///< The chosen version is not above the one in force.
 };
 
 /** @brief Names of `ChangeOutcome`. */
-inline constexpr std::array<EnumName<ChangeOutcome>, 3> kChangeOutcomeNames{ {
+inline constexpr std::array<EnumName<ChangeOutcome>, 4> kChangeOutcomeNames{ {
   { ChangeOutcome::Accepted, "accepted" },
   { ChangeOutcome::Conflict, "conflict" },
   { ChangeOutcome::IdReused, "id_reused" },
+  { ChangeOutcome::Superseded, "superseded" },
 } };
 
 /** @brief Answer to a change. */
@@ -88,6 +98,7 @@
 struct RegisterState
 {
   Configuration configuration_;
+  std::string document_; ///< Of the change in force.
   RequestId winner_;
   std::deque<HistoryEntry> history_;     ///< Oldest first.
   std::deque<RememberedAnswer> answers_; ///< Oldest first.
@@ -100,8 +111,9 @@
  *
  * The state machine of the replicated log: the same changes in the same
  * order give the same answers at every replica. A change is accepted when the
- * version that it expects is in force; versions grow by one. An id seen
- * before gets its first answer again. An id older than the last
+ * version that it expects is in force; versions grow by one. A change with a
+ * version of its own choice is accepted when that is above the one in force. An
+ * id seen before gets its first answer again. An id older than the last
  * `kRememberedAnswers` ones is not recognised, but cannot be accepted twice:
  * its expected version is never in force again.
  */
@@ -123,6 +135,12 @@
     return state_.configuration_;
   }
 
+  /** @brief Operator's own text of the configuration in force. */
+  [[nodiscard]] const std::string& Document() const noexcept
+  {
+    return state_.document_;
+  }
+
   /** @brief The last `kHistoryLength` accepted changes, oldest first. */
   [[nodiscard]] const std::deque<HistoryEntry>& History() const noexcept
   {
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -168,6 +168,7 @@
     CountVotes();
   } else if (role_ == Role::Leader) {
     AdvanceCommit();
+    ReleaseCopied();
   } else if (leader_) {
     ReplyToLeader();
   }
@@ -185,6 +186,17 @@
   verifier_.Trust();
 }
 
+void
+Replica::Handle(const GroupKnown& aEvent)
+{
+  for (const auto& node : aEvent.nodes_) {
+    const auto known = std::find(seeds_.begin(), seeds_.end(), node);
+    if (known == seeds_.end() && seeds_.size() < kMostMembers) {
+      seeds_.push_back(node);
+    }
+  }
+}
+
 void
 Replica::Fail(Fault aFault)
 {
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -56,6 +56,20 @@
   std::size_t entriesInFlight_{ 256 };      ///< Most sent ahead of a reply.
   std::size_t pendingProposals_{ 256 };     ///< Most under way.
   std::size_t pendingReads_{ 1024 };        ///< Most under way.
+  /**
+   * Voters that the group forms by itself from those who join; 0: operators
+   * add and remove members.
+   */
+  std::size_t votersWanted_{ 0 };
+  /** A voter unheard for so long gives way to a learner that is caught up. */
+  Duration voterSilence_{ std::chrono::milliseconds{ 2500 } };
+  /** A learner unheard for so long is dropped from a group that forms itself.
+   */
+  Duration learnerSilence_{ std::chrono::seconds{ 20 } };
+  /** Disks that must hold a change before its proposer is told; 0: a quorum. */
+  std::size_t leastCopies_{ 0 };
+  /** Whether a lease answers reads; otherwise each asks a quorum. */
+  bool leaseReads_{ true };
 };
 
 /** @brief What a leader knows of another member. */
@@ -142,6 +156,7 @@
     std::optional<Duration> snapshotSentAt_;
     LogIndex matchAtHeartbeat_; ///< `match_` at the last heartbeat.
     bool probing_{ true };      ///< Not known where the logs part.
+    Duration knownSince_{};     ///< When this leader began to follow it up.
   };
 
   /** A read that waits for a quorum, or for the index to be applied. */
@@ -160,6 +175,13 @@
     TimePoint since_;
   };
 
+  /** A committed change whose proposer waits for more copies. */
+  struct AwaitsCopies
+  {
+    Requester requester_;
+    ChangeAnswer answer_;
+  };
+
   /** A message that waits for a sync. */
   struct Deferred
   {
@@ -189,6 +211,7 @@
   void Handle(const ChangeMembership& aEvent);
   void Handle(const Read& aEvent);
   void Handle(const TrustDisk& aEvent);
+  void Handle(const GroupKnown& aEvent);
 
   void On(const Message& aMessage, const VoteRequest& aBody);
   void On(const Message& aMessage, const VoteReply& aBody);
@@ -265,6 +288,10 @@
   void AnswerRequester(const Requester& aRequester,
                        const std::optional<ChangeAnswer>& aAnswer,
                        bool aCommitted);
+  /** @brief Disks known to hold the entry, learners' too. */
+  [[nodiscard]] std::size_t CopiesOf(LogIndex aIndex) const;
+  /** @brief Answers the proposers whose changes have copies enough. */
+  void ReleaseCopied();
   void AppendRequested(Payload aPayload, const Requester& aRequester);
   void AskLeader(const Propose& aEvent);
   [[nodiscard]] MembershipStatus TryMembership(const ChangeMembership& aEvent);
@@ -278,6 +305,14 @@
   [[nodiscard]] bool IsCaughtUp(const ReplicaId& aId) const;
   [[nodiscard]] const Member* Predecessor(const ReplicaId& aId) const;
   [[nodiscard]] bool AdmitJoining();
+  [[nodiscard]] bool FormsItself() const noexcept
+  {
+    return settings_.votersWanted_ != 0;
+  }
+  /** @brief Member that has been silent for longest, past the limit. */
+  [[nodiscard]] const Member* SilentMember(MemberRole aRole,
+                                           Duration aLimit) const;
+  [[nodiscard]] bool DropSilentLearner();
   void ServeReads();
   void FinishRead(const PendingRead& aRead, bool aConfirmed);
   void ServeApplied();
@@ -319,6 +354,7 @@
   std::map<ReplicaId, Progress> progress_;
 
   std::map<LogIndex, Requester> requesters_;
+  std::map<LogIndex, AwaitsCopies> awaitingCopies_;
   absl::flat_hash_map<Token, AskedLeader> forwards_; ///< By own token.
   std::vector<PendingRead> unconfirmedReads_;        ///< Wait for a quorum.
   std::vector<PendingRead> unappliedReads_;          ///< Wait for their index.
--- a/src/cornelshore/consensus/replica_replication.cpp
+++ b/src/cornelshore/consensus/replica_replication.cpp
@@ -92,6 +92,7 @@
     if (member.id_ != id_ && progress_.count(member.id_) == 0) {
       Progress progress;
       progress.next_ = LogIndex{ OwnLast().index_.value_ + 1 };
+      progress.knownSince_ = Clock();
       progress_[member.id_] = progress;
     }
   }
@@ -340,6 +341,7 @@
   aProgress.probing_ = aProgress.probing_ && !reached;
   witnesses_.Acknowledged(aMessage.from_, std::min(commit_, aBody.match_));
   AdvanceCommit();
+  ReleaseCopied();
   Replicate(aMessage.from_, aProgress);
 }
 
@@ -416,7 +418,13 @@
   }
   const auto requester = requesters_.find(aEntry.index_);
   if (requester != requesters_.end()) {
-    AnswerRequester(requester->second, answer, true);
+    const auto waits =
+      answer && CopiesOf(aEntry.index_) < settings_.leastCopies_;
+    if (waits) {
+      awaitingCopies_[aEntry.index_] = { requester->second, *answer };
+    } else {
+      AnswerRequester(requester->second, answer, true);
+    }
     requesters_.erase(requester);
   }
   if (const auto* members =
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -71,11 +71,38 @@
   for (const auto& [index, requester] : std::exchange(requesters_, {})) {
     AnswerRequester(requester, std::nullopt, false);
   }
+  for (const auto& [index, waits] : std::exchange(awaitingCopies_, {})) {
+    AnswerRequester(waits.requester_, std::nullopt, false);
+  }
   for (const auto& read : std::exchange(unconfirmedReads_, {})) {
     FinishRead(read, false);
   }
 }
 
+std::size_t
+Replica::CopiesOf(LogIndex aIndex) const
+{
+  const auto others =
+    std::count_if(progress_.begin(), progress_.end(), [&](const auto& aRow) {
+      return aRow.second.match_ >= aIndex;
+    });
+  return static_cast<std::size_t>(others) + (syncedIndex_ >= aIndex ? 1 : 0);
+}
+
+void
+Replica::ReleaseCopied()
+{
+  while (!awaitingCopies_.empty()) {
+    const auto first = awaitingCopies_.begin();
+    if (CopiesOf(first->first) < settings_.leastCopies_) {
+      return;
+    }
+    const auto waits = first->second;
+    awaitingCopies_.erase(first);
+    AnswerRequester(waits.requester_, waits.answer_, true);
+  }
+}
+
 void
 Replica::AppendRequested(Payload aPayload, const Requester& aRequester)
 {
@@ -224,7 +251,8 @@
 void
 Replica::AdvanceMembers()
 {
-  if (!CommittedInTerm() || log_.Members().index_ > commit_ || AdmitJoining()) {
+  if (!CommittedInTerm() || log_.Members().index_ > commit_ || AdmitJoining() ||
+      DropSilentLearner()) {
     return;
   }
   const auto members = log_.Members().members_;
@@ -244,12 +272,55 @@
   auto members = log_.Members();
   if (const auto* predecessor = Predecessor(aLearner.id_)) {
     members.Remove(ReplicaId(predecessor->id_));
+  } else if (FormsItself() && members.Voters() >= settings_.votersWanted_) {
+    const auto* silent =
+      SilentMember(MemberRole::Voter, settings_.voterSilence_);
+    if (silent == nullptr) {
+      return false;
+    }
+    members.Remove(ReplicaId(silent->id_));
   } else {
     members.Set(aLearner.id_, MemberRole::Voter);
   }
   return TryAppend(std::move(members), std::nullopt) == MembershipStatus::Done;
 }
 
+const Member*
+Replica::SilentMember(MemberRole aRole, Duration aLimit) const
+{
+  const Member* found = nullptr;
+  auto longest = aLimit;
+  for (const auto& member : log_.Members().members_) {
+    const auto row = progress_.find(member.id_);
+    if (member.role_ != aRole || row == progress_.end()) {
+      continue;
+    }
+    const auto& progress = row->second;
+    const auto heard = progress.ackSentAt_.value_or(progress.knownSince_);
+    if (Clock() - heard >= longest) {
+      longest = Clock() - heard;
+      found = &member;
+    }
+  }
+  return found;
+}
+
+bool
+Replica::DropSilentLearner()
+{
+  if (!FormsItself()) {
+    return false;
+  }
+  const auto* silent =
+    SilentMember(MemberRole::Learner, settings_.learnerSilence_);
+  if (silent == nullptr) {
+    return false;
+  }
+  auto members = log_.Members();
+  members.Remove(ReplicaId(silent->id_));
+  return TryAppend(std::move(members), std::nullopt) == MembershipStatus::Done;
+}
+
 const Member*
 Replica::Predecessor(const ReplicaId& aId) const
 {
@@ -294,7 +365,7 @@
 Replica::AdmitJoining()
 {
   for (const auto& id : joining_) {
-    if (Predecessor(id) == nullptr) {
+    if (Predecessor(id) == nullptr && !FormsItself()) {
       continue;
     }
     auto members = log_.Members();
@@ -348,7 +419,7 @@
     return;
   }
   const auto acked = QuorumAckedAt();
-  const auto lease = HoldsLease(now_);
+  const auto lease = settings_.leaseReads_ && HoldsLease(now_);
   std::vector<PendingRead> kept;
   for (const auto& read : std::exchange(unconfirmedReads_, {})) {
     if (lease || (acked && *acked >= read.since_.time_since_epoch())) {
--- a/src/cornelshore/core/target.hpp
+++ b/src/cornelshore/core/target.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include <cornelshore/core/route.hpp>
 #include <cornelshore/core/types.hpp>
 
 namespace cornelshore {
@@ -41,11 +42,13 @@
   bool operator==(const ServiceTarget&) const noexcept = default;
 };
 
-/** @brief One accepted configuration: every service's targets. */
+/** @brief One accepted configuration: every service's targets and routes. */
 struct Configuration
 {
   ConfigVersion version_;
   std::vector<ServiceTarget> services_;
+  std::vector<Route> routes_;
+  Duration flowIdle_{}; ///< Idle flows may be dropped after it; 0: never.
 
   bool operator==(const Configuration&) const noexcept = default;
 };
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -2,6 +2,8 @@
 
 #include <cornelshore/daemon/processes.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <future>
 #include <random>
 #include <thread>
@@ -16,6 +18,8 @@
 #include <cornelshore/role/control.hpp>
 #include <cornelshore/storage/log.hpp>
 #include <cornelshore/wire/role_hooks.hpp>
+#include <platform/api.hpp>
+#include <platform/desired_state.hpp>
 
 namespace cornelshore::daemon {
 
@@ -25,9 +29,14 @@
   Decider<role::Control, role::ControlEvent, role::ControlAction>;
 
 constexpr std::size_t kPersistRingCapacity = 4096;
-constexpr std::chrono::milliseconds kLongestSleep{ 100 };
+constexpr std::chrono::milliseconds kLongestSleep{ 1000 };
 constexpr std::size_t kMostAppendsASync = 256;
 
+/** Times of a group that forms itself: an election ends well within the time
+ * in which its operators expect an acknowledgement, 5 s. */
+constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 100 };
+constexpr std::chrono::milliseconds kSelfFormingElection{ 700 };
+
 /** The thread that writes and syncs; one sync covers all that waits. */
 class StorageSide
 {
@@ -116,28 +125,33 @@
   std::thread thread_;
 };
 
+/** Answer of the deciding thread to an operator's call. */
+using CallAnswer =
+  std::variant<role::ApplyAnswered, role::ShowAnswered, role::GroupAnswered>;
+
 /** Operators' calls that wait for the deciding thread's answer. */
 class WaitingCalls
 {
 public:
-  using Promise = std::shared_ptr<std::promise<rpc::Reply>>;
+  using Done = std::function<void(CallAnswer)>;
 
-  consensus::Token Add(Promise aPromise)
+  consensus::Token Add(Done aDone)
   {
     const consensus::Token token{ ++last_ };
-    waiting_.emplace(token, std::move(aPromise));
+    waiting_.emplace(token, std::move(aDone));
     if (waiting_.size() > kMostWaiting) {
       waiting_.erase(waiting_.begin());
     }
     return token;
   }
 
-  void Answer(consensus::Token aToken, rpc::Reply aReply)
+  void Answer(consensus::Token aToken, CallAnswer aAnswer)
   {
     const auto found = waiting_.find(aToken);
     if (found != waiting_.end()) {
-      found->second->set_value(std::move(aReply));
+      const auto done = std::move(found->second);
       waiting_.erase(found);
+      done(std::move(aAnswer));
     }
   }
 
@@ -145,7 +159,7 @@
   static constexpr std::size_t kMostWaiting = 256;
 
   std::uint64_t last_{};
-  std::map<consensus::Token, Promise> waiting_;
+  std::map<consensus::Token, Done> waiting_;
 };
 
 rpc::Reply
@@ -179,6 +193,9 @@
                                 ChangeIdText(aAnswer.answer_.winner_),
                                 "; look at it with show, then apply again"));
   }
+  if (aAnswer.answer_.outcome_ == ChangeOutcome::Superseded) {
+    return Refused(absl::StrCat("version ", version, " is in force already"));
+  }
   if (aAnswer.answer_.outcome_ == ChangeOutcome::IdReused) {
     return Refused("the change id was used for another change; take a new one");
   }
@@ -243,7 +260,7 @@
   template<typename Answer>
   void operator()(Answer& aAction)
   {
-    calls_.Answer(aAction.token_, ReplyOf(aAction));
+    calls_.Answer(aAction.token_, std::move(aAction));
   }
 
   [[nodiscard]] bool HasEnded() const noexcept { return ended_; }
@@ -271,7 +288,10 @@
   auto future = promise->get_future();
   const auto posted =
     aDecider.Post([&aDecider, &aCalls, promise, aFeed](auto, auto&) {
-      aDecider.Feed(aFeed(aCalls.Add(promise)));
+      aDecider.Feed(aFeed(aCalls.Add([promise](const CallAnswer& aAnswer) {
+        promise->set_value(std::visit(
+          [](const auto& aKind) { return ReplyOf(aKind); }, aAnswer));
+      })));
     });
   if (!posted || future.wait_for(kLongestCall) != std::future_status::ready) {
     return Unavailable("no answer in time; a change may yet be accepted: "
@@ -344,6 +364,74 @@
   return methods;
 }
 
+platform::PutOutcome
+PutOutcomeOf(const CallAnswer& aAnswer)
+{
+  using consensus::ProposalStatus;
+  const auto* applied = std::get_if<role::ApplyAnswered>(&aAnswer);
+  if (applied == nullptr) {
+    return platform::PutOutcome::Unclear;
+  }
+  if (!applied->validity_.ok() || applied->status_ == ProposalStatus::Invalid) {
+    return platform::PutOutcome::Invalid;
+  }
+  return applied->status_ == ProposalStatus::Decided
+           ? platform::PutOutcome::Acknowledged
+           : platform::PutOutcome::Unclear;
+}
+
+/** Calls over HTTP; their answers are given by the deciding thread. */
+platform::ControlApi::Hooks
+ApiHooks(ControlDecider& aDecider, WaitingCalls& aCalls)
+{
+  platform::ControlApi::Hooks hooks;
+  hooks.put_ = [&](consensus::Change aChange,
+                   platform::ControlApi::PutDone aDone) {
+    const auto posted =
+      aDecider.Post([&aDecider, &aCalls, aChange, aDone](auto, auto&) {
+        aDecider.Feed(
+          role::ApplyRequested{ aCalls.Add([aDone](const CallAnswer& aAnswer) {
+                                 aDone(PutOutcomeOf(aAnswer));
+                               }),
+                                aChange });
+      });
+    if (!posted) {
+      aDone(platform::PutOutcome::Unclear);
+    }
+  };
+  hooks.get_ = [&](platform::ControlApi::GetDone aDone) {
+    const auto posted = aDecider.Post([&aDecider, &aCalls, aDone](auto, auto&) {
+      aDecider.Feed(
+        role::ShowRequested{ aCalls.Add([aDone](const CallAnswer& aAnswer) {
+          const auto* shown = std::get_if<role::ShowAnswered>(&aAnswer);
+          aDone(shown != nullptr && shown->confirmed_
+                  ? std::optional(shown->document_)
+                  : std::nullopt);
+        }) });
+    });
+    if (!posted) {
+      aDone(std::nullopt);
+    }
+  };
+  return hooks;
+}
+
+absl::StatusOr<std::unique_ptr<net::HttpServer>>
+OpenApi(Runtime& aRuntime, ControlDecider& aDecider, WaitingCalls& aCalls)
+{
+  const auto& address = aRuntime.Settings().control_.api_;
+  if (address.port_ == 0) {
+    return std::unique_ptr<net::HttpServer>();
+  }
+  net::HttpLimits limits;
+  limits.bodyBytes_ = platform::kMostDesiredStateBytes;
+  return net::HttpServer::Listen(
+    aRuntime.Context(),
+    address,
+    limits,
+    platform::ControlApi(ApiHooks(aDecider, aCalls)));
+}
+
 /** Disk number of a member at the group's first start. */
 constexpr Incarnation kFirstDisk{ 1 };
 
@@ -352,13 +440,17 @@
 EmptyFolderState(const Runtime& aRuntime)
 {
   const auto& control = aRuntime.Settings().control_;
-  if (!control.bootstrap_) {
-    return consensus::JoiningState({ aRuntime.Self(), aRuntime.Run() });
-  }
   std::vector<consensus::ReplicaId> voters;
   for (const auto& member : control.members_) {
     voters.push_back({ NodeIdOf(member.name_), kFirstDisk });
   }
+  const auto isFirst =
+    std::any_of(voters.begin(), voters.end(), [&](const auto& aVoter) {
+      return aVoter.node_ == aRuntime.Self();
+    });
+  if (!control.bootstrap_ || !isFirst) {
+    return consensus::JoiningState({ aRuntime.Self(), aRuntime.Run() });
+  }
   return consensus::FirstState({ aRuntime.Self(), kFirstDisk }, voters);
 }
 
@@ -383,6 +475,20 @@
   return fresh;
 }
 
+consensus::ReplicaSettings
+ReplicaSettingsOf(const settings::ControlSettings& aControl)
+{
+  consensus::ReplicaSettings replica;
+  if (aControl.formsItself_) {
+    replica.votersWanted_ = 2 * aControl.toleratedLosses_ + 1;
+    replica.leastCopies_ = aControl.toleratedLosses_ + 1;
+    replica.leaseReads_ = false;
+    replica.heartbeat_ = kSelfFormingHeartbeat;
+    replica.electionTimeout_ = kSelfFormingElection;
+  }
+  return replica;
+}
+
 absl::StatusOr<std::unique_ptr<role::Control>>
 BuildRole(const Runtime& aRuntime, storage::Recovered& aRecovered)
 {
@@ -395,6 +501,7 @@
   }
   std::random_device device;
   auto replica = consensus::ReplicaBuilder()
+                   .Settings(ReplicaSettingsOf(settings.control_))
                    .State(aRecovered.state_)
                    .HowVerified(aRecovered.verification_)
                    .Seeds(nodes)
@@ -449,9 +556,11 @@
   storage = std::make_unique<StorageSide>(std::move(recovered->log_),
                                           decider->AddRing());
   OperatorPort port(aRuntime.Settings(), MethodsOf(*decider, calls));
-  auto status = port.Start();
-  if (!status.ok()) {
-    return status;
+  const auto api = OpenApi(aRuntime, *decider, calls);
+  for (const auto& status : { port.Start(), api.status() }) {
+    if (!status.ok()) {
+      return status;
+    }
   }
   storage->Start();
   aRuntime.Start(
--- a/src/cornelshore/daemon/decider.hpp
+++ b/src/cornelshore/daemon/decider.hpp
@@ -122,7 +122,7 @@
   static constexpr std::size_t kMostAtOnce = 256;
   static constexpr std::size_t kMostCalls = 256;
   static constexpr Duration kShortestSleep = std::chrono::microseconds{ 50 };
-  static constexpr Duration kLongestSleep = std::chrono::milliseconds{ 100 };
+  static constexpr Duration kLongestSleep = std::chrono::seconds{ 1 };
   static constexpr Duration kPublishEvery = std::chrono::seconds{ 1 };
 
   std::size_t DrainRings()
--- a/src/cornelshore/daemon/main.cpp
+++ b/src/cornelshore/daemon/main.cpp
@@ -79,9 +79,13 @@
   }
   switch (aSettings.role_) {
     case Role::Balancer:
-      return cornelshore::daemon::RunBalancer(**runtime);
+      return aSettings.relay_.enabled_
+               ? cornelshore::daemon::RunRelayBalancer(**runtime)
+               : cornelshore::daemon::RunBalancer(**runtime);
     case Role::Agent:
-      return cornelshore::daemon::RunAgent(**runtime);
+      return aSettings.relay_.enabled_
+               ? cornelshore::daemon::RunRelayAgent(**runtime)
+               : cornelshore::daemon::RunAgent(**runtime);
     case Role::Control:
       break;
   }
--- a/src/cornelshore/daemon/processes.hpp
+++ b/src/cornelshore/daemon/processes.hpp
@@ -13,6 +13,12 @@
 /** @brief Runs an agent until it is stopped. @return OK, or why not. */
 [[nodiscard]] absl::Status RunAgent(Runtime& aRuntime);
 
+/** @brief Runs a balancer of flows of segments. @return OK, or why not. */
+[[nodiscard]] absl::Status RunRelayBalancer(Runtime& aRuntime);
+
+/** @brief Runs an agent of flows of segments. @return OK, or why not. */
+[[nodiscard]] absl::Status RunRelayAgent(Runtime& aRuntime);
+
 /** @brief Runs a control process until it is stopped. @return OK, or why. */
 [[nodiscard]] absl::Status RunControl(Runtime& aRuntime);
 
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -44,9 +45,17 @@
   return text;
 }
 
+/** Public: without authentication a seal shows damage, not who sent it. */
+constexpr std::string_view kPublicKey =
+  "1 0000000000000000000000000000000000000000000000000000000000000000";
+
 absl::StatusOr<wire::KeyRing>
-LoadKeys(const std::string& aFile)
+LoadKeys(const settings::Settings& aSettings)
 {
+  if (aSettings.authentication_ == settings::Authentication::Off) {
+    return wire::KeyRing::Parse(kPublicKey);
+  }
+  const auto& aFile = aSettings.keyFile_;
   const auto text = ReadKeyFile(aFile);
   if (!text.ok()) {
     return text.status();
@@ -72,14 +81,20 @@
 TimePoint
 Now()
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint{ std::chrono::duration_cast<Duration>(
+    std::chrono::seconds{ now.tv_sec } +
+    std::chrono::nanoseconds{ now.tv_nsec }) };
 }
 
 Runtime::Runtime(settings::Settings aSettings)
   : settings_(std::move(aSettings))
   , self_(NodeIdOf(settings_.name_))
   , incarnation_(FreshIncarnation())
+  , replayCheck_(settings_.authentication_ == settings::Authentication::Off
+                   ? wire::ReplayCheck::Skip
+                   : wire::ReplayCheck::Refuse)
   , signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -92,7 +107,7 @@
 absl::StatusOr<std::unique_ptr<Runtime>>
 Runtime::Open(const settings::Settings& aSettings)
 {
-  const auto keys = LoadKeys(aSettings.keyFile_);
+  const auto keys = LoadKeys(aSettings);
   if (!keys.ok()) {
     return keys.status();
   }
@@ -165,7 +180,7 @@
 void
 Runtime::Receive(const Address& aFrom, std::string_view aBytes)
 {
-  const auto opened = opener_->Open(aBytes, wire::ReplayCheck::Refuse);
+  const auto opened = opener_->Open(aBytes, replayCheck_);
   ++opened_[static_cast<std::size_t>(opened.outcome_)];
   if (opened.outcome_ != wire::OpenOutcome::Opened) {
     return;
@@ -200,7 +215,7 @@
 void
 Runtime::ReloadKeys()
 {
-  const auto keys = LoadKeys(settings_.keyFile_);
+  const auto keys = LoadKeys(settings_);
   if (!keys.ok()) {
     log::Write(log::Level::Error,
                log::Event("keys_not_reloaded")
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -92,6 +92,7 @@
   settings::Settings settings_;
   NodeId self_;
   Incarnation incarnation_;
+  wire::ReplayCheck replayCheck_;
   boost::asio::io_context context_;
   boost::asio::signal_set signals_;
   std::unique_ptr<net::UdpSocket> socket_;
@@ -108,7 +109,7 @@
   std::thread thread_;
 };
 
-/** @brief Present time for the roles. */
+/** @brief Present time for the roles; counts on while the VM is suspended. */
 [[nodiscard]] TimePoint Now();
 
 } // namespace cornelshore::daemon
--- a/src/cornelshore/daemon/sender.cpp
+++ b/src/cornelshore/daemon/sender.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t kRingCapacity = 16 * 1024;
 constexpr std::size_t kMostAtOnce = 256;
 constexpr std::size_t kBatch = 64;
-constexpr std::chrono::milliseconds kLongestSleep{ 100 };
+constexpr std::chrono::milliseconds kLongestSleep{ 1000 };
 constexpr std::uint8_t kDatagramLane = 0;
 constexpr std::uint8_t kFrameLane = 1;
 
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -454,8 +454,10 @@
     const membership::RecordVersion own{ settings_.incarnation_,
                                          selfSequence_,
                                          selfGone_ };
-    const bool newer = membership::VersionOf(record) > own;
-    if (newer && record.incarnation_ == settings_.incarnation_ && !IsAgent()) {
+    if (membership::VersionOf(record) > own && !IsAgent()) {
+      if (record.incarnation_ > settings_.incarnation_) {
+        settings_.incarnation_ = Incarnation{ record.incarnation_.value_ + 1 };
+      }
       selfSequence_ = record.sequence_;
       Renew(aNow);
     }
--- /dev/null
+++ b/src/cornelshore/net/http_server.cpp
@@ -0,0 +1,309 @@
+#include <utility>
+
+#include <cornelshore/net/http_server.hpp>
+
+#include <atomic>
+#include <cstring>
+#include <optional>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace cornelshore::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+/** Pause after the process ran out of descriptors. */
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+
+tcp::endpoint
+EndpointOf(const Address& aAddress)
+{
+  const asio::ip::address_v6 ip(aAddress.ip_);
+  if (IsIpv4(aAddress)) {
+    return { asio::ip::make_address_v4(asio::ip::v4_mapped, ip),
+             aAddress.port_ };
+  }
+  return { ip, aAddress.port_ };
+}
+
+void
+SetPeerTimeout(tcp::socket& aSocket, Duration aTimeout)
+{
+  const auto millis = static_cast<unsigned>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout).count());
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  static_cast<void>(::setsockopt(aSocket.native_handle(),
+                                 IPPROTO_TCP,
+                                 TCP_USER_TIMEOUT,
+                                 &millis,
+                                 sizeof(millis)));
+}
+
+/** Whether the peer sent something that is no call, rather than nothing. */
+bool
+IsMalformed(beast::error_code aError)
+{
+  const beast::error_code ofHttp = http::error::bad_method;
+  return aError.category() == ofHttp.category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+/** One connection; its calls are served one after the other. */
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket aSocket,
+          const HttpLimits& aLimits,
+          std::shared_ptr<const HttpServer::Handle> aHandle,
+          std::shared_ptr<std::atomic<std::size_t>> aCount)
+    : stream_(std::move(aSocket))
+    , limits_(aLimits)
+    , handle_(std::move(aHandle))
+    , count_(std::move(aCount))
+  {
+    ++*count_;
+  }
+
+  ~Session() { --*count_; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Read()
+  {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
+    parser_->body_limit(limits_.bodyBytes_);
+    stream_.expires_after(limits_.readTimeout_);
+    http::async_read(
+      stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        self->OnRead(aError);
+      });
+  }
+
+private:
+  void OnRead(beast::error_code aError)
+  {
+    if (!aError) {
+      Serve();
+    } else if (aError == http::error::body_limit) {
+      Answer({ 413, R"({"error":"too large"})" }, false);
+    } else if (IsMalformed(aError)) {
+      Answer({ 400, R"({"error":"malformed"})" }, false);
+    }
+  }
+
+  void Serve()
+  {
+    auto& message = parser_->get();
+    const auto keepAlive = message.keep_alive();
+    HttpRequest request{ std::string(message.method_string()),
+                         std::string(message.target()),
+                         std::move(message.body()) };
+    stream_.expires_never();
+    std::weak_ptr<Session> weak = shared_from_this();
+    pending_ = shared_from_this();
+    (*handle_)(std::move(request), [weak, keepAlive](HttpResponse aResponse) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      asio::post(self->stream_.get_executor(),
+                 [self, keepAlive, response = std::move(aResponse)]() {
+                   self->Answer(response, keepAlive);
+                 });
+    });
+  }
+
+  void Answer(const HttpResponse& aResponse, bool aKeepAlive)
+  {
+    if (answering_) {
+      return;
+    }
+    answering_ = true;
+    response_ = {};
+    response_.version(11);
+    response_.result(aResponse.status_);
+    response_.set(http::field::content_type, "application/json");
+    response_.keep_alive(aKeepAlive);
+    response_.body() = aResponse.body_;
+    response_.prepare_payload();
+    stream_.expires_after(limits_.readTimeout_);
+    http::async_write(stream_,
+                      response_,
+                      [self = shared_from_this(),
+                       aKeepAlive](beast::error_code aError, std::size_t) {
+                        self->pending_.reset();
+                        self->answering_ = false;
+                        if (!aError && aKeepAlive) {
+                          self->Read();
+                          return;
+                        }
+                        beast::error_code ignored;
+                        self->stream_.socket().shutdown(
+                          tcp::socket::shutdown_send, ignored);
+                      });
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  HttpLimits limits_;
+  std::shared_ptr<const HttpServer::Handle> handle_;
+  std::shared_ptr<std::atomic<std::size_t>> count_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  std::shared_ptr<Session> pending_; ///< Itself, while a call is served.
+  bool answering_{};
+};
+
+} // namespace
+
+class HttpServer::Implementation
+  : public std::enable_shared_from_this<Implementation>
+{
+public:
+  Implementation(asio::io_context& aContext,
+                 const HttpLimits& aLimits,
+                 Handle aHandle)
+    : context_(aContext)
+    , acceptor_(aContext)
+    , pause_(aContext)
+    , limits_(aLimits)
+    , handle_(std::make_shared<const Handle>(std::move(aHandle)))
+    , count_(std::make_shared<std::atomic<std::size_t>>(0))
+  {
+  }
+
+  absl::Status Open(const Address& aAddress)
+  {
+    const auto endpoint = EndpointOf(aAddress);
+    boost::system::error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+      return absl::UnavailableError(absl::StrCat(
+        "cannot listen on ", ToString(aAddress), ": ", error.message()));
+    }
+    return absl::OkStatus();
+  }
+
+  void Accept()
+  {
+    acceptor_.async_accept(
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  tcp::socket aSocket) {
+        self->OnAccept(aError, std::move(aSocket));
+      });
+  }
+
+  void Close()
+  {
+    stopped_ = true;
+    asio::post(context_, [self = shared_from_this()] {
+      boost::system::error_code ignored;
+      self->acceptor_.close(ignored);
+      self->pause_.cancel();
+    });
+  }
+
+  [[nodiscard]] Address Local() const
+  {
+    boost::system::error_code error;
+    const auto endpoint = acceptor_.local_endpoint(error);
+    if (error || !endpoint.address().is_v4()) {
+      return {};
+    }
+    return MakeIpv4(endpoint.address().to_v4().to_uint(), endpoint.port());
+  }
+
+private:
+  void OnAccept(const boost::system::error_code& aError, tcp::socket aSocket)
+  {
+    if (stopped_) {
+      return;
+    }
+    if (aError) {
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& aCancel) {
+          if (!aCancel) {
+            self->Accept();
+          }
+        });
+      return;
+    }
+    if (*count_ < limits_.connections_) {
+      SetPeerTimeout(aSocket, limits_.peerTimeout_);
+      std::make_shared<Session>(std::move(aSocket), limits_, handle_, count_)
+        ->Read();
+    }
+    Accept();
+  }
+
+  asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
+  HttpLimits limits_;
+  std::shared_ptr<const Handle> handle_;
+  std::shared_ptr<std::atomic<std::size_t>> count_;
+  std::atomic<bool> stopped_{ false };
+};
+
+HttpServer::HttpServer(std::shared_ptr<Implementation> aImplementation)
+  : implementation_(std::move(aImplementation))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  implementation_->Close();
+}
+
+absl::StatusOr<std::unique_ptr<HttpServer>>
+HttpServer::Listen(asio::io_context& aContext,
+                   const Address& aAddress,
+                   const HttpLimits& aLimits,
+                   Handle aHandle)
+{
+  auto implementation =
+    std::make_shared<Implementation>(aContext, aLimits, std::move(aHandle));
+  if (auto status = implementation->Open(aAddress); !status.ok()) {
+    return status;
+  }
+  implementation->Accept();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
+}
+
+Address
+HttpServer::Local() const
+{
+  return implementation_->Local();
+}
+
+} // namespace cornelshore::net
--- /dev/null
+++ b/src/cornelshore/relay/agent.cpp
@@ -0,0 +1,364 @@
+#include <cornelshore/relay/agent.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::relay {
+
+namespace {
+
+/** How often old flows are looked for. */
+constexpr Duration kSweepEvery = std::chrono::seconds{ 2 };
+
+/** Bytes that a host sends in one flow at most, to tell its sequence numbers
+ * from another host's. */
+constexpr std::uint32_t kMostFlowBytes = 1U << 28U;
+
+/** How long a closed flow's late packets are still handed to the host; its
+ * peer's last retransmission comes within. */
+constexpr Duration kClosedLife = std::chrono::seconds{ 4 };
+
+/** Marks that say why a packet was handed to the host. */
+constexpr std::uint32_t kOpenMark = 1;
+constexpr std::uint32_t kHeldMark = 2;
+constexpr std::uint32_t kGuessMark = 3;
+
+bool
+IsOpening(Purpose aPurpose) noexcept
+{
+  return aPurpose == Purpose::Open || aPurpose == Purpose::Insist;
+}
+
+} // namespace
+
+Agent::Agent(AgentSettings aSettings, Codec aCodec, TimePoint aStart)
+  : settings_(aSettings)
+  , codec_(std::move(aCodec))
+  , start_(aStart)
+  , sweepAt_(aStart + kSweepEvery)
+{
+}
+
+void
+Agent::OnCarried(TimePoint aNow,
+                 const Address& aBalancer,
+                 Carried aCarried,
+                 Actions& aOut)
+{
+  const auto segment = codec_.parse_(aCarried.packet_);
+  if (!segment) {
+    Note(AgentCount::Malformed);
+    return;
+  }
+  const auto key = KeyFromCaller(*segment);
+  if (segment->opening_) {
+    Open(aNow, key, aBalancer, std::move(aCarried), aOut);
+  } else if (!IsOpening(aCarried.purpose_)) {
+    Deliver(aNow, key, *segment, aBalancer, std::move(aCarried), aOut);
+  }
+}
+
+bool
+Agent::MayOpen(TimePoint aNow,
+               const FlowKey& aKey,
+               const Carried& aCarried) const
+{
+  if (!host_ || host_->leaving_ || !HostAlive(aNow) ||
+      host_->service_ != aCarried.service_) {
+    return false;
+  }
+  const auto newerHere = routes_.Version() > aCarried.version_;
+  return !newerHere || routes_.Leads(aKey.service_, aCarried.service_);
+}
+
+void
+Agent::Open(TimePoint aNow,
+            const FlowKey& aKey,
+            const Address& aBalancer,
+            Carried aCarried,
+            Actions& aOut)
+{
+  const auto known = flows_.contains(aKey);
+  if (!known && !MayOpen(aNow, aKey, aCarried)) {
+    Note(AgentCount::Refused);
+    Tell(aNow, aBalancer, aKey, Verdict::Refused, aOut);
+    return;
+  }
+  const auto full =
+    !known && static_cast<double>(busy_) >=
+                settings_.busyPerSlot_ * static_cast<double>(host_->slots_);
+  if (full && aCarried.purpose_ == Purpose::Open) {
+    Note(AgentCount::Busy);
+    Tell(aNow, aBalancer, aKey, Verdict::Busy, aOut);
+    return;
+  }
+  Note(AgentCount::Opened);
+  auto& flow = flows_[aKey];
+  flow.balancer_ = aBalancer;
+  flow.lastPacket_ = aNow;
+  codec_.mark_(aCarried.packet_, kOpenMark);
+  aOut.emplace_back(ToHost{ std::move(aCarried.packet_) });
+}
+
+void
+Agent::Deliver(TimePoint aNow,
+               const FlowKey& aKey,
+               const Segment& aSegment,
+               const Address& aBalancer,
+               Carried aCarried,
+               Actions& aOut)
+{
+  const auto found = flows_.find(aKey);
+  auto mark = kGuessMark;
+  if (found != flows_.end()) {
+    auto& flow = found->second;
+    const auto other =
+      flow.hostStart_ &&
+      aSegment.acknowledged_ - *flow.hostStart_ > kMostFlowBytes;
+    if (other) {
+      Note(AgentCount::Unknown);
+      if (aCarried.purpose_ == Purpose::Direct) {
+        Tell(aNow,
+             aBalancer,
+             aKey,
+             Verdict::Unknown,
+             aOut,
+             std::move(aCarried.packet_));
+      }
+      return;
+    }
+    flow.lastPacket_ = aNow;
+    flow.balancer_ = aBalancer;
+    if (aSegment.payload_ > 0 && !flow.closed_) {
+      SetBusy(flow, true);
+    }
+    flow.callerDone_ |= aSegment.finishing_;
+    CloseWhenDone(flow, aSegment.reset_);
+    if (aCarried.purpose_ == Purpose::Search) {
+      Tell(aNow, aBalancer, aKey, Verdict::Holds, aOut);
+    }
+    mark = kHeldMark;
+  } else if (!MayHoldOthers(aNow) || aCarried.service_ != settings_.service_) {
+    Note(AgentCount::Unknown);
+    if (aCarried.purpose_ == Purpose::Direct) {
+      Tell(aNow,
+           aBalancer,
+           aKey,
+           Verdict::Unknown,
+           aOut,
+           std::move(aCarried.packet_));
+    }
+    return;
+  }
+  Note(AgentCount::Delivered);
+  codec_.mark_(aCarried.packet_, mark);
+  aOut.emplace_back(ToHost{ std::move(aCarried.packet_) });
+}
+
+bool
+Agent::MayHoldOthers(TimePoint aNow) const noexcept
+{
+  return !runBeganHere_ && aNow - start_ < settings_.flowLife_;
+}
+
+void
+Agent::OnHostPacket(TimePoint aNow, std::string aPacket, Actions& aOut)
+{
+  const auto segment = codec_.parse_(aPacket);
+  if (!segment) {
+    Note(AgentCount::Malformed);
+    return;
+  }
+  if (segment->returned_) {
+    OnReturned(aNow, *segment, std::move(aPacket), aOut);
+    return;
+  }
+  Note(AgentCount::Answered);
+  const auto key = KeyFromHost(*segment);
+  auto found = flows_.find(key);
+  if (found == flows_.end() && !segment->reset_ && MayHoldOthers(aNow)) {
+    found = flows_.emplace(key, Flow{}).first;
+    found->second.open_ = true;
+  }
+  if (found != flows_.end()) {
+    auto& flow = found->second;
+    flow.lastPacket_ = aNow;
+    if (segment->opening_) {
+      flow.hostStart_ = segment->sequence_;
+      if (!std::exchange(flow.open_, true)) {
+        Tell(aNow, flow.balancer_, key, Verdict::Opened, aOut);
+      }
+    }
+    if (segment->payload_ > 0) {
+      SetBusy(flow, false);
+    }
+    flow.hostDone_ |= segment->finishing_;
+    CloseWhenDone(flow, segment->reset_);
+  }
+  aOut.emplace_back(FromHost{ key.caller_, std::move(aPacket) });
+}
+
+void
+Agent::OnReturned(TimePoint aNow,
+                  const Segment& aSegment,
+                  std::string aPacket,
+                  Actions& aOut)
+{
+  Note(AgentCount::Returned);
+  const auto key = KeyFromCaller(aSegment);
+  const auto found = flows_.find(key);
+  if (aSegment.mark_ == kGuessMark || found == flows_.end()) {
+    return;
+  }
+  const auto balancer = found->second.balancer_;
+  Forget(key);
+  if (balancer.port_ == 0) {
+    return;
+  }
+  if (aSegment.mark_ == kOpenMark) {
+    Tell(aNow, balancer, key, Verdict::Refused, aOut);
+    return;
+  }
+  codec_.mark_(aPacket, 0);
+  Tell(aNow, balancer, key, Verdict::Unknown, aOut, std::move(aPacket));
+}
+
+ReportOutcome
+Agent::OnReport(TimePoint aNow, const HostReport& aReport)
+{
+  if (aReport.service_ != settings_.service_) {
+    return ReportOutcome::Foreign;
+  }
+  const auto& last = host_ ? host_ : ended_;
+  if (last) {
+    const auto sameRun = last->startMillis_ == aReport.startMillis_ &&
+                         last->instance_ == aReport.instance_;
+    const auto late = sameRun ? aReport.sequence_ <= last->sequence_ || !host_
+                              : aReport.startMillis_ < last->startMillis_;
+    if (late) {
+      return ReportOutcome::Late;
+    }
+    if (!sameRun) {
+      StartRun(aNow, aReport);
+    }
+  } else {
+    StartRun(aNow, aReport);
+  }
+  host_ = aReport;
+  heardAt_ = aNow;
+  return ReportOutcome::Taken;
+}
+
+void
+Agent::StartRun(TimePoint aNow, const HostReport& aReport)
+{
+  runBeganHere_ = host_ || ended_ || aReport.sequence_ <= 1;
+  if (runBeganHere_) {
+    flows_.clear();
+    busy_ = 0;
+    closed_ = 0;
+  }
+  ended_.reset();
+  static_cast<void>(aNow);
+}
+
+bool
+Agent::OnEnded(TimePoint, std::string_view aInstance)
+{
+  if (!host_ || host_->instance_ != aInstance) {
+    return false;
+  }
+  ended_ = std::exchange(host_, std::nullopt);
+  return true;
+}
+
+void
+Agent::UpdateRoutes(const Configuration& aConfiguration)
+{
+  routes_.Update(aConfiguration);
+}
+
+bool
+Agent::HostAlive(TimePoint aNow) const noexcept
+{
+  return host_ && aNow - heardAt_ < settings_.hostSilence_;
+}
+
+HostLoad
+Agent::Load(TimePoint aNow) const
+{
+  HostLoad load;
+  load.flows_ = static_cast<std::uint32_t>(flows_.size()) - closed_;
+  load.busy_ = busy_;
+  if (host_) {
+    load.slots_ = host_->slots_;
+    load.accepts_ = !host_->leaving_ && HostAlive(aNow);
+    load.warming_ = aNow - heardAt_ < host_->warmingFor_;
+  }
+  return load;
+}
+
+void
+Agent::Tell(TimePoint aNow,
+            const Address& aBalancer,
+            const FlowKey& aKey,
+            Verdict aVerdict,
+            Actions& aOut,
+            std::string aPacket) const
+{
+  aOut.emplace_back(ToBalancer{
+    aBalancer, Answer{ aKey, aVerdict, Load(aNow), std::move(aPacket) } });
+}
+
+void
+Agent::SetBusy(Flow& aFlow, bool aBusy) noexcept
+{
+  if (aFlow.busy_ != aBusy) {
+    aFlow.busy_ = aBusy;
+    busy_ += aBusy ? 1 : -1;
+  }
+}
+
+void
+Agent::CloseWhenDone(Flow& aFlow, bool aReset) noexcept
+{
+  if (!aFlow.closed_ && (aReset || (aFlow.callerDone_ && aFlow.hostDone_))) {
+    aFlow.closed_ = true;
+    ++closed_;
+    SetBusy(aFlow, false);
+  }
+}
+
+void
+Agent::Forget(const FlowKey& aKey)
+{
+  const auto found = flows_.find(aKey);
+  if (found != flows_.end()) {
+    SetBusy(found->second, false);
+    closed_ -= found->second.closed_ ? 1 : 0;
+    flows_.erase(found);
+  }
+}
+
+void
+Agent::Tick(TimePoint aNow)
+{
+  if (sweepAt_ > aNow) {
+    return;
+  }
+  sweepAt_ = aNow + kSweepEvery;
+  const auto idle = routes_.FlowIdle();
+  const auto life = idle > Duration::zero()
+                      ? std::min(idle * 2, settings_.flowLife_)
+                      : settings_.flowLife_;
+  for (auto row = flows_.begin(); row != flows_.end();) {
+    const auto current = row++;
+    const auto& flow = current->second;
+    const auto kept = flow.closed_ ? kClosedLife : life;
+    if (aNow - flow.lastPacket_ > kept) {
+      Forget(FlowKey(current->first));
+    }
+  }
+}
+
+} // namespace cornelshore::relay
--- /dev/null
+++ b/src/cornelshore/relay/balancer.cpp
@@ -0,0 +1,367 @@
+#include <cornelshore/relay/balancer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelshore::relay {
+
+namespace {
+
+/** How often old flows are looked for. */
+constexpr Duration kSweepEvery = std::chrono::seconds{ 2 };
+
+/** Random part of a host's cost, so that balancers do not all choose one. */
+constexpr double kJitter = 0.15;
+
+/** What a host that warms up costs more, in busy slots. */
+constexpr double kWarmingPenalty = 0.7;
+
+/** Cost of a host that did not answer a short while ago. */
+constexpr double kSuspectPenalty = 1000.0;
+
+/** Offers after which a busy host is asked to take the flow all the same. */
+constexpr std::uint32_t kOffersBeforeInsisting = 2;
+
+} // namespace
+
+Balancer::Balancer(BalancerSettings aSettings, Codec aCodec)
+  : settings_(aSettings)
+  , codec_(std::move(aCodec))
+  , random_(aSettings.seed_)
+{
+}
+
+void
+Balancer::OnPacket(TimePoint aNow, std::string aPacket, Actions& aOut)
+{
+  const auto segment = codec_.parse_(aPacket);
+  if (!segment) {
+    Note(BalancerCount::Malformed);
+    return;
+  }
+  lastPacket_ = aNow;
+  const auto key = KeyFromCaller(*segment);
+  const auto known = flows_.find(key);
+  if (routes_.Find(key.service_) == nullptr) {
+    Note(BalancerCount::NoRoute);
+    if (segment->opening_ && routes_.Version().value_ != 0) {
+      aOut.emplace_back(
+        ToCaller{ key.caller_, codec_.reset_(key, segment->acknowledged_) });
+    }
+    return;
+  }
+  if (known != flows_.end()) {
+    OnKnownFlow(aNow, key, *segment, known->second, std::move(aPacket), aOut);
+    return;
+  }
+  if (segment->opening_) {
+    Open(aNow, key, *segment, std::move(aPacket), aOut);
+    return;
+  }
+  auto& flow = flows_[key];
+  flow.phase_ = Phase::Searching;
+  flow.service_ = routes_.ServiceOf(key).value_or(ServiceId{});
+  flow.lastPacket_ = aNow;
+  Search(flow, aPacket, std::nullopt, aOut);
+}
+
+void
+Balancer::OnKnownFlow(TimePoint aNow,
+                      const FlowKey& aKey,
+                      const Segment& aSegment,
+                      Flow& aFlow,
+                      std::string aPacket,
+                      Actions& aOut)
+{
+  aFlow.lastPacket_ = aNow;
+  if (aFlow.phase_ == Phase::Searching) {
+    if (aSegment.opening_) {
+      flows_.erase(aKey);
+      Open(aNow, aKey, aSegment, std::move(aPacket), aOut);
+      return;
+    }
+    Search(aFlow, aPacket, std::nullopt, aOut);
+    return;
+  }
+  if (aSegment.opening_ && aFlow.phase_ == Phase::Opening) {
+    if (aFlow.offers_ < settings_.mostOffers_) {
+      Offer(aNow, aKey, aFlow, aOut);
+    }
+    return;
+  }
+  SendDirect(aFlow, std::move(aPacket), aOut);
+}
+
+void
+Balancer::Open(TimePoint aNow,
+               const FlowKey& aKey,
+               const Segment& aSegment,
+               std::string aPacket,
+               Actions& aOut)
+{
+  Flow flow;
+  flow.service_ = routes_.ServiceOf(aKey).value_or(ServiceId{});
+  flow.lastPacket_ = aNow;
+  flow.opening_ = std::move(aPacket);
+  Note(BalancerCount::Opened);
+  if (!Pick(aNow, flow)) {
+    Note(BalancerCount::NoHost);
+    aOut.emplace_back(
+      ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+    return;
+  }
+  auto& held = flows_[aKey] = std::move(flow);
+  Offer(aNow, aKey, held, aOut);
+}
+
+void
+Balancer::Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
+{
+  auto host = Pick(aNow, aFlow);
+  if (!host && !aFlow.tried_.empty()) {
+    aFlow.tried_.clear();
+    host = Pick(aNow, aFlow);
+  }
+  if (!host) {
+    return;
+  }
+  if (aFlow.offers_ > 0) {
+    Note(BalancerCount::Retried);
+  }
+  const auto insists = aFlow.offers_ >= kOffersBeforeInsisting;
+  aFlow.host_ = *host;
+  aFlow.tried_.push_back(*host);
+  aFlow.due_ = aNow + settings_.openTimeout_;
+  ++aFlow.offers_;
+  ++hosts_[*host].offered_;
+  Send(*host,
+       insists ? Purpose::Insist : Purpose::Open,
+       aFlow.service_,
+       aFlow.opening_,
+       aOut);
+  due_.emplace_back(aFlow.due_, aKey);
+  nextTimer_ = std::min(nextTimer_, aFlow.due_);
+}
+
+void
+Balancer::Search(const Flow& aFlow,
+                 const std::string& aPacket,
+                 std::optional<HostId> aExcept,
+                 Actions& aOut)
+{
+  Note(BalancerCount::Searched);
+  for (const auto& [id, host] : hosts_) {
+    if (host.record_.state_ != HostState::Gone &&
+        host.record_.service_ == aFlow.service_ && id != aExcept) {
+      Send(id, Purpose::Search, aFlow.service_, aPacket, aOut);
+    }
+  }
+}
+
+void
+Balancer::SendDirect(const Flow& aFlow, std::string aPacket, Actions& aOut)
+{
+  Note(BalancerCount::Direct);
+  Send(aFlow.host_, Purpose::Direct, aFlow.service_, std::move(aPacket), aOut);
+}
+
+void
+Balancer::Send(HostId aHost,
+               Purpose aPurpose,
+               ServiceId aService,
+               std::string aPacket,
+               Actions& aOut)
+{
+  const auto host = hosts_.find(aHost);
+  if (host == hosts_.end()) {
+    return;
+  }
+  aOut.emplace_back(ToAgent{
+    aHost,
+    host->second.record_.agent_,
+    Carried{ aPurpose, aService, routes_.Version(), std::move(aPacket) } });
+}
+
+void
+Balancer::OnAnswer(TimePoint aNow, HostId aHost, Answer aAnswer, Actions& aOut)
+{
+  OnLoad(aNow, aHost, aAnswer.load_);
+  const auto found = flows_.find(aAnswer.key_);
+  if (found == flows_.end()) {
+    return;
+  }
+  auto& flow = found->second;
+  switch (aAnswer.verdict_) {
+    case Verdict::Opened:
+    case Verdict::Holds:
+      OnTaken(aAnswer, aHost, flow);
+      return;
+    case Verdict::Busy:
+    case Verdict::Refused:
+      if (flow.phase_ == Phase::Opening && flow.host_ == aHost &&
+          flow.offers_ < settings_.mostOffers_) {
+        Offer(aNow, aAnswer.key_, flow, aOut);
+      }
+      return;
+    case Verdict::Unknown:
+      if (flow.phase_ != Phase::Searching && flow.host_ == aHost) {
+        flow.phase_ = Phase::Searching;
+      }
+      if (!aAnswer.packet_.empty()) {
+        Search(flow, aAnswer.packet_, aHost, aOut);
+      }
+      return;
+  }
+}
+
+void
+Balancer::OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow)
+{
+  const auto late =
+    aAnswer.verdict_ == Verdict::Opened && aFlow.phase_ == Phase::Held;
+  if (late) {
+    return;
+  }
+  aFlow.phase_ = Phase::Held;
+  aFlow.host_ = aHost;
+  aFlow.opening_.clear();
+  aFlow.tried_.clear();
+  if (const auto host = hosts_.find(aHost); host != hosts_.end()) {
+    host->second.suspicion_ = Duration::zero();
+    host->second.suspectUntil_ = TimePoint{};
+  }
+}
+
+void
+Balancer::OnLoad(TimePoint aNow, HostId aHost, const HostLoad& aLoad)
+{
+  const auto found = hosts_.find(aHost);
+  if (found == hosts_.end()) {
+    return;
+  }
+  auto& host = found->second;
+  host.load_ = aLoad;
+  host.heardAt_ = aNow;
+  host.offered_ = 0;
+}
+
+void
+Balancer::UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords)
+{
+  for (const auto& record : aRecords) {
+    auto& host = hosts_[record.id_];
+    if (host.record_.incarnation_ != record.incarnation_) {
+      host = {};
+      host.knownAt_ = aNow;
+    }
+    host.record_ = record;
+  }
+}
+
+void
+Balancer::UpdateRoutes(const Configuration& aConfiguration)
+{
+  routes_.Update(aConfiguration);
+}
+
+void
+Balancer::Suspect(TimePoint aNow, HostId aHost)
+{
+  const auto found = hosts_.find(aHost);
+  if (found == hosts_.end()) {
+    return;
+  }
+  auto& host = found->second;
+  host.suspicion_ = std::clamp(
+    host.suspicion_ * 2, settings_.suspicion_, settings_.longestSuspicion_);
+  host.suspectUntil_ = aNow + host.suspicion_;
+}
+
+bool
+Balancer::Takes(TimePoint aNow, const Host& aHost) const
+{
+  if (aHost.record_.state_ != HostState::Ready) {
+    return false;
+  }
+  if (!aHost.heardAt_) {
+    return aNow - aHost.knownAt_ < settings_.loadLife_;
+  }
+  return aHost.load_.accepts_ && aNow - *aHost.heardAt_ < settings_.loadLife_;
+}
+
+double
+Balancer::Cost(TimePoint aNow, const Host& aHost)
+{
+  const auto slots = std::max<double>(1.0, aHost.record_.slots_);
+  auto busy = static_cast<double>(aHost.load_.busy_ + aHost.offered_) +
+              settings_.flowWeight_ * aHost.load_.flows_;
+  if (aHost.load_.warming_) {
+    busy += kWarmingPenalty;
+  }
+  auto cost = busy / slots + kJitter * random_.Unit();
+  if (aHost.record_.dataCentre_ != settings_.dataCentre_) {
+    cost += settings_.farPenalty_;
+  }
+  if (aNow < aHost.suspectUntil_) {
+    cost += kSuspectPenalty;
+  }
+  return cost;
+}
+
+std::optional<HostId>
+Balancer::Pick(TimePoint aNow, const Flow& aFlow)
+{
+  std::optional<HostId> best;
+  double least = 0;
+  for (const auto& [id, host] : hosts_) {
+    const auto tried = std::find(aFlow.tried_.begin(), aFlow.tried_.end(), id);
+    if (host.record_.service_ != aFlow.service_ || !Takes(aNow, host) ||
+        tried != aFlow.tried_.end()) {
+      continue;
+    }
+    const auto cost = Cost(aNow, host);
+    if (!best || cost < least) {
+      best = id;
+      least = cost;
+    }
+  }
+  return best;
+}
+
+void
+Balancer::Tick(TimePoint aNow, Actions& aOut)
+{
+  std::vector<std::pair<TimePoint, FlowKey>> waiting;
+  waiting.swap(due_);
+  for (auto& [due, key] : waiting) {
+    const auto found = flows_.find(key);
+    if (found == flows_.end() || found->second.phase_ != Phase::Opening ||
+        found->second.due_ != due) {
+      continue;
+    }
+    if (due > aNow) {
+      due_.emplace_back(due, key);
+      continue;
+    }
+    Suspect(aNow, found->second.host_);
+    if (found->second.offers_ < settings_.mostOffers_) {
+      Offer(aNow, key, found->second, aOut);
+    }
+  }
+  if (sweepAt_ <= aNow) {
+    sweepAt_ = aNow + kSweepEvery;
+    absl::erase_if(flows_, [&](const auto& aRow) {
+      return aNow - aRow.second.lastPacket_ > settings_.flowLife_;
+    });
+    std::erase_if(hosts_, [&](const auto& aRow) {
+      return aRow.second.record_.state_ == HostState::Gone &&
+             aNow - aRow.second.knownAt_ > settings_.flowLife_;
+    });
+  }
+  nextTimer_ = sweepAt_;
+  for (const auto& [due, key] : due_) {
+    nextTimer_ = std::min(nextTimer_, due);
+  }
+}
+
+} // namespace cornelshore::relay
--- /dev/null
+++ b/src/cornelshore/relay/balancer.hpp
@@ -0,0 +1,207 @@
+#ifndef CORNELSHORE_RELAY_BALANCER_HPP
+#define CORNELSHORE_RELAY_BALANCER_HPP
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cornelshore/core/host.hpp>
+#include <cornelshore/core/random.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/relay/message.hpp>
+#include <cornelshore/relay/route_table.hpp>
+#include <cornelshore/relay/segment.hpp>
+
+namespace cornelshore::relay {
+
+/** @brief Hand a caller's packet to a host's agent. */
+struct ToAgent
+{
+  HostId host_;
+  Address agent_;
+  Carried carried_;
+};
+
+/** @brief Send a packet to a caller; its port is the platform's choice. */
+struct ToCaller
+{
+  Address caller_;
+  std::string packet_;
+};
+
+using BalancerAction = std::variant<ToAgent, ToCaller>;
+
+/** @brief What a balancer did with callers' packets, for the metrics. */
+enum class BalancerCount : std::uint8_t
+{
+  Direct,    ///< Sent to the host that is thought to hold the flow.
+  Opened,    ///< New flows offered.
+  Retried,   ///< Openings offered to a further host.
+  Searched,  ///< Packets of flows that no host is known for.
+  NoRoute,   ///< Dropped or reset: the address has no route.
+  NoHost,    ///< Openings reset: no host of the service takes flows.
+  Malformed, ///< No packet of a flow.
+};
+
+/** @brief Names of `BalancerCount`. */
+inline constexpr std::array<EnumName<BalancerCount>, 7> kBalancerCountNames{ {
+  { BalancerCount::Direct, "direct" },
+  { BalancerCount::Opened, "opened" },
+  { BalancerCount::Retried, "retried" },
+  { BalancerCount::Searched, "searched" },
+  { BalancerCount::NoRoute, "no_route" },
+  { BalancerCount::NoHost, "no_host" },
+  { BalancerCount::Malformed, "malformed" },
+} };
+
+/** @brief Times and weights of a balancer. */
+struct BalancerSettings
+{
+  DataCentreId dataCentre_;
+  std::uint64_t seed_{};
+  /** An opening without an answer goes on to another host; some round trips
+   * between data centres and a busy agent's delay. */
+  Duration openTimeout_{ std::chrono::milliseconds{ 100 } };
+  /** Offers of one opening; callers give up after 1.4 s. */
+  std::uint32_t mostOffers_{ 12 };
+  /** A host that did not answer an opening gets none for so long, doubled
+   * each time. */
+  Duration suspicion_{ std::chrono::milliseconds{ 500 } };
+  Duration longestSuspicion_{ std::chrono::seconds{ 8 } };
+  /** Load reports come each second; a host unheard for so long is avoided. */
+  Duration loadLife_{ std::chrono::milliseconds{ 2500 } };
+  /** Load that a host in another data centre must be better by, in slots. */
+  double farPenalty_{ 0.3 };
+  /** What an open flow adds to a host's load, in busy slots. */
+  double flowWeight_{ 0.1 };
+  /** Flows unheard for so long are forgotten. */
+  Duration flowLife_{ std::chrono::seconds{ 70 } };
+};
+
+/**
+ * @brief Chooses a host for each new flow and finds the hosts of others.
+ */
+class Balancer
+{
+public:
+  using Actions = std::vector<BalancerAction>;
+
+  Balancer(BalancerSettings aSettings, Codec aCodec);
+
+  /** @brief A caller's packet came in. */
+  void OnPacket(TimePoint aNow, std::string aPacket, Actions& aOut);
+
+  /** @brief A host's agent answered. */
+  void OnAnswer(TimePoint aNow, HostId aHost, Answer aAnswer, Actions& aOut);
+
+  /** @brief A host's agent told its load. */
+  void OnLoad(TimePoint aNow, HostId aHost, const HostLoad& aLoad);
+
+  /** @brief Host records that are new. */
+  void UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords);
+
+  /** @brief A configuration is in force. */
+  void UpdateRoutes(const Configuration& aConfiguration);
+
+  /** @brief Offers openings again that were not answered; forgets old flows. */
+  void Tick(TimePoint aNow, Actions& aOut);
+
+  [[nodiscard]] TimePoint NextTimer() const noexcept { return nextTimer_; }
+
+  [[nodiscard]] const RouteTable& Routes() const noexcept { return routes_; }
+  [[nodiscard]] std::size_t Flows() const noexcept { return flows_.size(); }
+  [[nodiscard]] std::size_t Hosts() const noexcept { return hosts_.size(); }
+  [[nodiscard]] std::uint64_t Count(BalancerCount aCount) const noexcept
+  {
+    return counts_[static_cast<std::size_t>(aCount)];
+  }
+  /** @brief When a caller's packet last came in. */
+  [[nodiscard]] TimePoint LastPacket() const noexcept { return lastPacket_; }
+
+private:
+  /** What is known of a host. */
+  struct Host
+  {
+    HostRecord record_;
+    HostLoad load_;
+    std::optional<TimePoint> heardAt_;
+    TimePoint knownAt_;
+    TimePoint suspectUntil_;
+    Duration suspicion_{};
+    std::uint32_t offered_{}; ///< Since the last load report.
+  };
+
+  enum class Phase : std::uint8_t
+  {
+    Opening,
+    Held,
+    Searching,
+  };
+
+  /** Hint about a flow. */
+  struct Flow
+  {
+    Phase phase_{ Phase::Opening };
+    ServiceId service_;
+    HostId host_;
+    TimePoint lastPacket_;
+    std::string opening_; ///< Packet to offer again.
+    std::vector<HostId> tried_;
+    std::uint32_t offers_{};
+    TimePoint due_;
+  };
+
+  void OnKnownFlow(TimePoint aNow,
+                   const FlowKey& aKey,
+                   const Segment& aSegment,
+                   Flow& aFlow,
+                   std::string aPacket,
+                   Actions& aOut);
+  void Open(TimePoint aNow,
+            const FlowKey& aKey,
+            const Segment& aSegment,
+            std::string aPacket,
+            Actions& aOut);
+  void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
+  void Search(const Flow& aFlow,
+              const std::string& aPacket,
+              std::optional<HostId> aExcept,
+              Actions& aOut);
+  void SendDirect(const Flow& aFlow, std::string aPacket, Actions& aOut);
+  void Send(HostId aHost,
+            Purpose aPurpose,
+            ServiceId aService,
+            std::string aPacket,
+            Actions& aOut);
+  void OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow);
+  void Suspect(TimePoint aNow, HostId aHost);
+  [[nodiscard]] std::optional<HostId> Pick(TimePoint aNow, const Flow& aFlow);
+  [[nodiscard]] bool Takes(TimePoint aNow, const Host& aHost) const;
+  [[nodiscard]] double Cost(TimePoint aNow, const Host& aHost);
+  void Note(BalancerCount aCount) noexcept
+  {
+    ++counts_[static_cast<std::size_t>(aCount)];
+  }
+
+  BalancerSettings settings_;
+  Codec codec_;
+  Random random_;
+  RouteTable routes_;
+  std::map<HostId, Host> hosts_;
+  absl::flat_hash_map<FlowKey, Flow> flows_;
+  std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Openings, by time.
+  TimePoint nextTimer_{ TimePoint::max() };
+  TimePoint sweepAt_{};
+  TimePoint lastPacket_{};
+  std::array<std::uint64_t, kBalancerCountNames.size()> counts_{};
+};
+
+} // namespace cornelshore::relay
+
+#endif
--- /dev/null
+++ b/src/cornelshore/relay/fwd.hpp
@@ -0,0 +1,18 @@
+#ifndef CORNELSHORE_RELAY_FWD_HPP
+#define CORNELSHORE_RELAY_FWD_HPP
+
+namespace cornelshore::relay {
+
+class Agent;
+class Balancer;
+class RouteTable;
+struct Answer;
+struct Carried;
+struct Codec;
+struct HostLoad;
+struct HostReport;
+struct Segment;
+
+} // namespace cornelshore::relay
+
+#endif
--- /dev/null
+++ b/src/cornelshore/relay/message.hpp
@@ -0,0 +1,90 @@
+#ifndef CORNELSHORE_RELAY_MESSAGE_HPP
+#define CORNELSHORE_RELAY_MESSAGE_HPP
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include <cornelshore/core/flow_key.hpp>
+#include <cornelshore/core/names.hpp>
+#include <cornelshore/core/types.hpp>
+
+namespace cornelshore::relay {
+
+/** @brief Why a balancer hands a packet to an agent. */
+enum class Purpose : std::uint8_t
+{
+  Open,   ///< Take the flow, or refuse it.
+  Insist, ///< As `Open`, although the host is busy: others are as well.
+  Direct, ///< The host is thought to hold the flow.
+  Search, ///< Some host holds the flow; stay silent when it is another.
+};
+
+/** @brief Names of `Purpose`. */
+inline constexpr std::array<EnumName<Purpose>, 4> kPurposeNames{ {
+  { Purpose::Open, "open" },
+  { Purpose::Insist, "insist" },
+  { Purpose::Direct, "direct" },
+  { Purpose::Search, "search" },
+} };
+
+/** @brief Balancer to agent: a packet of a caller. */
+struct Carried
+{
+  Purpose purpose_{ Purpose::Direct };
+  ServiceId service_;     ///< Where the flow's route led when it opened.
+  ConfigVersion version_; ///< In force at the balancer.
+  std::string packet_;
+
+  bool operator==(const Carried&) const noexcept = default;
+};
+
+/** @brief How busy a host is, as its agent sees it on the packets. */
+struct HostLoad
+{
+  std::uint32_t flows_{};
+  std::uint32_t busy_{};  ///< Requests without an answer.
+  std::uint16_t slots_{}; ///< Requests that it runs at once.
+  bool accepts_{};        ///< Takes new flows.
+  bool warming_{};        ///< Slow since it has just started.
+
+  bool operator==(const HostLoad&) const noexcept = default;
+};
+
+/** @brief What an agent says of a packet or its flow. */
+enum class Verdict : std::uint8_t
+{
+  Opened,  ///< The host answered the opening packet.
+  Holds,   ///< The host holds the flow.
+  Busy,    ///< Not taken: all slots are in use; another host may be free.
+  Refused, ///< Not taken: leaving, full, or the route leads elsewhere.
+  Unknown, ///< The host does not hold the flow.
+};
+
+/** @brief Names of `Verdict`. */
+inline constexpr std::array<EnumName<Verdict>, 5> kVerdictNames{ {
+  { Verdict::Opened, "opened" },
+  { Verdict::Holds, "holds" },
+  { Verdict::Busy, "busy" },
+  { Verdict::Refused, "refused" },
+  { Verdict::Unknown, "unknown" },
+} };
+
+/** @brief Agent to balancer: what became of a packet. */
+struct Answer
+{
+  FlowKey key_;
+  Verdict verdict_{ Verdict::Unknown };
+  HostLoad load_;
+  std::string packet_; ///< `Unknown`: the packet, for another host.
+
+  bool operator==(const Answer&) const noexcept = default;
+};
+
+/** @brief Everything that balancers and agents say about flows of segments. */
+using Message = std::variant<Carried, Answer, HostLoad>;
+
+} // namespace cornelshore::relay
+
+#endif
--- /dev/null
+++ b/src/cornelshore/relay/route_table.hpp
@@ -0,0 +1,46 @@
+#ifndef CORNELSHORE_RELAY_ROUTE_TABLE_HPP
+#define CORNELSHORE_RELAY_ROUTE_TABLE_HPP
+
+#include <optional>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cornelshore/core/address.hpp>
+#include <cornelshore/core/flow_key.hpp>
+#include <cornelshore/core/target.hpp>
+
+namespace cornelshore::relay {
+
+/** @brief Routes of the configuration in force, by the callers' address. */
+class RouteTable
+{
+public:
+  /** @brief Takes in a configuration; an older one is ignored. */
+  void Update(const Configuration& aConfiguration);
+
+  [[nodiscard]] ConfigVersion Version() const noexcept { return version_; }
+
+  /** @brief Route of an address, or null. */
+  [[nodiscard]] const Route* Find(const Address& aAddress) const;
+
+  /**
+   * @brief Service of a new flow, by the route's weights; the same at every
+   * process that has the same configuration. Nothing without a route.
+   */
+  [[nodiscard]] std::optional<ServiceId> ServiceOf(const FlowKey& aKey) const;
+
+  /** @brief Whether the address's route leads to the service. */
+  [[nodiscard]] bool Leads(const Address& aAddress, ServiceId aService) const;
+
+  /** @brief How long an idle flow is kept at least; zero: without end. */
+  [[nodiscard]] Duration FlowIdle() const noexcept { return flowIdle_; }
+
+private:
+  ConfigVersion version_;
+  Duration flowIdle_{};
+  absl::flat_hash_map<Address, Route> routes_;
+};
+
+} // namespace cornelshore::relay
+
+#endif
--- /dev/null
+++ b/src/cornelshore/relay/segment.hpp
@@ -0,0 +1,68 @@
+#ifndef CORNELSHORE_RELAY_SEGMENT_HPP
+#define CORNELSHORE_RELAY_SEGMENT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <cornelshore/core/address.hpp>
+#include <cornelshore/core/flow_key.hpp>
+
+/**
+ * @brief Flows of segments: packets with sequence numbers that both ends
+ * author and nobody between may alter.
+ *
+ * Balancers keep no flow state that matters: what they remember of a flow is
+ * a hint, and the agent beside the upstream knows which flows its host holds.
+ */
+namespace cornelshore::relay {
+
+/** @brief What the system reads of one packet of a flow. */
+struct Segment
+{
+  Address from_;
+  Address to_;
+  std::uint32_t sequence_{};
+  std::uint32_t acknowledged_{};
+  std::uint32_t mark_{};    ///< Ours; neither end reads it.
+  std::uint16_t payload_{}; ///< Bytes of data.
+  bool opening_{};
+  bool acknowledging_{};
+  bool finishing_{};
+  bool reset_{};
+  bool returned_{}; ///< The host does not hold the flow or cannot take it.
+};
+
+/** @brief Reads and writes the packets' head, which is no part of the core. */
+struct Codec
+{
+  /** @brief Reads a packet; nothing when it is malformed. */
+  std::function<std::optional<Segment>(std::string_view)> parse_;
+  /** @brief Writes the mark into a packet that `parse_` accepted. */
+  std::function<void(std::string&, std::uint32_t)> mark_;
+  /**
+   * @brief Makes a reset from the service's address to the caller.
+   * @param aSequence The caller's last acknowledgement.
+   */
+  std::function<std::string(const FlowKey&, std::uint32_t aSequence)> reset_;
+};
+
+/** @brief Key of the flow of a packet that its caller wrote. */
+[[nodiscard]] inline FlowKey
+KeyFromCaller(const Segment& aSegment) noexcept
+{
+  return { aSegment.from_, aSegment.to_, Transport::Tcp };
+}
+
+/** @brief Key of the flow of a packet that its host wrote. */
+[[nodiscard]] inline FlowKey
+KeyFromHost(const Segment& aSegment) noexcept
+{
+  return { aSegment.to_, aSegment.from_, Transport::Tcp };
+}
+
+} // namespace cornelshore::relay
+
+#endif
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -63,9 +63,18 @@
       SendNode{ aAction.address_, std::move(aAction.message_) });
   }
 
-  template<typename Ignored>
-  void Carry(TimePoint, const Ignored&, Actions&)
+  void Carry(TimePoint, dissemination::HostsChanged&, Actions&) {}
+
+  void Carry(TimePoint aNow, dissemination::PeersChanged&, Actions& aOut)
   {
+    consensus::GroupKnown known;
+    for (const auto& peer : node_.Peers()) {
+      if (peer.role_ == membership::NodeRole::Control &&
+          peer.address_ != self_) {
+        known.nodes_.push_back(peer.id_);
+      }
+    }
+    FeedReplica(aNow, std::move(known), aOut);
   }
 
   void Carry(TimePoint, dissemination::ConfigChanged& aAction, Actions& aOut)
@@ -105,7 +114,8 @@
   {
     aOut.emplace_back(ShowAnswered{ aAction.token_,
                                     aAction.confirmed_,
-                                    replica_.AppliedRegister().Current() });
+                                    replica_.AppliedRegister().Current(),
+                                    replica_.AppliedRegister().Document() });
   }
 
   void Carry(TimePoint aNow, consensus::Applied& aAction, Actions& aOut)
@@ -232,6 +242,10 @@
   {
     Configuration configuration;
     configuration.services_ = aChange.services_;
+    configuration.routes_ = aChange.routes_;
+    if (auto status = CheckRoutes(configuration); !status.ok()) {
+      return status;
+    }
     std::map<ServiceId, admission::FleetCapacity> byService;
     for (const auto& host : node_.Hosts().All()) {
       if (host.state_ != HostState::Ready) {
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -75,6 +75,7 @@
   consensus::Token token_;
   bool confirmed_{}; ///< A lease or a quorum vouches that it is current.
   Configuration configuration_;
+  std::string document_; ///< Operator's own text of it; empty: none.
 };
 
 /** @brief Outcome of a change of the control group. */
--- a/src/cornelshore/role/message.hpp
+++ b/src/cornelshore/role/message.hpp
@@ -10,6 +10,7 @@
 #include <cornelshore/dissemination/message.hpp>
 #include <cornelshore/flow/envelope.hpp>
 #include <cornelshore/membership/message.hpp>
+#include <cornelshore/relay/message.hpp>
 #include <cornelshore/request/message.hpp>
 
 /**
@@ -36,7 +37,8 @@
                              admission::Pushback,
                              dissemination::Message,
                              consensus::Message,
-                             membership::Message>;
+                             membership::Message,
+                             relay::Message>;
 
 } // namespace cornelshore::role
 
--- /dev/null
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -0,0 +1,377 @@
+#include <cornelshore/role/relay_agent.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <cornelshore/role/host_dump.hpp>
+
+namespace cornelshore::role {
+
+namespace {
+
+using Actions = std::vector<RelayAgentAction>;
+
+/** Least and most time between two reports of the host's load. */
+constexpr Duration kLoadEvery = std::chrono::milliseconds{ 250 };
+constexpr Duration kLoadAtLeastEvery = std::chrono::seconds{ 1 };
+
+} // namespace
+
+struct RelayAgent::Parts
+{
+  Parts(dissemination::Node aNode, relay::Agent aFlows)
+    : node_(std::move(aNode))
+    , flows_(std::move(aFlows))
+  {
+  }
+
+  void Feed(TimePoint aNow, const dissemination::Event& aEvent, Actions& aOut)
+  {
+    for (auto& action : node_.On(aNow, aEvent)) {
+      std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+    }
+  }
+
+  void Carry(TimePoint, dissemination::Send& aSend, Actions& aOut)
+  {
+    aOut.emplace_back(SendNode{ aSend.address_, std::move(aSend.message_) });
+  }
+
+  /** A record of this host that is newer than its own comes from an earlier
+   * run whose clock was ahead: the next one must replace it everywhere. */
+  void Carry(TimePoint aNow,
+             dissemination::HostsChanged& aChange,
+             Actions& aOut)
+  {
+    for (const auto& record : aChange.records_) {
+      if (record.id_ == record_.id_ &&
+          membership::VersionOf(record) > membership::VersionOf(record_)) {
+        record_.incarnation_ = Incarnation{ record.incarnation_.value_ + 1 };
+        record_.sequence_ = 0;
+        announced_.reset();
+        Announce(aNow, aOut);
+      }
+    }
+  }
+
+  void Carry(TimePoint, dissemination::PeersChanged&, Actions&) {}
+
+  void Carry(TimePoint, dissemination::ConfigChanged& aChange, Actions& aOut)
+  {
+    const auto version = std::to_string(aChange.version_.value_);
+    const auto configuration = hooks_.decode_(aChange.bytes_);
+    if (!configuration.ok()) {
+      aOut.emplace_back(Log{ Weight::Error,
+                             "configuration_unreadable",
+                             { { "version", version } } });
+      return;
+    }
+    flows_.UpdateRoutes(*configuration);
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           "configuration_in_force",
+           { { "version", version },
+             { "routes", std::to_string(configuration->routes_.size()) },
+             { "confirmed", aChange.confirmed_ ? "yes" : "no" } } });
+  }
+
+  void Carry(relay::Agent::Actions aActions, Actions& aOut)
+  {
+    for (auto& action : aActions) {
+      if (auto* tell = std::get_if<relay::ToBalancer>(&action)) {
+        aOut.emplace_back(SendNode{ tell->balancer_,
+                                    relay::Message(std::move(tell->answer_)) });
+      } else if (auto* toHost = std::get_if<relay::ToHost>(&action)) {
+        aOut.emplace_back(std::move(*toHost));
+      } else {
+        aOut.emplace_back(std::get<relay::FromHost>(std::move(action)));
+      }
+    }
+  }
+
+  void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
+  {
+    if (auto* news = std::get_if<dissemination::Message>(&aEvent.message_)) {
+      Feed(aNow,
+           dissemination::Received{
+             aEvent.from_, aEvent.address_, std::move(*news) },
+           aOut);
+      return;
+    }
+    auto* message = std::get_if<relay::Message>(&aEvent.message_);
+    auto* carried =
+      message == nullptr ? nullptr : std::get_if<relay::Carried>(message);
+    if (carried == nullptr) {
+      ++misplaced_;
+      return;
+    }
+    relay::Agent::Actions actions;
+    flows_.OnCarried(aNow, aEvent.address_, std::move(*carried), actions);
+    Carry(std::move(actions), aOut);
+  }
+
+  void Handle(TimePoint aNow, UpstreamPacket& aEvent, Actions& aOut)
+  {
+    relay::Agent::Actions actions;
+    flows_.OnHostPacket(aNow, std::move(aEvent.packet_), actions);
+    Carry(std::move(actions), aOut);
+  }
+
+  void Handle(TimePoint aNow, UpstreamReported& aEvent, Actions& aOut)
+  {
+    const auto before = flows_.Host();
+    const auto outcome = flows_.OnReport(aNow, aEvent.report_);
+    if (outcome == relay::ReportOutcome::Taken) {
+      NoteReport(before, aEvent.report_, aOut);
+      Announce(aNow, aOut);
+    }
+    aOut.emplace_back(ReportAnswered{ aEvent.token_, outcome });
+  }
+
+  static void NoteReport(const std::optional<relay::HostReport>& aBefore,
+                         const relay::HostReport& aReport,
+                         Actions& aOut)
+  {
+    const auto same = aBefore && aBefore->instance_ == aReport.instance_ &&
+                      aBefore->leaving_ == aReport.leaving_;
+    if (same) {
+      return;
+    }
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           aReport.leaving_ ? "upstream_leaving" : "upstream_ready",
+           { { "instance", aReport.instance_ },
+             { "sequence", std::to_string(aReport.sequence_) },
+             { "slots", std::to_string(aReport.slots_) } } });
+  }
+
+  void Handle(TimePoint aNow, UpstreamEnded& aEvent, Actions& aOut)
+  {
+    const auto ended = flows_.OnEnded(aNow, aEvent.instance_);
+    if (ended) {
+      aOut.emplace_back(Log{
+        Weight::Info, "upstream_ended", { { "instance", aEvent.instance_ } } });
+      Announce(aNow, aOut);
+    }
+    aOut.emplace_back(ReportAnswered{ aEvent.token_,
+                                      ended ? relay::ReportOutcome::Taken
+                                            : relay::ReportOutcome::Late });
+  }
+
+  void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+  {
+    auto load = flows_.Load(aNow);
+    load.accepts_ = false;
+    TellLoad(load, aOut);
+    aOut.emplace_back(Ended{ flows_.Load(aNow).flows_ });
+  }
+
+  void Handle(TimePoint aNow, Tick&, Actions& aOut)
+  {
+    if (node_.NextTimer() <= aNow) {
+      Feed(aNow, dissemination::Tick{}, aOut);
+    }
+    if (flows_.NextTimer() <= aNow) {
+      flows_.Tick(aNow);
+    }
+    if (loadAt_ <= aNow) {
+      loadAt_ = aNow + kLoadEvery;
+      const auto load = flows_.Load(aNow);
+      if (load != told_ || toldAt_ + kLoadAtLeastEvery <= aNow) {
+        told_ = load;
+        toldAt_ = aNow;
+        TellLoad(load, aOut);
+      }
+    }
+  }
+
+  void TellLoad(const relay::HostLoad& aLoad, Actions& aOut) const
+  {
+    for (const auto& peer : node_.Peers()) {
+      if (peer.role_ == membership::NodeRole::Balancer) {
+        aOut.emplace_back(SendNode{ peer.address_, relay::Message(aLoad) });
+      }
+    }
+  }
+
+  void Announce(TimePoint aNow, Actions& aOut)
+  {
+    const auto& host = flows_.Host();
+    auto state = HostState::Gone;
+    if (host) {
+      state = host->leaving_ ? HostState::Leaving : HostState::Ready;
+      record_.slots_ = host->slots_;
+    }
+    if (announced_ == state || (!host && !announced_)) {
+      return;
+    }
+    announced_ = state;
+    record_.state_ = state;
+    ++record_.sequence_;
+    Feed(aNow, dissemination::HostAnnounced{ record_ }, aOut);
+    loadAt_ = aNow;
+  }
+
+  dissemination::Node node_;
+  relay::Agent flows_;
+  Hooks hooks_;
+  HostRecord record_;
+  std::optional<HostState> announced_;
+  relay::HostLoad told_;
+  TimePoint toldAt_{};
+  TimePoint loadAt_{};
+  std::uint64_t misplaced_{};
+};
+
+RelayAgent::RelayAgent(std::unique_ptr<Parts> aParts)
+  : parts_(std::move(aParts))
+{
+}
+
+RelayAgent::~RelayAgent() = default;
+
+std::vector<RelayAgentAction>
+RelayAgent::On(TimePoint aNow, RelayAgentEvent aEvent)
+{
+  Actions out;
+  std::visit([&](auto& aKind) { parts_->Handle(aNow, aKind, out); }, aEvent);
+  return out;
+}
+
+TimePoint
+RelayAgent::NextTimer() const
+{
+  return std::min(
+    { parts_->node_.NextTimer(), parts_->flows_.NextTimer(), parts_->loadAt_ });
+}
+
+Dump
+RelayAgent::State(TimePoint aNow) const
+{
+  Dump packets;
+  for (const auto& row : relay::kAgentCountNames) {
+    packets.With(row.name_, parts_->flows_.Count(row.value_));
+  }
+  const auto load = parts_->flows_.Load(aNow);
+  const auto& host = parts_->flows_.Host();
+  return Dump()
+    .With("role", "agent")
+    .With("node", internal::DumpNode(parts_->node_, aNow))
+    .With("upstream",
+          Dump()
+            .With("instance", host ? host->instance_ : std::string())
+            .With("alive", parts_->flows_.HostAlive(aNow))
+            .With("accepts", load.accepts_)
+            .With("slots", std::uint64_t{ load.slots_ })
+            .With("busy", std::uint64_t{ load.busy_ })
+            .With("flows", std::uint64_t{ load.flows_ }))
+    .With("packets", std::move(packets))
+    .With("messages_misplaced", parts_->misplaced_);
+}
+
+Dump
+RelayAgent::Hosts() const
+{
+  return internal::DumpHosts(parts_->node_);
+}
+
+std::vector<Figure>
+RelayAgent::Figures(TimePoint aNow) const
+{
+  const auto load = parts_->flows_.Load(aNow);
+  const auto node = parts_->node_.Dump(aNow);
+  const auto gauge = [](const char* aName, const char* aHelp, double aValue) {
+    return Figure{ aName, aHelp, FigureKind::Gauge, {}, aValue };
+  };
+  std::vector<Figure> figures{
+    gauge("cornelshore_agent_flows",
+          "Flows open at this host.",
+          static_cast<double>(load.flows_)),
+    gauge("cornelshore_agent_requests_in_progress",
+          "Requests that the host has not answered.",
+          static_cast<double>(load.busy_)),
+    gauge("cornelshore_agent_accepts",
+          "1 when the host takes new flows.",
+          load.accepts_ ? 1.0 : 0.0),
+    gauge("cornelshore_config_version",
+          "Version of the configuration in force.",
+          static_cast<double>(node.config_.value_)),
+    Figure{ "cornelshore_control_sent_bytes_total",
+            "Bytes of control messages sent.",
+            FigureKind::Counter,
+            {},
+            static_cast<double>(node.bytesSent_) },
+  };
+  for (const auto& row : relay::kAgentCountNames) {
+    figures.push_back(
+      { "cornelshore_agent_packets_total",
+        "Packets of flows by what became of them.",
+        FigureKind::Counter,
+        { { "outcome", std::string(row.name_) } },
+        static_cast<double>(parts_->flows_.Count(row.value_)) });
+  }
+  return figures;
+}
+
+RelayAgent::Builder::Builder(dissemination::NodeSettings aNode,
+                             ServiceId aService)
+  : node_(std::move(aNode))
+  , service_(aService)
+{
+  node_.role_ = membership::NodeRole::Agent;
+  node_.interest_ = aService;
+}
+
+RelayAgent::Builder&
+RelayAgent::Builder::WithSeeds(std::vector<Address> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  return *this;
+}
+
+RelayAgent::Builder&
+RelayAgent::Builder::WithHooks(Hooks aHooks)
+{
+  hooks_ = std::move(aHooks);
+  return *this;
+}
+
+RelayAgent::Builder&
+RelayAgent::Builder::WithCodec(relay::Codec aCodec)
+{
+  codec_ = std::move(aCodec);
+  return *this;
+}
+
+RelayAgent::Builder&
+RelayAgent::Builder::WithHostSilence(Duration aSilence)
+{
+  hostSilence_ = aSilence;
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<RelayAgent>>
+RelayAgent::Builder::Build(TimePoint aNow) const
+{
+  auto node = dissemination::Node::Builder(node_).Build();
+  if (!node.ok()) {
+    return node.status();
+  }
+  relay::AgentSettings settings;
+  settings.service_ = service_;
+  settings.hostSilence_ = hostSilence_;
+  auto parts = std::make_unique<Parts>(std::move(*node),
+                                       relay::Agent(settings, codec_, aNow));
+  parts->hooks_ = hooks_;
+  parts->record_.id_ = HostId{ node_.self_.value_ };
+  parts->record_.incarnation_ = node_.incarnation_;
+  parts->record_.service_ = service_;
+  parts->record_.dataCentre_ = node_.dataCentre_;
+  parts->record_.agent_ = node_.address_;
+  Actions none;
+  parts->Feed(aNow, dissemination::SeedsKnown{ seeds_ }, none);
+  return std::unique_ptr<RelayAgent>(new RelayAgent(std::move(parts)));
+}
+
+} // namespace cornelshore::role
--- /dev/null
+++ b/src/cornelshore/role/relay_agent.hpp
@@ -0,0 +1,125 @@
+#ifndef CORNELSHORE_ROLE_RELAY_AGENT_HPP
+#define CORNELSHORE_ROLE_RELAY_AGENT_HPP
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include <cornelshore/core/dump.hpp>
+#include <cornelshore/core/figure.hpp>
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/relay/agent.hpp>
+#include <cornelshore/role/event.hpp>
+#include <cornelshore/role/hooks.hpp>
+
+namespace cornelshore::role {
+
+/** @brief A packet that the upstream sent or gave back. */
+struct UpstreamPacket
+{
+  std::string packet_;
+};
+
+/** @brief The upstream reported; answered by `ReportAnswered`. */
+struct UpstreamReported
+{
+  std::uint64_t token_{};
+  relay::HostReport report_;
+};
+
+/** @brief A run of the upstream ended; answered by `ReportAnswered`. */
+struct UpstreamEnded
+{
+  std::uint64_t token_{};
+  std::string instance_;
+};
+
+/** @brief What happens to an agent of flows of segments. */
+using RelayAgentEvent = std::variant<NodeMessage,
+                                     UpstreamPacket,
+                                     UpstreamReported,
+                                     UpstreamEnded,
+                                     StopRequested,
+                                     Tick>;
+
+/** @brief The report was taken in, or was not: then nothing changed. */
+struct ReportAnswered
+{
+  std::uint64_t token_{};
+  relay::ReportOutcome outcome_{ relay::ReportOutcome::Taken };
+};
+
+/** @brief What an agent of flows of segments wants done, in this order. */
+using RelayAgentAction = std::
+  variant<SendNode, relay::ToHost, relay::FromHost, ReportAnswered, Log, Ended>;
+
+/** @brief An agent of flows of segments. */
+class RelayAgent
+{
+public:
+  class Builder;
+
+  ~RelayAgent();
+  RelayAgent(const RelayAgent&) = delete;
+  RelayAgent& operator=(const RelayAgent&) = delete;
+
+  /** @brief Takes one event and says what is to be done. */
+  [[nodiscard]] std::vector<RelayAgentAction> On(TimePoint aNow,
+                                                 RelayAgentEvent aEvent);
+
+  /** @brief When `Tick` is due. */
+  [[nodiscard]] TimePoint NextTimer() const;
+
+  /** @brief State for the dump on request. */
+  [[nodiscard]] Dump State(TimePoint aNow) const;
+
+  /** @brief Hosts known, for operators. */
+  [[nodiscard]] Dump Hosts() const;
+
+  /** @brief Counters and gauges for the metrics. */
+  [[nodiscard]] std::vector<Figure> Figures(TimePoint aNow) const;
+
+private:
+  struct Parts;
+
+  explicit RelayAgent(std::unique_ptr<Parts> aParts);
+
+  std::unique_ptr<Parts> parts_;
+};
+
+/** @brief Builds an agent of flows of segments. */
+class RelayAgent::Builder
+{
+public:
+  /**
+   * @param aNode Who it is; its role is set to agent.
+   * @param aService Service of the upstream beside it.
+   */
+  Builder(dissemination::NodeSettings aNode, ServiceId aService);
+
+  Builder& WithSeeds(std::vector<Address> aSeeds);
+  Builder& WithHooks(Hooks aHooks);
+  Builder& WithCodec(relay::Codec aCodec);
+  /** @brief Silence after which the upstream takes no new flows. */
+  Builder& WithHostSilence(Duration aSilence);
+
+  /** @return The agent, or `InvalidArgument` naming the setting. */
+  [[nodiscard]] absl::StatusOr<std::unique_ptr<RelayAgent>> Build(
+    TimePoint aNow) const;
+
+private:
+  dissemination::NodeSettings node_;
+  ServiceId service_;
+  std::vector<Address> seeds_;
+  Hooks hooks_;
+  relay::Codec codec_;
+  Duration hostSilence_{ std::chrono::milliseconds{ 3600 } };
+};
+
+} // namespace cornelshore::role
+
+#endif
--- /dev/null
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -0,0 +1,328 @@
+#include <cornelshore/role/relay_balancer.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <cornelshore/role/host_dump.hpp>
+
+namespace cornelshore::role {
+
+namespace {
+
+using Actions = std::vector<RelayBalancerAction>;
+
+/** After a restart: how long a configuration without any host counts as a
+ * view that is still incomplete. */
+constexpr Duration kHostsWithin = std::chrono::seconds{ 3 };
+
+/** A stopping balancer stays at least so long: the fabric asks twice a second
+ * and believes the second refusal. */
+constexpr Duration kFabricNotices = std::chrono::milliseconds{ 1700 };
+
+/** Silence of callers after which a stopping balancer ends. */
+constexpr Duration kQuiet = std::chrono::milliseconds{ 700 };
+
+} // namespace
+
+struct RelayBalancer::Parts
+{
+  Parts(dissemination::Node aNode, relay::Balancer aFlows)
+    : node_(std::move(aNode))
+    , flows_(std::move(aFlows))
+  {
+  }
+
+  void Feed(TimePoint aNow, const dissemination::Event& aEvent, Actions& aOut)
+  {
+    for (auto& action : node_.On(aNow, aEvent)) {
+      std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
+    }
+  }
+
+  void Carry(TimePoint, dissemination::Send& aSend, Actions& aOut)
+  {
+    aOut.emplace_back(SendNode{ aSend.address_, std::move(aSend.message_) });
+  }
+
+  void Carry(TimePoint aNow,
+             dissemination::HostsChanged& aChange,
+             Actions& aOut)
+  {
+    flows_.UpdateHosts(aNow, aChange.records_);
+    for (const auto& record : aChange.records_) {
+      aOut.emplace_back(
+        Log{ Weight::Info,
+             "host_changed",
+             { { "host", internal::HexOf(record.id_.value_) },
+               { "agent", ToString(record.agent_) },
+               { "state", std::string(NameIn(kHostStateNames, record.state_)) },
+               { "sequence", std::to_string(record.sequence_) } } });
+    }
+  }
+
+  void Carry(TimePoint, dissemination::PeersChanged&, Actions&) {}
+
+  void Carry(TimePoint aNow,
+             dissemination::ConfigChanged& aChange,
+             Actions& aOut)
+  {
+    const auto version = std::to_string(aChange.version_.value_);
+    const auto configuration = hooks_.decode_(aChange.bytes_);
+    if (!configuration.ok()) {
+      aOut.emplace_back(Log{ Weight::Error,
+                             "configuration_unreadable",
+                             { { "version", version } } });
+      return;
+    }
+    flows_.UpdateRoutes(*configuration);
+    configuredAt_ = configuredAt_.value_or(aNow);
+    aOut.emplace_back(
+      Log{ Weight::Info,
+           "configuration_in_force",
+           { { "version", version },
+             { "routes", std::to_string(configuration->routes_.size()) },
+             { "confirmed", aChange.confirmed_ ? "yes" : "no" } } });
+  }
+
+  void Carry(relay::Balancer::Actions aActions, Actions& aOut)
+  {
+    for (auto& action : aActions) {
+      if (auto* send = std::get_if<relay::ToAgent>(&action)) {
+        aOut.emplace_back(
+          SendNode{ send->agent_, relay::Message(std::move(send->carried_)) });
+      } else {
+        aOut.emplace_back(std::get<relay::ToCaller>(std::move(action)));
+      }
+    }
+  }
+
+  void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
+  {
+    if (auto* news = std::get_if<dissemination::Message>(&aEvent.message_)) {
+      Feed(aNow,
+           dissemination::Received{
+             aEvent.from_, aEvent.address_, std::move(*news) },
+           aOut);
+      return;
+    }
+    auto* message = std::get_if<relay::Message>(&aEvent.message_);
+    if (message == nullptr) {
+      ++misplaced_;
+      return;
+    }
+    const HostId host{ aEvent.from_.value_ };
+    if (auto* answer = std::get_if<relay::Answer>(message)) {
+      relay::Balancer::Actions actions;
+      flows_.OnAnswer(aNow, host, std::move(*answer), actions);
+      Carry(std::move(actions), aOut);
+    } else if (const auto* load = std::get_if<relay::HostLoad>(message)) {
+      flows_.OnLoad(aNow, host, *load);
+    } else {
+      ++misplaced_;
+    }
+  }
+
+  void Handle(TimePoint aNow, CallerPacket& aEvent, Actions& aOut)
+  {
+    relay::Balancer::Actions actions;
+    flows_.OnPacket(aNow, std::move(aEvent.packet_), actions);
+    Carry(std::move(actions), aOut);
+  }
+
+  void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+  {
+    if (!stopSince_) {
+      stopSince_ = aNow;
+      Feed(aNow, dissemination::SelfAnnounced{ address_, true }, aOut);
+    }
+  }
+
+  void Handle(TimePoint aNow, Tick&, Actions& aOut)
+  {
+    if (node_.NextTimer() <= aNow) {
+      Feed(aNow, dissemination::Tick{}, aOut);
+    }
+    if (flows_.NextTimer() <= aNow) {
+      relay::Balancer::Actions actions;
+      flows_.Tick(aNow, actions);
+      Carry(std::move(actions), aOut);
+    }
+    if (stopSince_ && StopDue() <= aNow) {
+      aOut.emplace_back(Ended{});
+    }
+  }
+
+  void CheckReady(TimePoint aNow, Actions& aOut)
+  {
+    const auto ready =
+      !stopSince_ && configuredAt_ &&
+      (flows_.Hosts() > 0 || aNow - *configuredAt_ > kHostsWithin);
+    if (ready != ready_) {
+      ready_ = ready;
+      aOut.emplace_back(ReadyChanged{ ready });
+      aOut.emplace_back(Log{ Weight::Info,
+                             "readiness_changed",
+                             { { "ready", ready ? "yes" : "no" } } });
+    }
+  }
+
+  /** When a stopping balancer may end. */
+  [[nodiscard]] TimePoint StopDue() const
+  {
+    const auto quiet =
+      std::max(*stopSince_ + kFabricNotices, flows_.LastPacket() + kQuiet);
+    return std::min(quiet, *stopSince_ + stopLimit_);
+  }
+
+  dissemination::Node node_;
+  relay::Balancer flows_;
+  Hooks hooks_;
+  Address address_;
+  Duration stopLimit_{};
+  std::optional<TimePoint> configuredAt_;
+  std::optional<TimePoint> stopSince_;
+  bool ready_{};
+  std::uint64_t misplaced_{};
+};
+
+RelayBalancer::RelayBalancer(std::unique_ptr<Parts> aParts)
+  : parts_(std::move(aParts))
+{
+}
+
+RelayBalancer::~RelayBalancer() = default;
+
+std::vector<RelayBalancerAction>
+RelayBalancer::On(TimePoint aNow, RelayBalancerEvent aEvent)
+{
+  Actions out;
+  std::visit([&](auto& aKind) { parts_->Handle(aNow, aKind, out); }, aEvent);
+  parts_->CheckReady(aNow, out);
+  return out;
+}
+
+TimePoint
+RelayBalancer::NextTimer() const
+{
+  const auto next =
+    std::min(parts_->node_.NextTimer(), parts_->flows_.NextTimer());
+  return parts_->stopSince_ ? std::min(next, parts_->StopDue()) : next;
+}
+
+Dump
+RelayBalancer::State(TimePoint aNow) const
+{
+  Dump packets;
+  for (const auto& row : relay::kBalancerCountNames) {
+    packets.With(row.name_, parts_->flows_.Count(row.value_));
+  }
+  return Dump()
+    .With("role", "balancer")
+    .With("ready", parts_->ready_)
+    .With("stopping", parts_->stopSince_.has_value())
+    .With("node", internal::DumpNode(parts_->node_, aNow))
+    .With("flows", std::uint64_t{ parts_->flows_.Flows() })
+    .With("version", parts_->flows_.Routes().Version().value_)
+    .With("packets", std::move(packets))
+    .With("messages_misplaced", parts_->misplaced_);
+}
+
+Dump
+RelayBalancer::Hosts() const
+{
+  return internal::DumpHosts(parts_->node_);
+}
+
+std::vector<Figure>
+RelayBalancer::Figures(TimePoint aNow) const
+{
+  const auto node = parts_->node_.Dump(aNow);
+  std::vector<Figure> figures{
+    { "cornelshore_balancer_flows",
+      "Flows that a host is remembered for.",
+      FigureKind::Gauge,
+      {},
+      static_cast<double>(parts_->flows_.Flows()) },
+    { "cornelshore_balancer_ready",
+      "1 when the fabric should send packets here.",
+      FigureKind::Gauge,
+      {},
+      parts_->ready_ ? 1.0 : 0.0 },
+    { "cornelshore_config_version",
+      "Version of the configuration in force.",
+      FigureKind::Gauge,
+      {},
+      static_cast<double>(node.config_.value_) },
+    { "cornelshore_control_sent_bytes_total",
+      "Bytes of control messages sent.",
+      FigureKind::Counter,
+      {},
+      static_cast<double>(node.bytesSent_) },
+  };
+  for (const auto& row : relay::kBalancerCountNames) {
+    figures.push_back(
+      { "cornelshore_balancer_packets_total",
+        "Packets of callers by what became of them.",
+        FigureKind::Counter,
+        { { "outcome", std::string(row.name_) } },
+        static_cast<double>(parts_->flows_.Count(row.value_)) });
+  }
+  return figures;
+}
+
+RelayBalancer::Builder::Builder(dissemination::NodeSettings aNode)
+  : node_(std::move(aNode))
+{
+  node_.role_ = membership::NodeRole::Balancer;
+}
+
+RelayBalancer::Builder&
+RelayBalancer::Builder::WithSeeds(std::vector<Address> aSeeds)
+{
+  seeds_ = std::move(aSeeds);
+  return *this;
+}
+
+RelayBalancer::Builder&
+RelayBalancer::Builder::WithHooks(Hooks aHooks)
+{
+  hooks_ = std::move(aHooks);
+  return *this;
+}
+
+RelayBalancer::Builder&
+RelayBalancer::Builder::WithCodec(relay::Codec aCodec)
+{
+  codec_ = std::move(aCodec);
+  return *this;
+}
+
+RelayBalancer::Builder&
+RelayBalancer::Builder::WithStopLimit(Duration aLimit)
+{
+  stopLimit_ = aLimit;
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<RelayBalancer>>
+RelayBalancer::Builder::Build(TimePoint aNow) const
+{
+  auto node = dissemination::Node::Builder(node_).Build();
+  if (!node.ok()) {
+    return node.status();
+  }
+  relay::BalancerSettings settings;
+  settings.dataCentre_ = node_.dataCentre_;
+  settings.seed_ = node_.seed_;
+  auto parts = std::make_unique<Parts>(std::move(*node),
+                                       relay::Balancer(settings, codec_));
+  parts->hooks_ = hooks_;
+  parts->address_ = node_.address_;
+  parts->stopLimit_ = stopLimit_;
+  Actions none;
+  parts->Feed(aNow, dissemination::SeedsKnown{ seeds_ }, none);
+  return std::unique_ptr<RelayBalancer>(new RelayBalancer(std::move(parts)));
+}
+
+} // namespace cornelshore::role
--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -19,6 +19,10 @@
 constexpr std::int64_t kLongestStopSeconds = 7 * 24 * 3600;
 constexpr std::int64_t kUsualStopSeconds = 3600;
 constexpr std::size_t kMostMembers = 7;
+constexpr std::int64_t kMostToleratedLosses = 3;
+constexpr std::int64_t kLongestRelayStopMillis = 3600 * 1000;
+constexpr std::int64_t kUsualRelayStopMillis = 5000;
+constexpr std::int64_t kLongestReportMillis = 60 * 1000;
 
 template<std::size_t Size, typename Enum>
 std::vector<std::string>
@@ -59,7 +63,58 @@
 {
   aSettings.node_ = aTable.AddressAt("address");
   aSettings.seeds_ = aTable.Addresses("seeds");
-  aSettings.keyFile_ = aTable.Text("key_file");
+  aSettings.seedsShareOwnPort_ = aTable.BoolOr("seeds_share_own_port", false);
+  const auto authentication =
+    aTable.OneOf("authentication", NamesOf(kAuthenticationNames), "keys");
+  aSettings.authentication_ = ValueIn(kAuthenticationNames, authentication)
+                                .value_or(Authentication::Keys);
+  if (aSettings.authentication_ == Authentication::Keys) {
+    aSettings.keyFile_ = aTable.Text("key_file");
+  }
+}
+
+/**
+ * The first members of a group that forms itself are the seeds, each named by
+ * its address as the settings write it.
+ */
+void
+TakeSeedsAsMembers(Settings& aSettings)
+{
+  for (const auto& seed : aSettings.seeds_) {
+    aSettings.control_.members_.push_back({ ToString(seed), seed });
+  }
+}
+
+/** Seeds may be known by the port of another interface of theirs. */
+void
+TakeOwnPort(Settings& aSettings)
+{
+  for (auto& seed : aSettings.seeds_) {
+    seed.port_ = aSettings.node_.port_;
+  }
+  for (auto& member : aSettings.control_.members_) {
+    member.address_.port_ = aSettings.node_.port_;
+  }
+}
+
+void
+ReadRelay(Table& aTable, Settings& aSettings)
+{
+  auto& relay = aSettings.relay_;
+  relay.enabled_ = true;
+  relay.packets_ = aTable.AddressAt("packet_address");
+  relay.readiness_ = aTable.AddressAt("readiness_address");
+  if (aSettings.role_ == Role::Balancer) {
+    relay.stopLimit_ = std::chrono::milliseconds(aTable.IntegerOr(
+      "stop_limit_ms", 1, kLongestRelayStopMillis, kUsualRelayStopMillis));
+    return;
+  }
+  relay.outbound_ = aTable.AddressAt("outbound_address");
+  relay.upstream_ = aTable.AddressAt("upstream_address");
+  relay.reports_ = aTable.AddressAt("report_address");
+  relay.service_ = aTable.Text("service");
+  relay.reportInterval_ = std::chrono::milliseconds(
+    aTable.Integer("report_interval_ms", 1, kLongestReportMillis));
 }
 
 void
@@ -153,6 +208,13 @@
   auto& control = aSettings.control_;
   control.dataFolder_ = aTable.Text("data_folder");
   control.bootstrap_ = aTable.BoolOr("bootstrap", false);
+  control.api_ = aTable.AddressOr("api_address");
+  control.formsItself_ = aTable.Has("tolerated_losses");
+  if (control.formsItself_) {
+    control.toleratedLosses_ = static_cast<std::uint32_t>(
+      aTable.Integer("tolerated_losses", 0, kMostToleratedLosses));
+    return;
+  }
   const auto count = aTable.Children(
     "member", [&](Table& aChild) { ReadMember(aChild, control); });
   if (count == 0 || count > kMostMembers || count % 2 == 0) {
@@ -183,6 +245,12 @@
     return;
   }
   aSettings.role_ = *role;
+  const auto relays =
+    *role != Role::Control &&
+    aRoot.Child("relay", [&](Table& aTable) { ReadRelay(aTable, aSettings); });
+  if (relays) {
+    return;
+  }
   const auto section = std::string(NameIn(kRoleNames, *role));
   const auto read = [&](Table& aTable) {
     switch (*role) {
@@ -221,6 +289,12 @@
       ValueIn(log::kLevelNames, level).value_or(log::Level::Info);
   });
   ReadRole(aRoot, aSettings);
+  if (aSettings.control_.formsItself_) {
+    TakeSeedsAsMembers(aSettings);
+  }
+  if (aSettings.seedsShareOwnPort_) {
+    TakeOwnPort(aSettings);
+  }
 }
 
 } // namespace
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -84,8 +84,39 @@
   std::vector<ControlMember> members_;
   /** Sets up a new group on an empty folder; else an empty folder joins. */
   bool bootstrap_{};
+  /** Members form the group by themselves, the seeds first. */
+  bool formsItself_{};
+  std::uint32_t toleratedLosses_{}; ///< Of a group that forms itself.
+  Address api_; ///< HTTP for configurations; zero port: none.
 };
 
+/** @brief Settings of flows of segments; at a balancer or an agent. */
+struct RelaySettings
+{
+  bool enabled_{};
+  Address packets_;     ///< Callers' packets; its port is the callers' as well.
+  Address readiness_;   ///< HTTP: whether packets should be sent here.
+  Address outbound_;    ///< At an agent: packets of the upstream.
+  Address upstream_;    ///< At an agent: where the upstream takes packets.
+  Address reports_;     ///< At an agent: HTTP, the upstream's reports.
+  std::string service_; ///< At an agent: the upstream's.
+  Duration reportInterval_{}; ///< At an agent: time between two reports.
+  Duration stopLimit_{};      ///< At a balancer: longest graceful stop.
+};
+
+/** @brief Whether messages between processes prove who sent them. */
+enum class Authentication : std::uint8_t
+{
+  Keys, ///< By the key file.
+  Off,  ///< The network admits the system's own VMs only.
+};
+
+/** @brief Names of `Authentication`, as the settings write them. */
+inline constexpr std::array<EnumName<Authentication>, 2> kAuthenticationNames{ {
+  { Authentication::Keys, "keys" },
+  { Authentication::Off, "off" },
+} };
+
 /** @brief Everything one process learns from its settings file. */
 struct Settings
 {
@@ -94,7 +125,10 @@
   std::string dataCentre_;
   Address node_;               ///< Datagrams between processes.
   std::vector<Address> seeds_; ///< Control VMs and balancers to begin with.
+  /** Seeds listen for other processes at the port that this one has. */
+  bool seedsShareOwnPort_{};
   std::string keyFile_;
+  Authentication authentication_{ Authentication::Keys };
   Address operator_; ///< JSON-RPC for operators.
   Tls tls_;
   Address metrics_; ///< Zero port: no metrics are served.
@@ -102,6 +136,7 @@
   BalancerSettings balancer_;
   AgentSettings agent_;
   ControlSettings control_;
+  RelaySettings relay_;
 };
 
 /**
--- a/src/cornelshore/wire/configuration_codec.cpp
+++ b/src/cornelshore/wire/configuration_codec.cpp
@@ -41,6 +41,40 @@
   }
 }
 
+void
+Encode(Writer& aWriter, const Route& aRoute)
+{
+  aWriter.Bytes(aRoute.name_);
+  aWriter.Write(aRoute.address_);
+  aWriter.Uint(static_cast<std::uint64_t>(aRoute.kind_));
+  aWriter.Write(aRoute.timeout_);
+  aWriter.Write(aRoute.objective_);
+  aWriter.Uint(aRoute.precedence_);
+  aWriter.List(aRoute.to_.size());
+  for (const auto& share : aRoute.to_) {
+    aWriter.Write(share.service_);
+    aWriter.Uint(share.weight_);
+  }
+}
+
+void
+Decode(Reader& aReader, Route& aRoute)
+{
+  aRoute.name_ = aReader.Bytes(kMostNameBytes);
+  aReader.Read(aRoute.address_);
+  aRoute.kind_ = aReader.Enumerator(RouteKind::Single);
+  aReader.Read(aRoute.timeout_);
+  aReader.Read(aRoute.objective_);
+  aRoute.precedence_ = aReader.Number<std::uint8_t>();
+  aRoute.to_.clear();
+  const auto count = aReader.List(kMostRouteShares);
+  for (std::size_t index = 0; index < count && aReader.Good(); ++index) {
+    auto& share = aRoute.to_.emplace_back();
+    aReader.Read(share.service_);
+    share.weight_ = aReader.Number<std::uint32_t>();
+  }
+}
+
 void
 Encode(Writer& aWriter, const Configuration& aConfiguration)
 {
@@ -49,6 +83,11 @@
   for (const auto& service : aConfiguration.services_) {
     Encode(aWriter, service);
   }
+  aWriter.List(aConfiguration.routes_.size());
+  for (const auto& route : aConfiguration.routes_) {
+    Encode(aWriter, route);
+  }
+  aWriter.Write(aConfiguration.flowIdle_);
 }
 
 void
@@ -72,6 +111,12 @@
   for (std::size_t index = 0; index < count && aReader.Good(); ++index) {
     Decode(aReader, aConfiguration.services_.emplace_back());
   }
+  aConfiguration.routes_.clear();
+  const auto routes = aReader.List(kMostRoutes);
+  for (std::size_t index = 0; index < routes && aReader.Good(); ++index) {
+    Decode(aReader, aConfiguration.routes_.emplace_back());
+  }
+  aReader.Read(aConfiguration.flowIdle_);
 }
 
 absl::StatusOr<Configuration>
--- a/src/cornelshore/wire/configuration_codec.hpp
+++ b/src/cornelshore/wire/configuration_codec.hpp
@@ -38,6 +38,12 @@
  */
 void Decode(Reader& aReader, Configuration& aConfiguration);
 
+/** @brief Appends one route. */
+void Encode(Writer& aWriter, const Route& aRoute);
+
+/** @brief Reads one route; fails on lists and names over their bounds. */
+void Decode(Reader& aReader, Route& aRoute);
+
 /** @brief Reads one service; fails as for a configuration. */
 void Decode(Reader& aReader, ServiceTarget& aService);
 
--- a/src/cornelshore/wire/consensus_codec.cpp
+++ b/src/cornelshore/wire/consensus_codec.cpp
@@ -114,7 +114,7 @@
 void
 Decode(Reader& aReader, ChangeAnswer& aAnswer)
 {
-  aAnswer.outcome_ = aReader.Enumerator(ChangeOutcome::IdReused);
+  aAnswer.outcome_ = aReader.Enumerator(ChangeOutcome::Superseded);
   aReader.Read(aAnswer.version_);
   aReader.Read(aAnswer.winner_);
   aAnswer.repeated_ = aReader.Bool();
@@ -158,6 +158,7 @@
 Encode(Writer& aWriter, const RegisterState& aState)
 {
   Encode(aWriter, aState.configuration_);
+  aWriter.Bytes(aState.document_);
   aWriter.Write(aState.winner_);
   EncodeList(aWriter, aState.history_);
   EncodeList(aWriter, aState.answers_);
@@ -167,6 +168,7 @@
 Decode(Reader& aReader, RegisterState& aState)
 {
   Decode(aReader, aState.configuration_);
+  aState.document_ = aReader.Bytes(consensus::kMostChangeBytes);
   aReader.Read(aState.winner_);
   DecodeList(aReader, aState.history_, kHistoryLength);
   DecodeList(aReader, aState.answers_, kRememberedAnswers);
@@ -433,6 +435,10 @@
   aWriter.Bytes(aChange.operator_);
   aWriter.Uint(aChange.wallMillis_);
   EncodeList(aWriter, aChange.services_);
+  EncodeList(aWriter, aChange.routes_);
+  aWriter.Write(aChange.flowIdle_);
+  aWriter.Write(aChange.chosen_);
+  aWriter.Bytes(aChange.document_);
 }
 
 void
@@ -443,6 +449,10 @@
   aChange.operator_ = aReader.Bytes(kMostOperatorBytes);
   aChange.wallMillis_ = aReader.Uint();
   DecodeList(aReader, aChange.services_, kMostServices);
+  DecodeList(aReader, aChange.routes_, kMostRoutes);
+  aReader.Read(aChange.flowIdle_);
+  aReader.Read(aChange.chosen_);
+  aChange.document_ = aReader.Bytes(consensus::kMostChangeBytes);
 }
 
 void
--- a/src/cornelshore/wire/message_codec.cpp
+++ b/src/cornelshore/wire/message_codec.cpp
@@ -8,6 +8,7 @@
 #include <cornelshore/wire/flow_codec.hpp>
 #include <cornelshore/wire/membership_codec.hpp>
 #include <cornelshore/wire/reader.hpp>
+#include <cornelshore/wire/relay_codec.hpp>
 #include <cornelshore/wire/request_codec.hpp>
 #include <cornelshore/wire/writer.hpp>
 
@@ -25,6 +26,7 @@
   Dissemination,
   Consensus,
   Membership,
+  Relay,
 };
 
 void
@@ -83,6 +85,13 @@
   Encode(aWriter, aMessage);
 }
 
+void
+EncodeKind(Writer& aWriter, const relay::Message& aMessage)
+{
+  Put(aWriter, Kind::Relay);
+  Encode(aWriter, aMessage);
+}
+
 template<typename Value>
 absl::StatusOr<role::Message>
 Widen(absl::StatusOr<Value> aValue)
@@ -132,7 +141,7 @@
 DecodeMessage(std::string_view aBytes)
 {
   Reader reader(aBytes);
-  const auto kind = reader.Enumerator(Kind::Membership);
+  const auto kind = reader.Enumerator(Kind::Relay);
   if (!reader.Good()) {
     return reader.Finish();
   }
@@ -150,9 +159,11 @@
     case Kind::Consensus:
       return Widen(DecodeConsensusMessage(reader));
     case Kind::Membership:
+      return Widen(DecodeMembership(reader));
+    case Kind::Relay:
       break;
   }
-  return Widen(DecodeMembership(reader));
+  return Widen(DecodeRelay(reader));
 }
 
 } // namespace cornelshore::wire
