--- a/src/cornelshore/consensus/register.hpp
+++ b/src/cornelshore/consensus/register.hpp
@@ -33,14 +33,14 @@
   std::string operator_;       ///< Name of the operator.
   std::uint64_t wallMillis_{}; ///< Proposer's wall time, ms since 1970.
   std::vector<ServiceTarget> services_; ///< The whole new configuration.
-  std::vector<Route> routes_;
+  std::vector<Route> routes_{};
   Duration flowIdle_{};
   /**
    * Version that the operator chose; the highest one wins whatever is in
    * force. 0: compare-and-set with `expected_`.
    */
-  ConfigVersion chosen_;
-  std::string document_; ///< Operator's own text, kept for reads; opaque.
+  ConfigVersion chosen_{};
+  std::string document_{}; ///< Operator's own text, kept for reads; opaque.
 
   bool operator==(const Change&) const noexcept = default;
 };
@@ -98,7 +98,7 @@
 struct RegisterState
 {
   Configuration configuration_;
-  std::string document_; ///< Of the change in force.
+  std::string document_{}; ///< Of the change in force.
   RequestId winner_;
   std::deque<HistoryEntry> history_;     ///< Oldest first.
   std::deque<RememberedAnswer> answers_; ///< Oldest first.
--- a/src/cornelshore/core/target.hpp
+++ b/src/cornelshore/core/target.hpp
@@ -47,7 +47,7 @@
 {
   ConfigVersion version_;
   std::vector<ServiceTarget> services_;
-  std::vector<Route> routes_;
+  std::vector<Route> routes_{};
   Duration flowIdle_{}; ///< Idle flows may be dropped after it; 0: never.
 
   bool operator==(const Configuration&) const noexcept = default;
