Trust synced writes where the disk keeps them, notice silent control streams within a second

The platform's disks keep what was synced, so a setting says so and a restarted member needs a quorum only; a wiped one comes back as another replica as before.

A restarted member heard nothing of the leader for up to 6 s: the leader's stream to it hung without a reset. Streams now end after 1 s without an acknowledgement and a connection is tried again after 300 ms.

--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -335,6 +335,15 @@
   deferred_ = std::move(kept);
 }
 
+consensus::Standing
+Replica::Standing() const
+{
+  return { role_,
+           hard_.term_,
+           role_ == Role::Leader ? std::optional(id_) : leader_,
+           log_.Members() };
+}
+
 ReplicaDump
 Replica::Dump(TimePoint aNow) const
 {
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -81,6 +81,18 @@
   bool recent_{};  ///< Proved so within the lease's length.
 };
 
+/** @brief Who leads, as far as a replica knows, and who belongs to the group.
+ */
+struct Standing
+{
+  Role role_{ Role::Follower };
+  Term term_;
+  std::optional<ReplicaId> leader_;
+  Membership membership_;
+
+  bool operator==(const Standing&) const noexcept = default;
+};
+
 /** @brief State of a replica as the state dump shows it. */
 struct ReplicaDump
 {
@@ -135,6 +147,8 @@
 
   [[nodiscard]] ReplicaDump Dump(TimePoint aNow) const;
 
+  [[nodiscard]] consensus::Standing Standing() const;
+
 private:
   friend class ReplicaBuilder;
 
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -459,10 +459,15 @@
 {
   const auto& control = aRuntime.Settings().control_;
   auto recovered = storage::Log::Open(control.dataFolder_);
+  if (recovered.ok() && control.syncedWritesLast_) {
+    recovered->state_.hard_.proven_ = true;
+    recovered->verification_ = consensus::Verification::Continued;
+  }
   if (recovered.ok() || !absl::IsNotFound(recovered.status())) {
     return recovered;
   }
   auto state = EmptyFolderState(aRuntime);
+  state.hard_.proven_ = state.hard_.proven_ || control.syncedWritesLast_;
   auto log = storage::Log::Create(control.dataFolder_, state);
   if (!log.ok()) {
     return log.status();
@@ -470,8 +475,9 @@
   storage::Recovered fresh;
   fresh.log_ = *std::move(log);
   fresh.state_ = std::move(state);
-  fresh.verification_ = control.bootstrap_ ? consensus::Verification::Unproven
-                                           : consensus::Verification::Continued;
+  fresh.verification_ = control.bootstrap_ && !control.syncedWritesLast_
+                          ? consensus::Verification::Unproven
+                          : consensus::Verification::Continued;
   return fresh;
 }
 
--- a/src/cornelshore/net/http_server.cpp
+++ b/src/cornelshore/net/http_server.cpp
@@ -3,12 +3,8 @@
 #include <cornelshore/net/http_server.hpp>
 
 #include <atomic>
-#include <cstring>
 #include <optional>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,6 +13,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cornelshore/net/asio_address.hpp>
+#include <cornelshore/net/peer_timeout.hpp>
+
 namespace cornelshore::net {
 
 namespace {
@@ -29,31 +28,6 @@
 /** Pause after the process ran out of descriptors. */
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
-tcp::endpoint
-EndpointOf(const Address& aAddress)
-{
-  const asio::ip::address_v6 ip(aAddress.ip_);
-  if (IsIpv4(aAddress)) {
-    return { asio::ip::make_address_v4(asio::ip::v4_mapped, ip),
-             aAddress.port_ };
-  }
-  return { ip, aAddress.port_ };
-}
-
-void
-SetPeerTimeout(tcp::socket& aSocket, Duration aTimeout)
-{
-  const auto millis = static_cast<unsigned>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout).count());
-  boost::system::error_code ignored;
-  aSocket.set_option(tcp::no_delay(true), ignored);
-  static_cast<void>(::setsockopt(aSocket.native_handle(),
-                                 IPPROTO_TCP,
-                                 TCP_USER_TIMEOUT,
-                                 &millis,
-                                 sizeof(millis)));
-}
-
 /** Whether the peer sent something that is no call, rather than nothing. */
 bool
 IsMalformed(beast::error_code aError)
@@ -194,7 +168,7 @@
 
   absl::Status Open(const Address& aAddress)
   {
-    const auto endpoint = EndpointOf(aAddress);
+    const auto endpoint = ToEndpoint<tcp>(aAddress);
     boost::system::error_code error;
     acceptor_.open(endpoint.protocol(), error);
     if (!error) {
@@ -259,7 +233,7 @@
       return;
     }
     if (*count_ < limits_.connections_) {
-      SetPeerTimeout(aSocket, limits_.peerTimeout_);
+      internal::SetPeerTimeout(aSocket, limits_.peerTimeout_);
       std::make_shared<Session>(std::move(aSocket), limits_, handle_, count_)
         ->Read();
     }
--- a/src/cornelshore/net/peer_streams.cpp
+++ b/src/cornelshore/net/peer_streams.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio.hpp>
 
 #include <cornelshore/net/asio_address.hpp>
+#include <cornelshore/net/peer_timeout.hpp>
 
 namespace cornelshore::net {
 
@@ -28,6 +29,14 @@
 constexpr std::size_t kMostIncoming = 64;
 constexpr std::chrono::seconds kLongestHalfFrame{ 10 };
 
+/** A peer that acknowledges nothing for so long is connected to anew: many
+ * round trips between regions, and less than an election takes. */
+constexpr std::chrono::milliseconds kPeerTimeout{ 1000 };
+
+/** A connection that is not there by then is tried again: the system would
+ * repeat a lost opening packet only after a second or more. */
+constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+
 struct Counts
 {
   std::atomic<std::uint64_t> dropped_{ 0 };
@@ -151,6 +160,7 @@
            const Address& aTo,
            std::shared_ptr<Counts> aCounts)
     : socket_(aContext)
+    , timer_(aContext)
     , to_(aTo)
     , counts_(std::move(aCounts))
   {
@@ -185,21 +195,34 @@
       return;
     }
     connecting_ = true;
+    GiveUpLater();
     const auto self = shared_from_this();
     socket_.async_connect(
       ToEndpoint<tcp>(to_), [self](const ErrorValue& aError) {
         self->connecting_ = false;
+        ErrorValue ignored;
+        self->timer_.cancel(ignored);
         if (aError) {
           self->Break();
           return;
         }
-        ErrorValue ignored;
-        self->socket_.set_option(tcp::no_delay(true), ignored);
+        internal::SetPeerTimeout(self->socket_, kPeerTimeout);
         self->connected_ = true;
         self->Write();
       });
   }
 
+  void GiveUpLater()
+  {
+    timer_.expires_after(kConnectTimeout);
+    const auto self = shared_from_this();
+    timer_.async_wait([self](const ErrorValue& aError) {
+      if (!aError && self->connecting_) {
+        self->Close();
+      }
+    });
+  }
+
   void Write()
   {
     if (queue_.empty()) {
@@ -231,6 +254,7 @@
   }
 
   tcp::socket socket_;
+  asio::steady_timer timer_;
   Address to_;
   std::shared_ptr<Counts> counts_;
   std::deque<std::string> queue_;
@@ -280,6 +304,7 @@
     acceptor_.async_accept(
       [self](const ErrorValue& aError, tcp::socket aSocket) {
         if (!aError && self->counts_->incoming_ < kMostIncoming) {
+          internal::SetPeerTimeout(aSocket, kLongestHalfFrame);
           std::make_shared<Incoming>(
             std::move(aSocket), self->receive_, self->counts_)
             ->ReadHead();
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -55,6 +55,32 @@
     for (auto& action : replica_.On(aNow, std::move(aEvent))) {
       std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
     }
+    NoteStanding(aOut);
+  }
+
+  /** Logs who leads and who the members are whenever that changes here. */
+  void NoteStanding(Actions& aOut)
+  {
+    auto standing = replica_.Standing();
+    if (standing == standing_) {
+      return;
+    }
+    standing_ = std::move(standing);
+    std::string members;
+    for (const auto& member : standing_.membership_.members_) {
+      members += members.empty() ? "" : ",";
+      members += internal::HexOf(member.id_.node_.value_) + ":" +
+                 std::string(NameIn(consensus::kMemberRoleNames, member.role_));
+    }
+    aOut.emplace_back(Log{
+      Weight::Info,
+      "control_group_changed",
+      { { "role", std::string(NameIn(consensus::kRoleNames, standing_.role_)) },
+        { "leader",
+          standing_.leader_ ? internal::HexOf(standing_.leader_->node_.value_)
+                            : std::string() },
+        { "term", std::to_string(standing_.term_.value_) },
+        { "members", std::move(members) } } });
   }
 
   void Carry(TimePoint, dissemination::Send& aAction, Actions& aOut)
@@ -281,6 +307,7 @@
   std::map<NodeId, Address> members_;
   Address self_;
   TimePoint confirmAt_{};
+  consensus::Standing standing_;
   std::uint64_t misplaced_{};
 };
 
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -20,6 +20,9 @@
  * and believes the second refusal. */
 constexpr Duration kFabricNotices = std::chrono::milliseconds{ 1700 };
 
+/** Left of the longest planned stop for the process itself to end. */
+constexpr Duration kStopMargin = std::chrono::milliseconds{ 700 };
+
 /** Silence of callers after which a stopping balancer ends. */
 constexpr Duration kQuiet = std::chrono::milliseconds{ 700 };
 
@@ -172,7 +175,7 @@
   {
     const auto quiet =
       std::max(*stopSince_ + kFabricNotices, flows_.LastPacket() + kQuiet);
-    return std::min(quiet, *stopSince_ + stopLimit_);
+    return std::min(quiet, *stopSince_ + stopLimit_ - kStopMargin);
   }
 
   dissemination::Node node_;
--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -209,6 +209,7 @@
   control.dataFolder_ = aTable.Text("data_folder");
   control.bootstrap_ = aTable.BoolOr("bootstrap", false);
   control.api_ = aTable.AddressOr("api_address");
+  control.syncedWritesLast_ = aTable.BoolOr("synced_writes_last", false);
   control.formsItself_ = aTable.Has("tolerated_losses");
   if (control.formsItself_) {
     control.toleratedLosses_ = static_cast<std::uint32_t>(
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -87,6 +87,11 @@
   /** Members form the group by themselves, the seeds first. */
   bool formsItself_{};
   std::uint32_t toleratedLosses_{}; ///< Of a group that forms itself.
+  /**
+   * Whether the disk never loses or rolls back a synced write: it is whole or
+   * empty. Otherwise a restarted member proves itself to the others first.
+   */
+  bool syncedWritesLast_{};
   Address api_; ///< HTTP for configurations; zero port: none.
 };
 
