--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t kMostKeyFileBytes = 64 * 1024;
 constexpr std::size_t kMostPeersOfAgent = 64;
 
+/** A restarted process asks others so often until it has caught up; callers
+ * send a lost packet again after 200 ms. */
+constexpr std::chrono::milliseconds kJoiningRound{ 100 };
+
 absl::StatusOr<std::string>
 ReadKeyFile(const std::string& aFile)
 {
@@ -239,6 +243,9 @@
   node.incarnation_ = incarnation_;
   node.dataCentre_ = DataCentreIdOf(settings_.dataCentre_);
   node.address_ = settings_.node_;
+  node.joiningRound_ = kJoiningRound;
+  node.bytesPerSecond_ = settings_.controlBytesPerSecond_;
+  node.burstBytes_ = settings_.controlBurstBytes_;
   if (settings_.role_ == settings::Role::Agent) {
     node.mostPeers_ = kMostPeersOfAgent;
   }
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -195,6 +195,8 @@
   ServiceId interest_;   ///< Of an agent: its service.
   std::uint64_t seed_{}; ///< Of its pseudo-random choices.
   Duration round_{ std::chrono::seconds(1) };
+  /** Rounds of a process that is not yet in step, such as after a restart. */
+  Duration joiningRound_{ std::chrono::seconds(1) };
   Duration confirmationLife_{ std::chrono::seconds(30) };
   Duration peerRefresh_{ std::chrono::hours(1) };
   Duration tombstoneLife_{ std::chrono::hours(6) };
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -237,7 +237,10 @@
   if (aNow < nextRound_) {
     return;
   }
-  nextRound_ = aNow + settings_.round_;
+  const auto behind = !joined_ || !released_;
+  nextRound_ =
+    aNow + (behind ? std::min(settings_.round_, settings_.joiningRound_)
+                   : settings_.round_);
   ++round_;
   if (!IsAgent() && aNow >= renewAt_) {
     Renew(aNow);
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -116,15 +116,7 @@
       flow.hostStart_ &&
       aSegment.acknowledged_ - *flow.hostStart_ > kMostFlowBytes;
     if (other) {
-      Note(AgentCount::Unknown);
-      if (aCarried.purpose_ == Purpose::Direct) {
-        Tell(aNow,
-             aBalancer,
-             aKey,
-             Verdict::Unknown,
-             aOut,
-             std::move(aCarried.packet_));
-      }
+      Deny(aNow, aKey, aBalancer, std::move(aCarried), aOut);
       return;
     }
     flow.lastPacket_ = aNow;
@@ -138,16 +130,12 @@
       Tell(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
     mark = kHeldMark;
-  } else if (!MayHoldOthers(aNow) || aCarried.service_ != settings_.service_) {
-    Note(AgentCount::Unknown);
-    if (aCarried.purpose_ == Purpose::Direct) {
-      Tell(aNow,
-           aBalancer,
-           aKey,
-           Verdict::Unknown,
-           aOut,
-           std::move(aCarried.packet_));
-    }
+  } else if (MayHoldOthers(aNow) &&
+             (aCarried.service_ == settings_.service_ ||
+              aCarried.service_ == kAnyService)) {
+    guesses_[aKey] = { aBalancer, aNow };
+  } else {
+    Deny(aNow, aKey, aBalancer, std::move(aCarried), aOut);
     return;
   }
   Note(AgentCount::Delivered);
@@ -155,6 +143,23 @@
   aOut.emplace_back(ToHost{ std::move(aCarried.packet_) });
 }
 
+void
+Agent::Deny(TimePoint aNow,
+            const FlowKey& aKey,
+            const Address& aBalancer,
+            Carried aCarried,
+            Actions& aOut)
+{
+  Note(AgentCount::Unknown);
+  const auto searched = aCarried.purpose_ == Purpose::Search;
+  Tell(aNow,
+       aBalancer,
+       aKey,
+       Verdict::Unknown,
+       aOut,
+       searched ? std::string() : std::move(aCarried.packet_));
+}
+
 bool
 Agent::MayHoldOthers(TimePoint aNow) const noexcept
 {
@@ -179,6 +184,12 @@
   if (found == flows_.end() && !segment->reset_ && MayHoldOthers(aNow)) {
     found = flows_.emplace(key, Flow{}).first;
     found->second.open_ = true;
+    const auto guess = guesses_.find(key);
+    if (guess != guesses_.end()) {
+      found->second.balancer_ = guess->second.balancer_;
+      Tell(aNow, guess->second.balancer_, key, Verdict::Holds, aOut);
+      guesses_.erase(guess);
+    }
   }
   if (found != flows_.end()) {
     auto& flow = found->second;
@@ -208,6 +219,11 @@
   const auto key = KeyFromCaller(aSegment);
   const auto found = flows_.find(key);
   if (aSegment.mark_ == kGuessMark || found == flows_.end()) {
+    const auto guess = guesses_.find(key);
+    if (guess != guesses_.end()) {
+      Tell(aNow, guess->second.balancer_, key, Verdict::Unknown, aOut);
+      guesses_.erase(guess);
+    }
     return;
   }
   const auto balancer = found->second.balancer_;
@@ -347,6 +363,9 @@
     return;
   }
   sweepAt_ = aNow + kSweepEvery;
+  absl::erase_if(guesses_, [&](const auto& aRow) {
+    return aNow - aRow.second.since_ > kClosedLife;
+  });
   const auto idle = routes_.FlowIdle();
   const auto life = idle > Duration::zero()
                       ? std::min(idle * 2, settings_.flowLife_)
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -176,6 +176,13 @@
     bool closed_{}; ///< Both ends are done, or one reset the flow.
   };
 
+  /** A packet of an unknown flow that the host may hold. */
+  struct Guess
+  {
+    Address balancer_; ///< Told when the host answers.
+    TimePoint since_;
+  };
+
   void Open(TimePoint aNow,
             const FlowKey& aKey,
             const Address& aBalancer,
@@ -187,6 +194,12 @@
                const Address& aBalancer,
                Carried aCarried,
                Actions& aOut);
+  /** @brief Says that the host does not hold the packet's flow. */
+  void Deny(TimePoint aNow,
+            const FlowKey& aKey,
+            const Address& aBalancer,
+            Carried aCarried,
+            Actions& aOut);
   void OnReturned(TimePoint aNow,
                   const Segment& aSegment,
                   std::string aPacket,
@@ -220,6 +233,7 @@
   TimePoint heardAt_{};
   bool runBeganHere_{}; ///< The run's first report came to this agent.
   absl::flat_hash_map<FlowKey, Flow> flows_;
+  absl::flat_hash_map<FlowKey, Guess> guesses_;
   std::uint32_t busy_{};
   std::uint32_t closed_{}; ///< Flows kept only for late packets.
   TimePoint sweepAt_{};
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -42,12 +42,8 @@
   lastPacket_ = aNow;
   const auto key = KeyFromCaller(*segment);
   const auto known = flows_.find(key);
-  if (routes_.Find(key.service_) == nullptr) {
+  if (!MayCarry(key, *segment, aOut)) {
     Note(BalancerCount::NoRoute);
-    if (segment->opening_ && routes_.Version().value_ != 0) {
-      aOut.emplace_back(
-        ToCaller{ key.caller_, codec_.reset_(key, segment->acknowledged_) });
-    }
     return;
   }
   if (known != flows_.end()) {
@@ -59,12 +55,30 @@
     return;
   }
   auto& flow = flows_[key];
-  flow.phase_ = Phase::Searching;
-  flow.service_ = routes_.ServiceOf(key).value_or(ServiceId{});
+  StartSearch(aNow, flow);
+  flow.service_ = routes_.ServiceOf(key).value_or(kAnyService);
   flow.lastPacket_ = aNow;
   Search(flow, aPacket, std::nullopt, aOut);
 }
 
+bool
+Balancer::MayCarry(const FlowKey& aKey,
+                   const Segment& aSegment,
+                   Actions& aOut) const
+{
+  if (routes_.Version().value_ == 0) {
+    return !aSegment.opening_;
+  }
+  if (routes_.Find(aKey.service_) != nullptr) {
+    return true;
+  }
+  if (aSegment.opening_) {
+    aOut.emplace_back(
+      ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+  }
+  return false;
+}
+
 void
 Balancer::OnKnownFlow(TimePoint aNow,
                       const FlowKey& aKey,
@@ -80,6 +94,13 @@
       Open(aNow, aKey, aSegment, std::move(aPacket), aOut);
       return;
     }
+    if (IsLost(aNow, aFlow)) {
+      Note(BalancerCount::Lost);
+      aOut.emplace_back(ToCaller{
+        aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+      flows_.erase(aKey);
+      return;
+    }
     Search(aFlow, aPacket, std::nullopt, aOut);
     return;
   }
@@ -100,7 +121,7 @@
                Actions& aOut)
 {
   Flow flow;
-  flow.service_ = routes_.ServiceOf(aKey).value_or(ServiceId{});
+  flow.service_ = routes_.ServiceOf(aKey).value_or(kAnyService);
   flow.lastPacket_ = aNow;
   flow.opening_ = std::move(aPacket);
   Note(BalancerCount::Opened);
@@ -143,6 +164,37 @@
   nextTimer_ = std::min(nextTimer_, aFlow.due_);
 }
 
+void
+Balancer::StartSearch(TimePoint aNow, Flow& aFlow)
+{
+  aFlow.phase_ = Phase::Searching;
+  aFlow.searchingSince_ = aNow;
+  aFlow.denied_.clear();
+}
+
+bool
+Balancer::MayHold(const Host& aHost, const Flow& aFlow)
+{
+  return aHost.record_.state_ != HostState::Gone &&
+         (aFlow.service_ == kAnyService ||
+          aHost.record_.service_ == aFlow.service_);
+}
+
+bool
+Balancer::IsLost(TimePoint aNow, const Flow& aFlow) const
+{
+  if (aFlow.denied_.empty() ||
+      aNow - aFlow.searchingSince_ < settings_.searchLeast_) {
+    return false;
+  }
+  return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto& aRow) {
+    return !MayHold(aRow.second, aFlow) ||
+           std::find(aFlow.denied_.begin(),
+                     aFlow.denied_.end(),
+                     aRow.first) != aFlow.denied_.end();
+  });
+}
+
 void
 Balancer::Search(const Flow& aFlow,
                  const std::string& aPacket,
@@ -151,8 +203,7 @@
 {
   Note(BalancerCount::Searched);
   for (const auto& [id, host] : hosts_) {
-    if (host.record_.state_ != HostState::Gone &&
-        host.record_.service_ == aFlow.service_ && id != aExcept) {
+    if (MayHold(host, aFlow) && id != aExcept) {
       Send(id, Purpose::Search, aFlow.service_, aPacket, aOut);
     }
   }
@@ -204,16 +255,34 @@
       }
       return;
     case Verdict::Unknown:
-      if (flow.phase_ != Phase::Searching && flow.host_ == aHost) {
-        flow.phase_ = Phase::Searching;
-      }
-      if (!aAnswer.packet_.empty()) {
-        Search(flow, aAnswer.packet_, aHost, aOut);
-      }
+      OnDenied(aNow, aHost, aAnswer.packet_, flow, aOut);
       return;
   }
 }
 
+void
+Balancer::OnDenied(TimePoint aNow,
+                   HostId aHost,
+                   const std::string& aPacket,
+                   Flow& aFlow,
+                   Actions& aOut)
+{
+  if (aFlow.phase_ == Phase::Held && aFlow.host_ == aHost) {
+    StartSearch(aNow, aFlow);
+  }
+  if (aFlow.phase_ != Phase::Searching) {
+    return;
+  }
+  const auto known =
+    std::find(aFlow.denied_.begin(), aFlow.denied_.end(), aHost);
+  if (known == aFlow.denied_.end()) {
+    aFlow.denied_.push_back(aHost);
+  }
+  if (!aPacket.empty()) {
+    Search(aFlow, aPacket, aHost, aOut);
+  }
+}
+
 void
 Balancer::OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow)
 {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -44,17 +44,19 @@
   Opened,    ///< New flows offered.
   Retried,   ///< Openings offered to a further host.
   Searched,  ///< Packets of flows that no host is known for.
+  Lost,      ///< Flows reset: every host denies them.
   NoRoute,   ///< Dropped or reset: the address has no route.
   NoHost,    ///< Openings reset: no host of the service takes flows.
   Malformed, ///< No packet of a flow.
 };
 
 /** @brief Names of `BalancerCount`. */
-inline constexpr std::array<EnumName<BalancerCount>, 7> kBalancerCountNames{ {
+inline constexpr std::array<EnumName<BalancerCount>, 8> kBalancerCountNames{ {
   { BalancerCount::Direct, "direct" },
   { BalancerCount::Opened, "opened" },
   { BalancerCount::Retried, "retried" },
   { BalancerCount::Searched, "searched" },
+  { BalancerCount::Lost, "lost" },
   { BalancerCount::NoRoute, "no_route" },
   { BalancerCount::NoHost, "no_host" },
   { BalancerCount::Malformed, "malformed" },
@@ -80,6 +82,9 @@
   double farPenalty_{ 0.3 };
   /** What an open flow adds to a host's load, in busy slots. */
   double flowWeight_{ 0.1 };
+  /** A flow that every host denies is reset when it was looked for so long: a
+   * host that has just joined may not be known here yet. */
+  Duration searchLeast_{ std::chrono::milliseconds{ 150 } };
   /** Flows unheard for so long are forgotten. */
   Duration flowLife_{ std::chrono::seconds{ 70 } };
 };
@@ -155,8 +160,17 @@
     std::vector<HostId> tried_;
     std::uint32_t offers_{};
     TimePoint due_;
+    TimePoint searchingSince_;
+    std::vector<HostId> denied_; ///< Hosts that do not hold it.
   };
 
+  /**
+   * Before any configuration is known, open flows are carried on: their hosts
+   * were chosen by one that was in force.
+   */
+  [[nodiscard]] bool MayCarry(const FlowKey& aKey,
+                              const Segment& aSegment,
+                              Actions& aOut) const;
   void OnKnownFlow(TimePoint aNow,
                    const FlowKey& aKey,
                    const Segment& aSegment,
@@ -169,16 +183,25 @@
             std::string aPacket,
             Actions& aOut);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
+  void StartSearch(TimePoint aNow, Flow& aFlow);
   void Search(const Flow& aFlow,
               const std::string& aPacket,
               std::optional<HostId> aExcept,
               Actions& aOut);
+  /** @brief Whether each host that could hold the flow has denied it. */
+  [[nodiscard]] bool IsLost(TimePoint aNow, const Flow& aFlow) const;
+  [[nodiscard]] static bool MayHold(const Host& aHost, const Flow& aFlow);
   void SendDirect(const Flow& aFlow, std::string aPacket, Actions& aOut);
   void Send(HostId aHost,
             Purpose aPurpose,
             ServiceId aService,
             std::string aPacket,
             Actions& aOut);
+  void OnDenied(TimePoint aNow,
+                HostId aHost,
+                const std::string& aPacket,
+                Flow& aFlow,
+                Actions& aOut);
   void OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow);
   void Suspect(TimePoint aNow, HostId aHost);
   [[nodiscard]] std::optional<HostId> Pick(TimePoint aNow, const Flow& aFlow);
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -18,7 +18,7 @@
   Open,   ///< Take the flow, or refuse it.
   Insist, ///< As `Open`, although the host is busy: others are as well.
   Direct, ///< The host is thought to hold the flow.
-  Search, ///< Some host holds the flow; stay silent when it is another.
+  Search, ///< All hosts are asked; the one that holds the flow takes it.
 };
 
 /** @brief Names of `Purpose`. */
@@ -29,6 +29,9 @@
   { Purpose::Search, "search" },
 } };
 
+/** @brief The balancer knows no configuration yet; for open flows only. */
+inline constexpr ServiceId kAnyService{ 0 };
+
 /** @brief Balancer to agent: a packet of a caller. */
 struct Carried
 {
@@ -77,7 +80,7 @@
   FlowKey key_;
   Verdict verdict_{ Verdict::Unknown };
   HostLoad load_;
-  std::string packet_; ///< `Unknown`: the packet, for another host.
+  std::string packet_; ///< `Unknown` of a `Direct` packet: for another host.
 
   bool operator==(const Answer&) const noexcept = default;
 };
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -16,7 +16,7 @@
 using Actions = std::vector<ControlAction>;
 
 /** How often control says that it stands behind the configuration. */
-constexpr Duration kConfirmEvery = std::chrono::seconds{ 1 };
+constexpr Duration kConfirmEvery = std::chrono::milliseconds{ 250 };
 
 /** What an operator does about a replica that takes no further part. */
 std::string
--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -19,6 +19,13 @@
 constexpr std::int64_t kLongestStopSeconds = 7 * 24 * 3600;
 constexpr std::int64_t kUsualStopSeconds = 3600;
 constexpr std::size_t kMostMembers = 7;
+/** The average process receives what it sends: 2,000 B/s keep a node of a
+ * fleet of 1,900 within its 4 KB/s. */
+constexpr std::int64_t kUsualControlBytes = 2000;
+constexpr std::int64_t kUsualControlBurst = 98'304;
+constexpr std::int64_t kLeastControlBytes = 1000;
+constexpr std::int64_t kLeastControlBurst = 8192;
+constexpr std::int64_t kMostControlBytes = 100'000'000;
 constexpr std::int64_t kMostToleratedLosses = 3;
 constexpr std::int64_t kLongestRelayStopMillis = 3600 * 1000;
 constexpr std::int64_t kUsualRelayStopMillis = 5000;
@@ -64,6 +71,16 @@
   aSettings.node_ = aTable.AddressAt("address");
   aSettings.seeds_ = aTable.Addresses("seeds");
   aSettings.seedsShareOwnPort_ = aTable.BoolOr("seeds_share_own_port", false);
+  aSettings.controlBytesPerSecond_ =
+    static_cast<std::uint32_t>(aTable.IntegerOr("control_bytes_per_second",
+                                                kLeastControlBytes,
+                                                kMostControlBytes,
+                                                kUsualControlBytes));
+  aSettings.controlBurstBytes_ =
+    static_cast<std::uint32_t>(aTable.IntegerOr("control_burst_bytes",
+                                                kLeastControlBurst,
+                                                kMostControlBytes,
+                                                kUsualControlBurst));
   const auto authentication =
     aTable.OneOf("authentication", NamesOf(kAuthenticationNames), "keys");
   aSettings.authentication_ = ValueIn(kAuthenticationNames, authentication)
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -132,6 +132,9 @@
   std::vector<Address> seeds_; ///< Control VMs and balancers to begin with.
   /** Seeds listen for other processes at the port that this one has. */
   bool seedsShareOwnPort_{};
+  /** Most bytes of control messages sent a second, on average, and at once. */
+  std::uint32_t controlBytesPerSecond_{};
+  std::uint32_t controlBurstBytes_{};
   std::string keyFile_;
   Authentication authentication_{ Authentication::Keys };
   Address operator_; ///< JSON-RPC for operators.
