--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kSampledPeers = 2;
 constexpr std::uint64_t kSampleOneIn = 8;
 constexpr std::size_t kRumorsAnAnswer = 6;
+/** Two that have just started hold the same little: in a fleet that runs they
+ * do not count for each other, and one that starts as a whole waits so long. */
+constexpr int kSettlingRounds = 2;
 constexpr Duration kWantAgainAfter = std::chrono::milliseconds(300);
 
 } // namespace
@@ -257,6 +260,12 @@
       header.receiver_ != settings_.incarnation_) {
     return;
   }
+  const auto newcomer = header.inStepAge_ >= kNeverInStep;
+  const auto settling =
+    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
+  if (newcomer && settling && !IsAgent()) {
+    return;
+  }
   inStep_.Note(aEvent.from_, IsAgent() ? aNow - header.inStepAge_ : aNow);
   joined_ = true;
 }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -23,7 +23,6 @@
 constexpr std::int64_t kPeerLives = 3;
 constexpr std::int64_t kUnconfirmedWaitRounds = 10;
 constexpr std::size_t kVouchersNeeded = 2;
-constexpr Duration kNeverInStep = std::chrono::hours(24);
 
 membership::PeerRecord
 SelfRecord(const NodeSettings& aSettings, std::uint64_t aSequence, bool aGone)
@@ -234,6 +233,7 @@
 void
 Node::State::Handle(TimePoint aNow, const Tick& /*aEvent*/)
 {
+  startedAt_ = startedAt_.value_or(aNow);
   if (aNow < nextRound_) {
     return;
   }
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -20,6 +20,9 @@
 
 namespace cornelshore::dissemination {
 
+/** Age of the records of a process that was never in step. */
+inline constexpr Duration kNeverInStep = std::chrono::hours(24);
+
 /** @brief The parts of a node and what joins them. */
 struct Node::State
 {
@@ -103,6 +106,7 @@
 
   std::uint64_t selfSequence_{};
   bool selfGone_{};
+  std::optional<TimePoint> startedAt_;
   bool joined_{};   ///< Was in step once.
   bool mending_{};  ///< The last comparison found much to mend.
   bool released_{}; ///< The held configuration is in force.
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -130,9 +130,8 @@
       Tell(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
     mark = kHeldMark;
-  } else if (MayHoldOthers(aNow) &&
-             (aCarried.service_ == settings_.service_ ||
-              aCarried.service_ == kAnyService)) {
+  } else if (MayHoldOthers(aNow) && (aCarried.service_ == settings_.service_ ||
+                                     aCarried.service_ == kAnyService)) {
     guesses_[aKey] = { aBalancer, aNow };
   } else {
     Deny(aNow, aKey, aBalancer, std::move(aCarried), aOut);
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -58,7 +58,7 @@
   StartSearch(aNow, flow);
   flow.service_ = routes_.ServiceOf(key).value_or(kAnyService);
   flow.lastPacket_ = aNow;
-  Search(flow, aPacket, std::nullopt, aOut);
+  Search(aNow, flow, aPacket, std::nullopt, aOut);
 }
 
 bool
@@ -96,12 +96,12 @@
     }
     if (IsLost(aNow, aFlow)) {
       Note(BalancerCount::Lost);
-      aOut.emplace_back(ToCaller{
-        aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+      aOut.emplace_back(
+        ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
       flows_.erase(aKey);
       return;
     }
-    Search(aFlow, aPacket, std::nullopt, aOut);
+    Search(aNow, aFlow, aPacket, std::nullopt, aOut);
     return;
   }
   if (aSegment.opening_ && aFlow.phase_ == Phase::Opening) {
@@ -169,6 +169,7 @@
 {
   aFlow.phase_ = Phase::Searching;
   aFlow.searchingSince_ = aNow;
+  aFlow.everywhere_ = false;
   aFlow.denied_.clear();
 }
 
@@ -176,12 +177,12 @@
 Balancer::MayHold(const Host& aHost, const Flow& aFlow)
 {
   return aHost.record_.state_ != HostState::Gone &&
-         (aFlow.service_ == kAnyService ||
+         (aFlow.everywhere_ || aFlow.service_ == kAnyService ||
           aHost.record_.service_ == aFlow.service_);
 }
 
 bool
-Balancer::IsLost(TimePoint aNow, const Flow& aFlow) const
+Balancer::AllDenied(TimePoint aNow, const Flow& aFlow) const
 {
   if (aFlow.denied_.empty() ||
       aNow - aFlow.searchingSince_ < settings_.searchLeast_) {
@@ -189,22 +190,34 @@
   }
   return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto& aRow) {
     return !MayHold(aRow.second, aFlow) ||
-           std::find(aFlow.denied_.begin(),
-                     aFlow.denied_.end(),
-                     aRow.first) != aFlow.denied_.end();
+           std::find(aFlow.denied_.begin(), aFlow.denied_.end(), aRow.first) !=
+             aFlow.denied_.end();
   });
 }
 
+bool
+Balancer::IsLost(TimePoint aNow, const Flow& aFlow) const
+{
+  const auto inStep = inStepAt_ && aNow - *inStepAt_ < settings_.inStepLife_;
+  return inStep && aFlow.everywhere_ && AllDenied(aNow, aFlow);
+}
+
 void
-Balancer::Search(const Flow& aFlow,
+Balancer::Search(TimePoint aNow,
+                 Flow& aFlow,
                  const std::string& aPacket,
                  std::optional<HostId> aExcept,
                  Actions& aOut)
 {
   Note(BalancerCount::Searched);
+  if (!aFlow.everywhere_ && hosts_.size() <= settings_.mostSearched_ &&
+      AllDenied(aNow, aFlow)) {
+    aFlow.everywhere_ = true;
+    aFlow.searchingSince_ = aNow;
+  }
   for (const auto& [id, host] : hosts_) {
     if (MayHold(host, aFlow) && id != aExcept) {
-      Send(id, Purpose::Search, aFlow.service_, aPacket, aOut);
+      Send(id, Purpose::Search, kAnyService, aPacket, aOut);
     }
   }
 }
@@ -279,7 +292,7 @@
     aFlow.denied_.push_back(aHost);
   }
   if (!aPacket.empty()) {
-    Search(aFlow, aPacket, aHost, aOut);
+    Search(aNow, aFlow, aPacket, aHost, aOut);
   }
 }
 
@@ -293,6 +306,9 @@
   }
   aFlow.phase_ = Phase::Held;
   aFlow.host_ = aHost;
+  if (aAnswer.verdict_ == Verdict::Holds) {
+    aFlow.service_ = kAnyService;
+  }
   aFlow.opening_.clear();
   aFlow.tried_.clear();
   if (const auto host = hosts_.find(aHost); host != hosts_.end()) {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -85,6 +85,12 @@
   /** A flow that every host denies is reset when it was looked for so long: a
    * host that has just joined may not be known here yet. */
   Duration searchLeast_{ std::chrono::milliseconds{ 150 } };
+  /** Most hosts asked for a flow that no host of its route's service holds: a
+   * former configuration may have led it to another service. */
+  std::size_t mostSearched_{ 256 };
+  /** Host records must have been in step with others' so lately before a flow
+   * that all known hosts deny is reset; rounds come each second. */
+  Duration inStepLife_{ std::chrono::milliseconds{ 1500 } };
   /** Flows unheard for so long are forgotten. */
   Duration flowLife_{ std::chrono::seconds{ 70 } };
 };
@@ -111,6 +117,9 @@
   /** @brief Host records that are new. */
   void UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords);
 
+  /** @brief The host records were in step with others' at that time. */
+  void NoteInStep(TimePoint aAt) noexcept { inStepAt_ = aAt; }
+
   /** @brief A configuration is in force. */
   void UpdateRoutes(const Configuration& aConfiguration);
 
@@ -161,6 +170,7 @@
     std::uint32_t offers_{};
     TimePoint due_;
     TimePoint searchingSince_;
+    bool everywhere_{};          ///< Hosts of all services are asked.
     std::vector<HostId> denied_; ///< Hosts that do not hold it.
   };
 
@@ -184,10 +194,13 @@
             Actions& aOut);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void StartSearch(TimePoint aNow, Flow& aFlow);
-  void Search(const Flow& aFlow,
+  void Search(TimePoint aNow,
+              Flow& aFlow,
               const std::string& aPacket,
               std::optional<HostId> aExcept,
               Actions& aOut);
+  /** @brief Whether each host that was asked has denied the flow. */
+  [[nodiscard]] bool AllDenied(TimePoint aNow, const Flow& aFlow) const;
   /** @brief Whether each host that could hold the flow has denied it. */
   [[nodiscard]] bool IsLost(TimePoint aNow, const Flow& aFlow) const;
   [[nodiscard]] static bool MayHold(const Host& aHost, const Flow& aFlow);
@@ -222,6 +235,7 @@
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
   TimePoint lastPacket_{};
+  std::optional<TimePoint> inStepAt_;
   std::array<std::uint64_t, kBalancerCountNames.size()> counts_{};
 };
 
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -12,8 +12,8 @@
 
 using Actions = std::vector<RelayBalancerAction>;
 
-/** After a restart: how long a configuration without any host counts as a
- * view that is still incomplete. */
+/** After a restart: how long the host records may stay out of step with
+ * others' before packets are taken all the same. */
 constexpr Duration kHostsWithin = std::chrono::seconds{ 3 };
 
 /** A stopping balancer stays at least so long: the fabric asks twice a second
@@ -41,6 +41,9 @@
     for (auto& action : node_.On(aNow, aEvent)) {
       std::visit([&](auto& aAction) { Carry(aNow, aAction, aOut); }, action);
     }
+    if (const auto inStep = node_.ConfirmedAt()) {
+      flows_.NoteInStep(*inStep);
+    }
   }
 
   void Carry(TimePoint, dissemination::Send& aSend, Actions& aOut)
@@ -160,7 +163,7 @@
   {
     const auto ready =
       !stopSince_ && configuredAt_ &&
-      (flows_.Hosts() > 0 || aNow - *configuredAt_ > kHostsWithin);
+      (node_.ConfirmedAt() || aNow - *configuredAt_ > kHostsWithin);
     if (ready != ready_) {
       ready_ = ready;
       aOut.emplace_back(ReadyChanged{ ready });
