Count a process as in step only once it holds the records

A first comparison now counts when next to nothing differs; a comparison that left parts out does not.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -34,8 +34,8 @@
 
 /** Times of a group that forms itself: an election ends well within the time
  * in which its operators expect an acknowledgement, 5 s. */
-constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 100 };
-constexpr std::chrono::milliseconds kSelfFormingElection{ 700 };
+constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 80 };
+constexpr std::chrono::milliseconds kSelfFormingElection{ 400 };
 
 /** The thread that writes and syncs; one sync covers all that waits. */
 class StorageSide
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-constexpr std::size_t kMostNodesCompared = 8;
+constexpr std::size_t kMostNodesCompared = 16;
 constexpr std::size_t kMostLeavesCompared = 64;
 constexpr std::size_t kManyDifferences = 24;
+/** Differences with which a process counts as in step for the first time. */
+constexpr std::size_t kFewDifferences = 2;
 constexpr std::size_t kWantedPieceBytes = 8400;
 constexpr std::size_t kFewPieces = 4;
 constexpr std::size_t kRecentAnAnswer = 4;
@@ -198,7 +200,12 @@
   const bool atLeaves =
     aEvent.message_.hashes_.front().level_ + 1 == DigestTree::kLeafLevel;
   const auto most = atLeaves ? kMostLeavesCompared : kMostNodesCompared;
-  mending_ = differing.size() > (atLeaves ? kManyDifferences : most);
+  const auto few = joined_ ? kManyDifferences : kFewDifferences;
+  mending_ = differing.size() > (atLeaves ? few : most);
+  if (aEvent.message_.hashes_.front().level_ == 0) {
+    comparesPart_ = false;
+  }
+  comparesPart_ |= differing.size() > most;
   if (differing.size() > most) {
     auto& random = partners_.Randomness();
     for (std::size_t index = 0; index < most; ++index) {
@@ -214,7 +221,7 @@
       aPacker.Add(ledger_.Tree().ChildrenOf(child.level_, child.index_));
     }
   }
-  if (atLeaves && !mending_) {
+  if (atLeaves && !mending_ && !comparesPart_) {
     inStep_.Note(aEvent.from_, aNow);
     joined_ = true;
   }
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -107,9 +107,10 @@
   std::uint64_t selfSequence_{};
   bool selfGone_{};
   std::optional<TimePoint> startedAt_;
-  bool joined_{};   ///< Was in step once.
-  bool mending_{};  ///< The last comparison found much to mend.
-  bool released_{}; ///< The held configuration is in force.
+  bool comparesPart_{}; ///< The last comparison left differences out.
+  bool joined_{};       ///< Was in step once.
+  bool mending_{};      ///< The last comparison found much to mend.
+  bool released_{};     ///< The held configuration is in force.
   std::uint64_t round_{};
   TimePoint renewAt_;
   TimePoint wantedAt_;
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -359,5 +359,55 @@
   EXPECT_FALSE(Node::Builder(settings).Build().ok());
 }
 
+TEST(Node, NewcomersAreInStepOnlyOnceTheyHoldEveryRecord)
+{
+  Fleet fleet(7);
+  Fill(fleet, 3, 12, 30);
+  std::vector<HostRecord> records;
+  for (const auto& member : fleet.Members()) {
+    if (member.settings_.role_ == NodeRole::Agent) {
+      records.push_back(RecordOf(member, 1, HostState::Ready));
+    }
+  }
+  for (std::size_t index = 0; index < records.size(); ++index) {
+    fleet.Feed(15 + index, HostAnnounced{ records[index] });
+  }
+  fleet.RunFor(std::chrono::seconds(60));
+  for (const std::size_t restarted : { 3U, 4U, 5U, 6U }) {
+    fleet.Restart(restarted);
+  }
+  const auto end = fleet.Now() + std::chrono::seconds(30);
+  std::size_t early = 0;
+  fleet.RunUntil(end, [&] {
+    for (const std::size_t restarted : { 3U, 4U, 5U, 6U }) {
+      auto& node = fleet.At(restarted);
+      early += node.ConfirmedAt() && node.Hosts().All().size() < records.size();
+    }
+    return early != 0;
+  });
+  EXPECT_EQ(early, 0U);
+  for (const std::size_t restarted : { 3U, 4U, 5U, 6U }) {
+    EXPECT_TRUE(fleet.At(restarted).ConfirmedAt());
+  }
+}
+
+TEST(Node, TakesAGreaterIncarnationThanAnEarlierRunWhoseClockWasAhead)
+{
+  Fleet fleet(9);
+  Fill(fleet, 3, 4, 0);
+  fleet.Members()[4].settings_.incarnation_ = Incarnation{ 8 };
+  fleet.Restart(4);
+  fleet.RunFor(std::chrono::seconds(20));
+  fleet.Feed(4, SelfAnnounced{ Fleet::AddressAt(4), true });
+  fleet.RunFor(std::chrono::seconds(5));
+  fleet.Members()[4].settings_.incarnation_ = Incarnation{ 4 };
+  fleet.Restart(4);
+  fleet.RunFor(std::chrono::seconds(60));
+  const auto peers = fleet.At(0).Peers();
+  EXPECT_TRUE(std::any_of(peers.begin(), peers.end(), [](const auto& aPeer) {
+    return aPeer.id_ == Fleet::IdAt(4);
+  }));
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
--- /dev/null
+++ b/test/cornelshore/relay/agent.cpp
@@ -0,0 +1,312 @@
+#include <cornelshore/relay/agent.hpp>
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include <cornelshore/relay/codec.hpp>
+
+namespace cornelshore::relay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+const ServiceId kBoards = ServiceIdOf("boards");
+const ServiceId kSheets = ServiceIdOf("sheets");
+const Address kBoardAddress = MakeIpv4(0xC6120001U, 443);
+const Address kBalancer = MakeIpv4(0x0A010001U, 7720);
+
+HostReport
+ReportOf(std::uint64_t aSequence, bool aLeaving = false)
+{
+  HostReport report;
+  report.instance_ = "i-1";
+  report.startMillis_ = 1000;
+  report.sequence_ = aSequence;
+  report.service_ = kBoards;
+  report.slots_ = 2;
+  report.leaving_ = aLeaving;
+  return report;
+}
+
+Segment
+FromCaller(std::uint16_t aPort, bool aOpening)
+{
+  Segment segment;
+  segment.from_ = MakeIpv4(0x64400007U, aPort);
+  segment.to_ = kBoardAddress;
+  segment.opening_ = aOpening;
+  segment.acknowledging_ = !aOpening;
+  segment.acknowledged_ = aOpening ? 0 : 5001;
+  segment.payload_ = aOpening ? 0 : 100;
+  return segment;
+}
+
+Segment
+FromHostTo(std::uint16_t aPort, bool aOpening)
+{
+  Segment segment;
+  segment.from_ = kBoardAddress;
+  segment.to_ = MakeIpv4(0x64400007U, aPort);
+  segment.opening_ = aOpening;
+  segment.acknowledging_ = true;
+  segment.sequence_ = 5000;
+  segment.payload_ = aOpening ? 0 : 500;
+  return segment;
+}
+
+class AgentTest : public testing::Test
+{
+protected:
+  AgentTest()
+    : agent_(SettingsOf(), PlainCodec(), kStart)
+  {
+  }
+
+  static AgentSettings SettingsOf()
+  {
+    AgentSettings settings;
+    settings.service_ = kBoards;
+    return settings;
+  }
+
+  Agent::Actions Carry(TimePoint aNow,
+                       Purpose aPurpose,
+                       const Segment& aSegment,
+                       ServiceId aService = kBoards)
+  {
+    Agent::Actions actions;
+    agent_.OnCarried(aNow,
+                     kBalancer,
+                     { aPurpose, aService, version_, PacketOf(aSegment) },
+                     actions);
+    return actions;
+  }
+
+  Agent::Actions HostSends(TimePoint aNow, const Segment& aSegment)
+  {
+    Agent::Actions actions;
+    agent_.OnHostPacket(aNow, PacketOf(aSegment), actions);
+    return actions;
+  }
+
+  void OpenFlow(std::uint16_t aPort)
+  {
+    Carry(kStart, Purpose::Insist, FromCaller(aPort, true));
+    HostSends(kStart, FromHostTo(aPort, true));
+  }
+
+  static std::optional<Segment> Delivered(const Agent::Actions& aActions)
+  {
+    for (const auto& action : aActions) {
+      if (const auto* toHost = std::get_if<ToHost>(&action)) {
+        return SegmentOf(toHost->packet_);
+      }
+    }
+    return std::nullopt;
+  }
+
+  static std::optional<Verdict> VerdictIn(const Agent::Actions& aActions)
+  {
+    for (const auto& action : aActions) {
+      if (const auto* tell = std::get_if<ToBalancer>(&action)) {
+        return tell->answer_.verdict_;
+      }
+    }
+    return std::nullopt;
+  }
+
+  Agent agent_;
+  ConfigVersion version_{ 1 };
+};
+
+TEST_F(AgentTest, OpensNothingBeforeItsHostReported)
+{
+  const auto actions = Carry(kStart, Purpose::Open, FromCaller(1, true));
+  EXPECT_FALSE(Delivered(actions));
+  EXPECT_EQ(VerdictIn(actions), Verdict::Refused);
+}
+
+TEST_F(AgentTest, OpensAFlowAndTellsTheBalancerOnceTheHostAnswers)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Open, FromCaller(1, true))));
+  EXPECT_EQ(VerdictIn(HostSends(kStart, FromHostTo(1, true))), Verdict::Opened);
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, FromCaller(1, false))));
+}
+
+TEST_F(AgentTest, OpensNothingAtALeavingHostAndKeepsItsFlows)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  agent_.OnReport(kStart, ReportOf(2, true));
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Insist, FromCaller(2, true))),
+            Verdict::Refused);
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, FromCaller(1, false))));
+}
+
+TEST_F(AgentTest, OpensNothingOfAnotherService)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  for (const auto purpose : { Purpose::Open, Purpose::Insist }) {
+    const auto actions = Carry(kStart, purpose, FromCaller(1, true), kSheets);
+    EXPECT_FALSE(Delivered(actions));
+    EXPECT_EQ(VerdictIn(actions), Verdict::Refused);
+  }
+}
+
+TEST_F(AgentTest, OpensNothingByARouteThatItsNewerConfigurationDropped)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  Configuration configuration;
+  configuration.version_ = ConfigVersion{ 2 };
+  agent_.UpdateRoutes(configuration);
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Open, FromCaller(1, true))),
+            Verdict::Refused);
+  version_ = ConfigVersion{ 3 };
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Open, FromCaller(2, true))));
+}
+
+TEST_F(AgentTest, LeavesOpeningsToOthersWhileAllSlotsAreInUse)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  for (const auto port : { std::uint16_t{ 1 }, std::uint16_t{ 2 } }) {
+    OpenFlow(port);
+    Carry(kStart, Purpose::Direct, FromCaller(port, false));
+  }
+  EXPECT_EQ(agent_.Busy(), 2U);
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Open, FromCaller(3, true))),
+            Verdict::Busy);
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Insist, FromCaller(3, true))));
+  HostSends(kStart, FromHostTo(1, false));
+  EXPECT_EQ(agent_.Busy(), 1U);
+}
+
+TEST_F(AgentTest, TakesNoNewFlowsFromASilentHost)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  const auto later = kStart + seconds{ 10 };
+  EXPECT_FALSE(agent_.Load(later).accepts_);
+  EXPECT_EQ(VerdictIn(Carry(later, Purpose::Open, FromCaller(1, true))),
+            Verdict::Refused);
+}
+
+TEST_F(AgentTest, DeniesAFlowThatItsHostNeverHad)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  for (const auto purpose : { Purpose::Direct, Purpose::Search }) {
+    const auto actions = Carry(kStart, purpose, FromCaller(1, false));
+    EXPECT_FALSE(Delivered(actions));
+    EXPECT_EQ(VerdictIn(actions), Verdict::Unknown);
+  }
+}
+
+TEST_F(AgentTest, DeniesAFlowThatTheCallerOpenedAtAnotherHost)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  auto packet = FromCaller(1, false);
+  packet.acknowledged_ = 4'000'000'000U;
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Search, packet)),
+            Verdict::Unknown);
+}
+
+TEST_F(AgentTest, AsksTheHostForFlowsThatBeganBeforeItsOwnStart)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  const auto actions = Carry(kStart, Purpose::Search, FromCaller(1, false));
+  EXPECT_TRUE(Delivered(actions));
+  EXPECT_EQ(VerdictIn(actions), std::nullopt);
+  EXPECT_EQ(VerdictIn(HostSends(kStart, FromHostTo(1, false))), Verdict::Holds);
+}
+
+TEST_F(AgentTest, DeniesWhatTheHostGaveBackAfterAGuess)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  auto packet =
+    *Delivered(Carry(kStart, Purpose::Search, FromCaller(1, false)));
+  packet.returned_ = true;
+  EXPECT_EQ(VerdictIn(HostSends(kStart, packet)), Verdict::Unknown);
+}
+
+TEST_F(AgentTest, RefusesAnOpeningThatTheHostGaveBack)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  auto packet = *Delivered(Carry(kStart, Purpose::Open, FromCaller(1, true)));
+  packet.returned_ = true;
+  EXPECT_EQ(VerdictIn(HostSends(kStart, packet)), Verdict::Refused);
+  EXPECT_EQ(agent_.Flows(), 0U);
+}
+
+TEST_F(AgentTest, IgnoresLateReports)
+{
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(5)), ReportOutcome::Taken);
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(4, true)), ReportOutcome::Late);
+  EXPECT_TRUE(agent_.Load(kStart).accepts_);
+  auto former = ReportOf(9);
+  former.instance_ = "i-0";
+  former.startMillis_ = 500;
+  EXPECT_EQ(agent_.OnReport(kStart, former), ReportOutcome::Late);
+  EXPECT_EQ(agent_.Host()->instance_, "i-1");
+}
+
+TEST_F(AgentTest, IgnoresReportsOfAnotherService)
+{
+  auto report = ReportOf(1);
+  report.service_ = kSheets;
+  EXPECT_EQ(agent_.OnReport(kStart, report), ReportOutcome::Foreign);
+  EXPECT_FALSE(agent_.Host());
+}
+
+TEST_F(AgentTest, ForgetsTheFlowsOfAFormerRun)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  auto next = ReportOf(1);
+  next.instance_ = "i-2";
+  next.startMillis_ = 2000;
+  EXPECT_EQ(agent_.OnReport(kStart, next), ReportOutcome::Taken);
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Direct, FromCaller(1, false))),
+            Verdict::Unknown);
+}
+
+TEST_F(AgentTest, TakesALaterReportOfAnEndedRunForLate)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  EXPECT_TRUE(agent_.OnEnded(kStart, "i-1"));
+  EXPECT_FALSE(agent_.OnEnded(kStart, "i-1"));
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(9)), ReportOutcome::Late);
+  EXPECT_FALSE(agent_.Host());
+}
+
+TEST_F(AgentTest, CountsClosedFlowsNoMoreAndForgetsThemSoon)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  EXPECT_EQ(agent_.Load(kStart).flows_, 1U);
+  auto last = FromCaller(1, false);
+  last.finishing_ = true;
+  Carry(kStart, Purpose::Direct, last);
+  auto answer = FromHostTo(1, false);
+  answer.finishing_ = true;
+  HostSends(kStart, answer);
+  EXPECT_EQ(agent_.Load(kStart).flows_, 0U);
+  agent_.Tick(kStart + seconds{ 6 });
+  EXPECT_EQ(agent_.Flows(), 0U);
+}
+
+TEST_F(AgentTest, SendsItsHostsPacketsOnUnchanged)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  const auto sent = PacketOf(FromHostTo(1, false));
+  Agent::Actions actions;
+  agent_.OnHostPacket(kStart, sent, actions);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(std::get<FromHost>(actions.front()).packet_, sent);
+}
+
+} // namespace
+} // namespace cornelshore::relay
--- /dev/null
+++ b/test/cornelshore/relay/balancer.cpp
@@ -0,0 +1,330 @@
+#include <cornelshore/relay/balancer.hpp>
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include <cornelshore/relay/codec.hpp>
+
+namespace cornelshore::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+const ServiceId kBoards = ServiceIdOf("boards");
+const ServiceId kSheets = ServiceIdOf("sheets");
+const Address kBoardAddress = MakeIpv4(0xC6120001U, 443);
+const Address kSheetAddress = MakeIpv4(0xC6120002U, 443);
+
+Configuration
+ConfigurationOf(std::uint64_t aVersion, ServiceId aBoardsLeadTo = kBoards)
+{
+  Configuration configuration;
+  configuration.version_ = ConfigVersion{ aVersion };
+  for (const auto& [address, service] :
+       { std::pair(kBoardAddress, aBoardsLeadTo),
+         std::pair(kSheetAddress, kSheets) }) {
+    Route route;
+    route.address_ = address;
+    route.timeout_ = std::chrono::seconds{ 1 };
+    route.to_ = { { service, 1 } };
+    configuration.routes_.push_back(route);
+  }
+  return configuration;
+}
+
+HostRecord
+RecordOf(std::uint64_t aHost, ServiceId aService)
+{
+  HostRecord record;
+  record.id_ = HostId{ aHost };
+  record.incarnation_ = Incarnation{ 1 };
+  record.sequence_ = 1;
+  record.service_ = aService;
+  record.agent_ = MakeIpv4(0x0A000000U + static_cast<std::uint32_t>(aHost), 7);
+  record.slots_ = 4;
+  record.state_ = HostState::Ready;
+  return record;
+}
+
+Segment
+FromCaller(std::uint16_t aPort, const Address& aTo, bool aOpening)
+{
+  Segment segment;
+  segment.from_ = MakeIpv4(0x64400007U, aPort);
+  segment.to_ = aTo;
+  segment.opening_ = aOpening;
+  segment.acknowledging_ = !aOpening;
+  return segment;
+}
+
+/** A balancer that knows hosts 1 to 3 of boards and 11, 12 of sheets. */
+class BalancerTest : public testing::Test
+{
+protected:
+  BalancerTest()
+    : balancer_(SettingsOf(), PlainCodec())
+  {
+    balancer_.UpdateRoutes(ConfigurationOf(1));
+    for (const std::uint64_t host : { 1U, 2U, 3U }) {
+      balancer_.UpdateHosts(kStart, { RecordOf(host, kBoards) });
+    }
+    for (const std::uint64_t host : { 11U, 12U }) {
+      balancer_.UpdateHosts(kStart, { RecordOf(host, kSheets) });
+    }
+    TellLoads(kStart);
+  }
+
+  static BalancerSettings SettingsOf()
+  {
+    BalancerSettings settings;
+    settings.seed_ = 5;
+    return settings;
+  }
+
+  void TellLoads(TimePoint aNow)
+  {
+    for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+      balancer_.OnLoad(aNow, HostId{ host }, { 0, 0, 4, true, false });
+    }
+    balancer_.NoteInStep(aNow);
+  }
+
+  Balancer::Actions Packet(TimePoint aNow, const Segment& aSegment)
+  {
+    Balancer::Actions actions;
+    balancer_.OnPacket(aNow, PacketOf(aSegment), actions);
+    return actions;
+  }
+
+  Balancer::Actions Answer(TimePoint aNow,
+                           std::uint64_t aHost,
+                           const Segment& aSegment,
+                           Verdict aVerdict,
+                           std::string aPacket = {})
+  {
+    Balancer::Actions actions;
+    balancer_.OnAnswer(aNow,
+                       HostId{ aHost },
+                       { KeyFromCaller(aSegment),
+                         aVerdict,
+                         { 0, 0, 4, true, false },
+                         std::move(aPacket) },
+                       actions);
+    return actions;
+  }
+
+  static std::set<std::uint64_t> HostsOf(const Balancer::Actions& aActions)
+  {
+    std::set<std::uint64_t> hosts;
+    for (const auto& action : aActions) {
+      if (const auto* send = std::get_if<ToAgent>(&action)) {
+        hosts.insert(send->host_.value_);
+      }
+    }
+    return hosts;
+  }
+
+  static std::size_t ResetsIn(const Balancer::Actions& aActions)
+  {
+    return static_cast<std::size_t>(
+      std::count_if(aActions.begin(), aActions.end(), [](const auto& aAction) {
+        return std::holds_alternative<ToCaller>(aAction);
+      }));
+  }
+
+  Balancer balancer_;
+};
+
+TEST_F(BalancerTest, OffersAnOpeningToOneHostOfTheRoutesService)
+{
+  for (std::uint16_t port = 1; port <= 200; ++port) {
+    const auto hosts =
+      HostsOf(Packet(kStart, FromCaller(port, kBoardAddress, true)));
+    ASSERT_EQ(hosts.size(), 1U);
+    EXPECT_LE(*hosts.begin(), 3U);
+  }
+}
+
+TEST_F(BalancerTest, ResetsAnOpeningWithoutARoute)
+{
+  const auto actions =
+    Packet(kStart, FromCaller(1, MakeIpv4(0xC6120009U, 443), true));
+  EXPECT_EQ(ResetsIn(actions), 1U);
+  EXPECT_EQ(actions.size(), 1U);
+}
+
+TEST_F(BalancerTest, DropsOtherPacketsWithoutARoute)
+{
+  EXPECT_TRUE(
+    Packet(kStart, FromCaller(1, MakeIpv4(0xC6120009U, 443), false)).empty());
+}
+
+TEST_F(BalancerTest, OffersARefusedOpeningToAnotherHostAtOnce)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  const auto first = *HostsOf(Packet(kStart, opening)).begin();
+  const auto next = HostsOf(Answer(kStart, first, opening, Verdict::Refused));
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_NE(*next.begin(), first);
+}
+
+TEST_F(BalancerTest, OffersAnUnansweredOpeningToAnotherHostInTime)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  const auto first = *HostsOf(Packet(kStart, opening)).begin();
+  const auto due = balancer_.NextTimer();
+  EXPECT_LE(due, kStart + milliseconds{ 100 });
+  Balancer::Actions actions;
+  balancer_.Tick(kStart + milliseconds{ 100 }, actions);
+  ASSERT_EQ(HostsOf(actions).size(), 1U);
+  EXPECT_NE(*HostsOf(actions).begin(), first);
+}
+
+TEST_F(BalancerTest, InsistsOnceAllHostsWereBusy)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  auto actions = Packet(kStart, opening);
+  auto purpose = Purpose::Open;
+  for (int offer = 0; offer < 3 && purpose == Purpose::Open; ++offer) {
+    const auto& send = std::get<ToAgent>(actions.front());
+    purpose = send.carried_.purpose_;
+    actions = Answer(kStart, send.host_.value_, opening, Verdict::Busy);
+  }
+  EXPECT_EQ(purpose, Purpose::Insist);
+}
+
+TEST_F(BalancerTest, KeepsToTheHostThatOpenedTheFlow)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  const auto first = *HostsOf(Packet(kStart, opening)).begin();
+  Answer(kStart, first, opening, Verdict::Opened);
+  const auto later = kStart + std::chrono::seconds{ 30 };
+  for (int packet = 0; packet < 20; ++packet) {
+    EXPECT_EQ(HostsOf(Packet(later, FromCaller(1, kBoardAddress, false))),
+              std::set<std::uint64_t>{ first });
+  }
+}
+
+TEST_F(BalancerTest, AsksEveryHostForAFlowThatItDoesNotKnow)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  EXPECT_EQ(HostsOf(Packet(kStart, packet)),
+            (std::set<std::uint64_t>{ 1, 2, 3 }));
+  Answer(kStart, 2, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(kStart, packet)), std::set<std::uint64_t>{ 2 });
+}
+
+TEST_F(BalancerTest, CarriesOpenFlowsOnBeforeItKnowsAConfiguration)
+{
+  Balancer restarted(SettingsOf(), PlainCodec());
+  restarted.UpdateHosts(kStart, { RecordOf(1, kBoards) });
+  restarted.UpdateHosts(kStart, { RecordOf(11, kSheets) });
+  Balancer::Actions actions;
+  restarted.OnPacket(
+    kStart, PacketOf(FromCaller(1, kBoardAddress, false)), actions);
+  EXPECT_EQ(HostsOf(actions), (std::set<std::uint64_t>{ 1, 11 }));
+  actions.clear();
+  restarted.OnPacket(
+    kStart, PacketOf(FromCaller(2, kBoardAddress, true)), actions);
+  EXPECT_TRUE(actions.empty());
+}
+
+TEST_F(BalancerTest, FindsAFlowAtAHostOfAServiceThatItsRouteLedToBefore)
+{
+  balancer_.UpdateRoutes(ConfigurationOf(2, kSheets));
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  Packet(kStart, packet);
+  for (const std::uint64_t host : { 11U, 12U }) {
+    Answer(kStart, host, packet, Verdict::Unknown);
+  }
+  const auto later = kStart + milliseconds{ 200 };
+  const auto actions = Packet(later, packet);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  EXPECT_TRUE(HostsOf(actions).contains(2));
+  Answer(later, 2, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(later, packet)), std::set<std::uint64_t>{ 2 });
+}
+
+TEST_F(BalancerTest, ResetsAFlowOnceEveryHostDeniedIt)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart;
+  std::size_t resets = 0;
+  for (int round = 0; round < 4 && resets == 0; ++round) {
+    const auto actions = Packet(now, packet);
+    resets += ResetsIn(actions);
+    for (const auto host : HostsOf(actions)) {
+      Answer(now, host, packet, Verdict::Unknown);
+    }
+    now += milliseconds{ 200 };
+    balancer_.NoteInStep(now);
+  }
+  EXPECT_EQ(resets, 1U);
+}
+
+TEST_F(BalancerTest, ResetsNoFlowWhileOneHostIsSilent)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart;
+  for (int round = 0; round < 20; ++round) {
+    const auto actions = Packet(now, packet);
+    EXPECT_EQ(ResetsIn(actions), 0U);
+    for (const auto host : HostsOf(actions)) {
+      if (host != 3) {
+        Answer(now, host, packet, Verdict::Unknown);
+      }
+    }
+    now += milliseconds{ 200 };
+    balancer_.NoteInStep(now);
+  }
+}
+
+TEST_F(BalancerTest, ResetsNoFlowWhileItsRecordsAreOutOfStep)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart + std::chrono::seconds{ 5 };
+  for (int round = 0; round < 20; ++round) {
+    const auto actions = Packet(now, packet);
+    EXPECT_EQ(ResetsIn(actions), 0U);
+    for (const auto host : HostsOf(actions)) {
+      Answer(now, host, packet, Verdict::Unknown);
+    }
+    now += milliseconds{ 200 };
+  }
+}
+
+TEST_F(BalancerTest, LeavesOutHostsThatAreLeavingSilentOrFull)
+{
+  auto leaving = RecordOf(1, kBoards);
+  leaving.sequence_ = 2;
+  leaving.state_ = HostState::Leaving;
+  balancer_.UpdateHosts(kStart, { leaving });
+  balancer_.OnLoad(kStart, HostId{ 2 }, { 0, 0, 4, false, false });
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    EXPECT_EQ(HostsOf(Packet(kStart, FromCaller(port, kBoardAddress, true))),
+              std::set<std::uint64_t>{ 3 });
+  }
+  const auto later = kStart + std::chrono::seconds{ 4 };
+  EXPECT_EQ(ResetsIn(Packet(later, FromCaller(99, kBoardAddress, true))), 1U);
+}
+
+TEST_F(BalancerTest, PrefersTheHostWithFewerRequestsInProgress)
+{
+  balancer_.OnLoad(kStart, HostId{ 1 }, { 20, 4, 4, true, false });
+  balancer_.OnLoad(kStart, HostId{ 2 }, { 20, 4, 4, true, false });
+  EXPECT_EQ(HostsOf(Packet(kStart, FromCaller(1, kBoardAddress, true))),
+            std::set<std::uint64_t>{ 3 });
+}
+
+TEST_F(BalancerTest, CountsMalformedPackets)
+{
+  Balancer::Actions actions;
+  balancer_.OnPacket(kStart, "short", actions);
+  EXPECT_TRUE(actions.empty());
+  EXPECT_EQ(balancer_.Count(BalancerCount::Malformed), 1U);
+}
+
+} // namespace
+} // namespace cornelshore::relay
