Reset a lost flow without waiting for its caller's next packet

A lost flow's caller was told only at its second retransmission, 600 ms after its packet; the search now goes on by itself and takes 100 ms.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -58,7 +58,7 @@
   StartSearch(aNow, flow);
   flow.service_ = routes_.ServiceOf(key).value_or(kAnyService);
   flow.lastPacket_ = aNow;
-  Search(aNow, flow, aPacket, std::nullopt, aOut);
+  Search(flow, std::move(aPacket), std::nullopt, aOut);
 }
 
 bool
@@ -95,13 +95,10 @@
       return;
     }
     if (IsLost(aNow, aFlow)) {
-      Note(BalancerCount::Lost);
-      aOut.emplace_back(
-        ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
-      flows_.erase(aKey);
+      ResetLost(aKey, aOut);
       return;
     }
-    Search(aNow, aFlow, aPacket, std::nullopt, aOut);
+    Search(aFlow, std::move(aPacket), std::nullopt, aOut);
     return;
   }
   if (aSegment.opening_ && aFlow.phase_ == Phase::Opening) {
@@ -123,7 +120,7 @@
   Flow flow;
   flow.service_ = routes_.ServiceOf(aKey).value_or(kAnyService);
   flow.lastPacket_ = aNow;
-  flow.opening_ = std::move(aPacket);
+  flow.packet_ = std::move(aPacket);
   Note(BalancerCount::Opened);
   if (!Pick(aNow, flow)) {
     Note(BalancerCount::NoHost);
@@ -152,16 +149,14 @@
   const auto insists = aFlow.offers_ >= kOffersBeforeInsisting;
   aFlow.host_ = *host;
   aFlow.tried_.push_back(*host);
-  aFlow.due_ = aNow + settings_.openTimeout_;
   ++aFlow.offers_;
   ++hosts_[*host].offered_;
   Send(*host,
        insists ? Purpose::Insist : Purpose::Open,
        aFlow.service_,
-       aFlow.opening_,
+       aFlow.packet_,
        aOut);
-  due_.emplace_back(aFlow.due_, aKey);
-  nextTimer_ = std::min(nextTimer_, aFlow.due_);
+  WakeAt(aNow + settings_.openTimeout_, aKey, aFlow);
 }
 
 void
@@ -182,10 +177,9 @@
 }
 
 bool
-Balancer::AllDenied(TimePoint aNow, const Flow& aFlow) const
+Balancer::AllDenied(const Flow& aFlow) const
 {
-  if (aFlow.denied_.empty() ||
-      aNow - aFlow.searchingSince_ < settings_.searchLeast_) {
+  if (aFlow.denied_.empty()) {
     return false;
   }
   return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto& aRow) {
@@ -199,27 +193,56 @@
 Balancer::IsLost(TimePoint aNow, const Flow& aFlow) const
 {
   const auto inStep = inStepAt_ && aNow - *inStepAt_ < settings_.inStepLife_;
-  return inStep && aFlow.everywhere_ && AllDenied(aNow, aFlow);
+  const auto longEnough =
+    aNow - aFlow.searchingSince_ >= settings_.searchLeast_;
+  return inStep && longEnough && aFlow.everywhere_ && AllDenied(aFlow);
 }
 
 void
-Balancer::Search(TimePoint aNow,
-                 Flow& aFlow,
-                 const std::string& aPacket,
+Balancer::Search(Flow& aFlow,
+                 std::string aPacket,
                  std::optional<HostId> aExcept,
                  Actions& aOut)
 {
   Note(BalancerCount::Searched);
-  if (!aFlow.everywhere_ && hosts_.size() <= settings_.mostSearched_ &&
-      AllDenied(aNow, aFlow)) {
-    aFlow.everywhere_ = true;
-    aFlow.searchingSince_ = aNow;
-  }
   for (const auto& [id, host] : hosts_) {
     if (MayHold(host, aFlow) && id != aExcept) {
       Send(id, Purpose::Search, kAnyService, aPacket, aOut);
     }
   }
+  aFlow.packet_ = std::move(aPacket);
+}
+
+void
+Balancer::SearchEverywhere(TimePoint aNow,
+                           const FlowKey& aKey,
+                           Flow& aFlow,
+                           Actions& aOut)
+{
+  aFlow.everywhere_ = true;
+  aFlow.searchingSince_ = aNow;
+  aFlow.denied_.clear();
+  Search(aFlow, aFlow.packet_, std::nullopt, aOut);
+  WakeAt(aNow + settings_.searchLeast_, aKey, aFlow);
+}
+
+void
+Balancer::ResetLost(const FlowKey& aKey, Actions& aOut)
+{
+  const auto found = flows_.find(aKey);
+  const auto segment = codec_.parse_(found->second.packet_);
+  Note(BalancerCount::Lost);
+  aOut.emplace_back(ToCaller{
+    aKey.caller_, codec_.reset_(aKey, segment ? segment->acknowledged_ : 0) });
+  flows_.erase(found);
+}
+
+void
+Balancer::WakeAt(TimePoint aDue, const FlowKey& aKey, Flow& aFlow)
+{
+  aFlow.due_ = aDue;
+  due_.emplace_back(aDue, aKey);
+  nextTimer_ = std::min(nextTimer_, aDue);
 }
 
 void
@@ -268,7 +291,7 @@
       }
       return;
     case Verdict::Unknown:
-      OnDenied(aNow, aHost, aAnswer.packet_, flow, aOut);
+      OnDenied(aNow, aHost, aAnswer, flow, aOut);
       return;
   }
 }
@@ -276,7 +299,7 @@
 void
 Balancer::OnDenied(TimePoint aNow,
                    HostId aHost,
-                   const std::string& aPacket,
+                   Answer& aAnswer,
                    Flow& aFlow,
                    Actions& aOut)
 {
@@ -291,8 +314,13 @@
   if (known == aFlow.denied_.end()) {
     aFlow.denied_.push_back(aHost);
   }
-  if (!aPacket.empty()) {
-    Search(aNow, aFlow, aPacket, aHost, aOut);
+  if (!aAnswer.packet_.empty()) {
+    Search(aFlow, std::move(aAnswer.packet_), aHost, aOut);
+  }
+  const auto mayWiden =
+    !aFlow.everywhere_ && hosts_.size() <= settings_.mostSearched_;
+  if (mayWiden && AllDenied(aFlow)) {
+    SearchEverywhere(aNow, aAnswer.key_, aFlow, aOut);
   }
 }
 
@@ -309,7 +337,7 @@
   if (aAnswer.verdict_ == Verdict::Holds) {
     aFlow.service_ = kAnyService;
   }
-  aFlow.opening_.clear();
+  aFlow.packet_.clear();
   aFlow.tried_.clear();
   if (const auto host = hosts_.find(aHost); host != hosts_.end()) {
     host->second.suspicion_ = Duration::zero();
@@ -413,6 +441,19 @@
   return best;
 }
 
+void
+Balancer::OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
+{
+  if (aFlow.phase_ == Phase::Searching && IsLost(aNow, aFlow)) {
+    ResetLost(aKey, aOut);
+  } else if (aFlow.phase_ == Phase::Opening) {
+    Suspect(aNow, aFlow.host_);
+    if (aFlow.offers_ < settings_.mostOffers_) {
+      Offer(aNow, aKey, aFlow, aOut);
+    }
+  }
+}
+
 void
 Balancer::Tick(TimePoint aNow, Actions& aOut)
 {
@@ -420,17 +461,13 @@
   waiting.swap(due_);
   for (auto& [due, key] : waiting) {
     const auto found = flows_.find(key);
-    if (found == flows_.end() || found->second.phase_ != Phase::Opening ||
-        found->second.due_ != due) {
+    if (found == flows_.end() || found->second.due_ != due) {
       continue;
     }
     if (due > aNow) {
       due_.emplace_back(due, key);
-      continue;
-    }
-    Suspect(aNow, found->second.host_);
-    if (found->second.offers_ < settings_.mostOffers_) {
-      Offer(aNow, key, found->second, aOut);
+    } else {
+      OnDue(aNow, key, found->second, aOut);
     }
   }
   if (sweepAt_ <= aNow) {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -84,7 +84,7 @@
   double flowWeight_{ 0.1 };
   /** A flow that every host denies is reset when it was looked for so long: a
    * host that has just joined may not be known here yet. */
-  Duration searchLeast_{ std::chrono::milliseconds{ 150 } };
+  Duration searchLeast_{ std::chrono::milliseconds{ 100 } };
   /** Most hosts asked for a flow that no host of its route's service holds: a
    * former configuration may have led it to another service. */
   std::size_t mostSearched_{ 256 };
@@ -165,7 +165,7 @@
     ServiceId service_;
     HostId host_;
     TimePoint lastPacket_;
-    std::string opening_; ///< Packet to offer again.
+    std::string packet_; ///< To offer or to look for a host with again.
     std::vector<HostId> tried_;
     std::uint32_t offers_{};
     TimePoint due_;
@@ -194,13 +194,19 @@
             Actions& aOut);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void StartSearch(TimePoint aNow, Flow& aFlow);
-  void Search(TimePoint aNow,
-              Flow& aFlow,
-              const std::string& aPacket,
+  void Search(Flow& aFlow,
+              std::string aPacket,
               std::optional<HostId> aExcept,
               Actions& aOut);
+  /** @brief Asks the hosts of all services, once those of one denied. */
+  void SearchEverywhere(TimePoint aNow,
+                        const FlowKey& aKey,
+                        Flow& aFlow,
+                        Actions& aOut);
+  void ResetLost(const FlowKey& aKey, Actions& aOut);
+  void WakeAt(TimePoint aDue, const FlowKey& aKey, Flow& aFlow);
   /** @brief Whether each host that was asked has denied the flow. */
-  [[nodiscard]] bool AllDenied(TimePoint aNow, const Flow& aFlow) const;
+  [[nodiscard]] bool AllDenied(const Flow& aFlow) const;
   /** @brief Whether each host that could hold the flow has denied it. */
   [[nodiscard]] bool IsLost(TimePoint aNow, const Flow& aFlow) const;
   [[nodiscard]] static bool MayHold(const Host& aHost, const Flow& aFlow);
@@ -212,9 +218,10 @@
             Actions& aOut);
   void OnDenied(TimePoint aNow,
                 HostId aHost,
-                const std::string& aPacket,
+                Answer& aAnswer,
                 Flow& aFlow,
                 Actions& aOut);
+  void OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow);
   void Suspect(TimePoint aNow, HostId aHost);
   [[nodiscard]] std::optional<HostId> Pick(TimePoint aNow, const Flow& aFlow);
@@ -231,7 +238,7 @@
   RouteTable routes_;
   std::map<HostId, Host> hosts_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
-  std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Openings, by time.
+  std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Flows to look at.
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
   TimePoint lastPacket_{};
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -236,32 +236,43 @@
   balancer_.UpdateRoutes(ConfigurationOf(2, kSheets));
   const auto packet = FromCaller(1, kBoardAddress, false);
   Packet(kStart, packet);
-  for (const std::uint64_t host : { 11U, 12U }) {
-    Answer(kStart, host, packet, Verdict::Unknown);
-  }
-  const auto later = kStart + milliseconds{ 200 };
-  const auto actions = Packet(later, packet);
+  Answer(kStart, 11, packet, Verdict::Unknown);
+  const auto actions = Answer(kStart, 12, packet, Verdict::Unknown);
   EXPECT_EQ(ResetsIn(actions), 0U);
   EXPECT_TRUE(HostsOf(actions).contains(2));
-  Answer(later, 2, packet, Verdict::Holds);
-  EXPECT_EQ(HostsOf(Packet(later, packet)), std::set<std::uint64_t>{ 2 });
+  Answer(kStart, 2, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(kStart, packet)), std::set<std::uint64_t>{ 2 });
 }
 
-TEST_F(BalancerTest, ResetsAFlowOnceEveryHostDeniedIt)
+TEST_F(BalancerTest, ResetsAFlowOnceEveryHostDeniedItTwice)
 {
   const auto packet = FromCaller(1, kBoardAddress, false);
-  auto now = kStart;
-  std::size_t resets = 0;
-  for (int round = 0; round < 4 && resets == 0; ++round) {
-    const auto actions = Packet(now, packet);
-    resets += ResetsIn(actions);
-    for (const auto host : HostsOf(actions)) {
-      Answer(now, host, packet, Verdict::Unknown);
-    }
-    now += milliseconds{ 200 };
-    balancer_.NoteInStep(now);
+  Packet(kStart, packet);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 1U, 2U, 3U, 11U }) {
+    EXPECT_EQ(ResetsIn(Answer(kStart, host, packet, Verdict::Unknown)), 0U);
+  }
+  const auto due = kStart + milliseconds{ 100 };
+  Balancer::Actions actions;
+  balancer_.Tick(due, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  Answer(due, 12, packet, Verdict::Unknown);
+  EXPECT_EQ(ResetsIn(Packet(due, packet)), 1U);
+}
+
+TEST_F(BalancerTest, ResetsALostFlowWithoutWaitingForItsNextPacket)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  for (const auto host : HostsOf(Packet(kStart, packet))) {
+    Answer(kStart, host, packet, Verdict::Unknown);
   }
-  EXPECT_EQ(resets, 1U);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+    Answer(kStart, host, packet, Verdict::Unknown);
+  }
+  Balancer::Actions actions;
+  balancer_.Tick(kStart + milliseconds{ 50 }, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  balancer_.Tick(kStart + milliseconds{ 100 }, actions);
+  EXPECT_EQ(ResetsIn(actions), 1U);
 }
 
 TEST_F(BalancerTest, ResetsNoFlowWhileOneHostIsSilent)
