Let restarted voters elect at once where synced writes last

After a final fault all of control restarts: voters waited an election timeout and for two others' answers before they might vote, which guards against disks that lost a synced write and against leases. With durable disks and no reads by lease, Raft needs neither. Timers also came from the same random numbers in several processes, which split votes; the process's name is mixed in now.

--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -88,6 +88,9 @@
   ApplyCommitted();
   verifier_.Learn(log_.MembersAt(commit_), log_.Members());
   ResetElectionTimer();
+  if (aVerification == Verification::Durable) {
+    HastenElection();
+  }
 }
 
 std::vector<Action>
@@ -418,6 +421,10 @@
   if (auto status = CheckSettings(settings_); !status.ok()) {
     return status;
   }
+  if (verification_ == Verification::Durable && settings_.leaseReads_) {
+    return absl::InvalidArgumentError(
+      "reads by lease need voters that wait after their start");
+  }
   if (state_.id_.disk_.value_ == 0) {
     return absl::InvalidArgumentError("the replica's disk id is zero");
   }
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -258,6 +258,9 @@
   void BecomeLeader();
   void AbandonRequests();
   void ResetElectionTimer();
+  /** @brief After a start: all may have restarted, so that nobody leads. A
+   * leader is heard of within two heartbeats. */
+  void HastenElection();
   void Fail(Fault aFault);
   void NoteProven();
   void SendHellos();
@@ -328,6 +331,8 @@
                                            Duration aLimit) const;
   [[nodiscard]] bool DropSilentLearner();
   void ServeReads();
+  /** @brief Without a lease, a read needs answers sent after it. */
+  void AskQuorum();
   void FinishRead(const PendingRead& aRead, bool aConfirmed);
   void ServeApplied();
   void ExpireRequests(Duration aReadAge, Duration aProposalAge);
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -188,6 +188,15 @@
                  Duration{ static_cast<std::int64_t>(extra) };
 }
 
+void
+Replica::HastenElection()
+{
+  const auto spread =
+    static_cast<std::uint64_t>(settings_.electionTimeout_.count()) / 2;
+  electionDue_ = now_ + settings_.heartbeat_ * 2 +
+                 Duration{ static_cast<std::int64_t>(random_.Below(spread)) };
+}
+
 void
 Replica::NoteProven()
 {
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -391,6 +391,7 @@
     FinishRead(read, false);
   } else if (role_ == Role::Leader) {
     unconfirmedReads_.push_back(read);
+    AskQuorum();
     ServeReads();
   } else {
     const Token own{ ++nextToken_ };
@@ -409,9 +410,18 @@
     return;
   }
   unconfirmedReads_.push_back(read);
+  AskQuorum();
   ServeReads();
 }
 
+void
+Replica::AskQuorum()
+{
+  if (!settings_.leaseReads_) {
+    SendHeartbeats();
+  }
+}
+
 void
 Replica::ServeReads()
 {
--- a/src/cornelshore/consensus/types.hpp
+++ b/src/cornelshore/consensus/types.hpp
@@ -129,12 +129,19 @@
    * every quorum which may have counted this replica is met.
    */
   Unproven,
+  /**
+   * The disk never loses a synced write unless it is emptied, as Raft assumes:
+   * no others. Goes without reads by lease, which a voter that has just
+   * started would not know to respect.
+   */
+  Durable,
 };
 
 /** @brief Names of `Verification`. */
-inline constexpr std::array<EnumName<Verification>, 2> kVerificationNames{ {
+inline constexpr std::array<EnumName<Verification>, 3> kVerificationNames{ {
   { Verification::Continued, "continued" },
   { Verification::Unproven, "unproven" },
+  { Verification::Durable, "durable" },
 } };
 
 /** @brief Why a replica takes part in nothing any more until restarted. */
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <functional>
 #include <future>
-#include <random>
 #include <thread>
 
 #include <absl/strings/str_cat.h>
@@ -34,8 +33,8 @@
 
 /** Times of a group that forms itself: an election ends well within the time
  * in which its operators expect an acknowledgement, 5 s. */
-constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 80 };
-constexpr std::chrono::milliseconds kSelfFormingElection{ 400 };
+constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 60 };
+constexpr std::chrono::milliseconds kSelfFormingElection{ 300 };
 
 /** The thread that writes and syncs; one sync covers all that waits. */
 class StorageSide
@@ -454,6 +453,16 @@
   return consensus::FirstState({ aRuntime.Self(), kFirstDisk }, voters);
 }
 
+consensus::Verification
+FreshVerification(const settings::ControlSettings& aControl)
+{
+  if (aControl.syncedWritesLast_) {
+    return consensus::Verification::Durable;
+  }
+  return aControl.bootstrap_ ? consensus::Verification::Unproven
+                             : consensus::Verification::Continued;
+}
+
 absl::StatusOr<storage::Recovered>
 OpenLog(const Runtime& aRuntime)
 {
@@ -461,7 +470,7 @@
   auto recovered = storage::Log::Open(control.dataFolder_);
   if (recovered.ok() && control.syncedWritesLast_) {
     recovered->state_.hard_.proven_ = true;
-    recovered->verification_ = consensus::Verification::Continued;
+    recovered->verification_ = consensus::Verification::Durable;
   }
   if (recovered.ok() || !absl::IsNotFound(recovered.status())) {
     return recovered;
@@ -475,9 +484,7 @@
   storage::Recovered fresh;
   fresh.log_ = *std::move(log);
   fresh.state_ = std::move(state);
-  fresh.verification_ = control.bootstrap_ && !control.syncedWritesLast_
-                          ? consensus::Verification::Unproven
-                          : consensus::Verification::Continued;
+  fresh.verification_ = FreshVerification(control);
   return fresh;
 }
 
@@ -485,10 +492,10 @@
 ReplicaSettingsOf(const settings::ControlSettings& aControl)
 {
   consensus::ReplicaSettings replica;
+  replica.leaseReads_ = !aControl.syncedWritesLast_;
   if (aControl.formsItself_) {
     replica.votersWanted_ = 2 * aControl.toleratedLosses_ + 1;
     replica.leastCopies_ = aControl.toleratedLosses_ + 1;
-    replica.leaseReads_ = false;
     replica.heartbeat_ = kSelfFormingHeartbeat;
     replica.electionTimeout_ = kSelfFormingElection;
   }
@@ -505,13 +512,12 @@
     nodes.push_back(NodeIdOf(member.name_));
     members.emplace_back(nodes.back(), member.address_);
   }
-  std::random_device device;
   auto replica = consensus::ReplicaBuilder()
                    .Settings(ReplicaSettingsOf(settings.control_))
                    .State(aRecovered.state_)
                    .HowVerified(aRecovered.verification_)
                    .Seeds(nodes)
-                   .Seed((std::uint64_t{ device() } << 32U) | device())
+                   .Seed(aRuntime.NodeSettings().seed_)
                    .Build(Now());
   if (!replica.ok()) {
     return replica.status();
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -14,6 +14,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <cornelshore/core/hash.hpp>
 #include <cornelshore/core/target.hpp>
 #include <cornelshore/log/event.hpp>
 #include <cornelshore/wire/message_codec.hpp>
@@ -249,7 +250,8 @@
   if (settings_.role_ == settings::Role::Agent) {
     node.mostPeers_ = kMostPeersOfAgent;
   }
-  node.seed_ = (std::uint64_t{ device() } << 32U) | device();
+  const auto drawn = (std::uint64_t{ device() } << 32U) | device();
+  node.seed_ = HashPair(drawn, HashPair(self_.value_, incarnation_.value_));
   return node;
 }
 
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -66,6 +66,7 @@
       return;
     }
     standing_ = std::move(standing);
+    confirmAt_ = TimePoint{};
     std::string members;
     for (const auto& member : standing_.membership_.members_) {
       members += members.empty() ? "" : ",";
