--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -36,6 +36,10 @@
 constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 60 };
 constexpr std::chrono::milliseconds kSelfFormingElection{ 300 };
 
+/** A start waits so long for room on a full disk before it gives up. */
+constexpr std::chrono::seconds kFullDiskPatience{ 4 };
+constexpr std::chrono::milliseconds kFullDiskPause{ 200 };
+
 /** The thread that writes and syncs; one sync covers all that waits. */
 class StorageSide
 {
@@ -255,6 +259,7 @@
 
   void operator()(role::Log& aAction) { WriteLog(aAction); }
   void operator()(role::Ended&) { ended_ = true; }
+  void operator()(consensus::Faulted& aAction) { fault_ = aAction.fault_; }
 
   template<typename Answer>
   void operator()(Answer& aAction)
@@ -264,6 +269,9 @@
 
   [[nodiscard]] bool HasEnded() const noexcept { return ended_; }
 
+  /** Why the replica takes no further part. */
+  [[nodiscard]] consensus::Fault Fault() const noexcept { return fault_; }
+
   /** Whether a write was dropped since the last call: nothing may follow. */
   [[nodiscard]] bool TakeDiskHangs()
   {
@@ -276,6 +284,7 @@
   WaitingCalls& calls_;
   bool diskHangs_{};
   bool ended_{};
+  consensus::Fault fault_{ consensus::Fault::None };
 };
 
 /** Hands a call to the deciding thread and waits for its answer. */
@@ -468,6 +477,15 @@
 {
   const auto& control = aRuntime.Settings().control_;
   auto recovered = storage::Log::Open(control.dataFolder_);
+  if (absl::IsDataLoss(recovered.status()) && control.formsItself_) {
+    log::Write(log::Level::Error,
+               log::Event("disk_discarded")
+                 .With("why", std::string(recovered.status().message())));
+    if (auto status = storage::Discard(control.dataFolder_); !status.ok()) {
+      return status;
+    }
+    recovered = storage::Log::Open(control.dataFolder_);
+  }
   if (recovered.ok() && control.syncedWritesLast_) {
     recovered->state_.hard_.proven_ = true;
     recovered->verification_ = consensus::Verification::Durable;
@@ -502,6 +520,27 @@
   return replica;
 }
 
+/**
+ * Readies the folder of a member whose group forms itself for its next start:
+ * one that the group went on without, or whose disk is behind, joins anew.
+ * @return Why the process ends.
+ */
+absl::Status
+Heal(const settings::ControlSettings& aControl, consensus::Fault aFault)
+{
+  const auto joinsAnew = aFault == consensus::Fault::Removed ||
+                         aFault == consensus::Fault::RolledBack;
+  if (joinsAnew) {
+    if (auto status = storage::Discard(aControl.dataFolder_); !status.ok()) {
+      return status;
+    }
+  }
+  return absl::AbortedError(
+    absl::StrCat("the replica faulted (",
+                 std::string(NameIn(consensus::kFaultNames, aFault)),
+                 "); it takes part again after a restart"));
+}
+
 absl::StatusOr<std::unique_ptr<role::Control>>
 BuildRole(const Runtime& aRuntime, storage::Recovered& aRecovered)
 {
@@ -529,12 +568,25 @@
     .Build(Now());
 }
 
+/** Opens the log; a full disk may have room again in a moment. */
+absl::StatusOr<storage::Recovered>
+OpenLogInTime(const Runtime& aRuntime)
+{
+  auto recovered = OpenLog(aRuntime);
+  const auto end = Now() + kFullDiskPatience;
+  while (absl::IsResourceExhausted(recovered.status()) && Now() < end) {
+    std::this_thread::sleep_for(kFullDiskPause);
+    recovered = OpenLog(aRuntime);
+  }
+  return recovered;
+}
+
 } // namespace
 
 absl::Status
 RunControl(Runtime& aRuntime)
 {
-  auto recovered = OpenLog(aRuntime);
+  auto recovered = OpenLogInTime(aRuntime);
   if (!recovered.ok()) {
     return recovered.status();
   }
@@ -560,7 +612,9 @@
         decider->Feed(
           consensus::StorageFailed{ consensus::Fault::WriteFailed });
       }
-      if (carrier.HasEnded()) {
+      const auto heals = aRuntime.Settings().control_.formsItself_ &&
+                         carrier.Fault() != consensus::Fault::None;
+      if (carrier.HasEnded() || heals) {
         decider->End();
       }
     });
@@ -582,7 +636,11 @@
   port.Stop();
   storage->Stop();
   aRuntime.Stop();
-  return absl::OkStatus();
+  if (carrier.Fault() == consensus::Fault::None) {
+    return absl::OkStatus();
+  }
+  storage.reset();
+  return Heal(aRuntime.Settings().control_, carrier.Fault());
 }
 
 } // namespace cornelshore::daemon
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -162,6 +162,7 @@
            { { "fault",
                std::string(NameIn(consensus::kFaultNames, aAction.fault_)) },
              { "remedy", RemedyOf(aAction.fault_) } } });
+    aOut.emplace_back(aAction);
   }
 
   void Spread(TimePoint aNow, Actions& aOut)
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -93,6 +93,7 @@
                                    ApplyAnswered,
                                    ShowAnswered,
                                    GroupAnswered,
+                                   consensus::Faulted,
                                    Log,
                                    Ended>;
 
--- a/src/cornelshore/storage/log.cpp
+++ b/src/cornelshore/storage/log.cpp
@@ -453,6 +453,22 @@
   return absl::StrCat(folder_, "/", std::string(kMarkerName));
 }
 
+absl::Status
+Discard(const std::string& aFolder, const FileHooks& aHooks)
+{
+  const auto names = aHooks.list_(aFolder);
+  if (!names.ok()) {
+    return names.status();
+  }
+  for (const auto& name : *names) {
+    auto status = aHooks.remove_(absl::StrCat(aFolder, "/", name));
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return aHooks.syncFolder_(aFolder);
+}
+
 consensus::Fault
 FaultOf(const absl::Status& aFailure) noexcept
 {
--- a/src/cornelshore/storage/log.hpp
+++ b/src/cornelshore/storage/log.hpp
@@ -125,6 +125,13 @@
   std::uint64_t mostBytes_{};
 };
 
+/**
+ * @brief Empties a folder, so that its process joins as another replica.
+ * @return OK, or the failure of a file operation (see `FileHooks`).
+ */
+[[nodiscard]] absl::Status Discard(const std::string& aFolder,
+                                   const FileHooks& aHooks = SystemFiles());
+
 /** @brief The fault that a replica is told of after a failed call. */
 [[nodiscard]] consensus::Fault FaultOf(const absl::Status& aFailure) noexcept;
 
