--- /dev/null
+++ b/test/cornelshore/net/http_server.cpp
@@ -0,0 +1,109 @@
+#include <utility>
+
+#include <cornelshore/net/http_server.hpp>
+
+#include <string>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <cornelshore/net/asio_address.hpp>
+
+namespace cornelshore::net {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/** A server on a free port that answers with what it was asked. */
+class HttpServerTest : public testing::Test
+{
+protected:
+  void Listen(const HttpLimits& aLimits)
+  {
+    auto server = HttpServer::Listen(
+      context_,
+      MakeIpv4(0x7F000001U, 0),
+      aLimits,
+      [](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
+        aReply({ 200, aRequest.method_ + aRequest.target_ + aRequest.body_ });
+      });
+    ASSERT_TRUE(server.ok()) << server.status();
+    server_ = *std::move(server);
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  void TearDown() override
+  {
+    context_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  /** Sends bytes and reads until the server closes. */
+  std::string Exchange(const std::string& aBytes)
+  {
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect(ToEndpoint<tcp>(server_->Local()));
+    asio::write(socket, asio::buffer(aBytes));
+    std::string answer;
+    boost::system::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(answer), ended);
+    return answer;
+  }
+
+  asio::io_context context_;
+  std::unique_ptr<HttpServer> server_;
+  std::thread thread_;
+};
+
+TEST_F(HttpServerTest, ServesCallsOneAfterTheOtherOnOneConnection)
+{
+  Listen({});
+  const auto answer =
+    Exchange("PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+             "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(answer.find("PUT/aabc"), std::string::npos);
+  EXPECT_NE(answer.find("GET/b"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, RefusesWhatIsNoCall)
+{
+  Listen({});
+  EXPECT_EQ(Exchange("\x01\x02 nonsense\r\n\r\n").rfind("HTTP/1.1 400", 0), 0U);
+}
+
+TEST_F(HttpServerTest, RefusesABodyOverTheLimit)
+{
+  HttpLimits limits;
+  limits.bodyBytes_ = 10;
+  Listen(limits);
+  EXPECT_EQ(Exchange("PUT /a HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901")
+              .rfind("HTTP/1.1 413", 0),
+            0U);
+}
+
+TEST_F(HttpServerTest, RefusesAHeaderOverTheLimit)
+{
+  HttpLimits limits;
+  limits.headerBytes_ = 256;
+  Listen(limits);
+  EXPECT_EQ(
+    Exchange("GET /a HTTP/1.1\r\nX: " + std::string(1000, 'x') + "\r\n\r\n")
+      .rfind("HTTP/1.1 400", 0),
+    0U);
+}
+
+TEST_F(HttpServerTest, ClosesAStalledConnection)
+{
+  HttpLimits limits;
+  limits.readTimeout_ = std::chrono::milliseconds{ 50 };
+  Listen(limits);
+  EXPECT_EQ(Exchange("PUT /a HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc"), "");
+}
+
+} // namespace
+} // namespace cornelshore::net
