--- /dev/null
+++ b/examples/standin/segments.cpp
@@ -0,0 +1,387 @@
+// Stand-ins for both ends of flows of segments: a host beside an agent, and
+// callers that open flows through balancers, retransmit and count what breaks.
+#include <utility>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <cornelshore/net/asio_address.hpp>
+#include <cornelshore/net/udp_socket.hpp>
+#include <platform/segment_codec.hpp>
+
+namespace {
+
+namespace asio = boost::asio;
+namespace relay = cornelshore::relay;
+using asio::ip::tcp;
+using cornelshore::Address;
+using cornelshore::net::UdpSocket;
+using Clock = std::chrono::steady_clock;
+using ErrorValue = boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::uint8_t kFin = 1;
+constexpr std::uint8_t kAck = 8;
+constexpr std::uint8_t kSyn = 16;
+constexpr std::uint8_t kReturned = 64;
+
+/** Time between two heartbeats, and how long a leaving host goes on. */
+constexpr milliseconds kBeat{ 200 };
+constexpr milliseconds kDrain{ 1500 };
+
+/** First retransmission; the interval doubles up to the last one. */
+constexpr milliseconds kFirstAgain{ 200 };
+constexpr milliseconds kLastAgain{ 1600 };
+constexpr milliseconds kPause{ 100 };
+constexpr milliseconds kGiveUp{ 12000 };
+
+std::string
+PacketOf(const Address& aFrom,
+         const Address& aTo,
+         std::uint32_t aSequence,
+         std::uint32_t aAcknowledged,
+         std::uint8_t aFlags,
+         const std::string& aData)
+{
+  using namespace boost::endian;
+  std::string packet(cornelshore::platform::kHeadBytes, '\0');
+  auto* const head = reinterpret_cast<std::uint8_t*>(packet.data());
+  store_big_u32(head + 4, aSequence);
+  store_big_u32(head + 8, aAcknowledged);
+  store_big_u16(head + 12, aTo.port_);
+  store_big_u16(head + 14, aFrom.port_);
+  std::copy_n(aTo.ip_.data() + 12, 4, head + 16);
+  std::copy_n(aFrom.ip_.data() + 12, 4, head + 20);
+  store_big_u16(head + 24, static_cast<std::uint16_t>(aData.size()));
+  head[26] = aFlags;
+  return packet + aData;
+}
+
+std::string
+DataOf(const std::string& aPacket)
+{
+  return aPacket.substr(cornelshore::platform::kHeadBytes);
+}
+
+/** A host: holds flows, answers each request with its own name. */
+class Host
+{
+public:
+  Host(asio::io_context& aContext, std::map<std::string, std::string> aOptions)
+    : context_(aContext)
+    , options_(std::move(aOptions))
+    , timer_(aContext)
+    , outbound_(*cornelshore::ParseAddress(options_["outbound"]))
+    , reports_(*cornelshore::ParseAddress(options_["reports"]))
+    , socket_(*UdpSocket::Open(aContext,
+                               *cornelshore::ParseAddress(options_["listen"])))
+    , codec_(cornelshore::platform::SegmentCodec())
+    , born_(std::chrono::duration_cast<milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count())
+  {
+    socket_->StartReceiving([this](const Address&, std::string_view aBytes) {
+      OnPacket(std::string(aBytes));
+    });
+    Beat();
+  }
+
+  void Leave()
+  {
+    if (!leavingSince_) {
+      leavingSince_ = Clock::now();
+    }
+  }
+
+private:
+  void OnPacket(std::string aPacket)
+  {
+    const auto segment = codec_.parse_(aPacket);
+    if (!segment) {
+      return;
+    }
+    if (segment->opening_) {
+      flows_[segment->from_] = 1;
+      Send(*segment, kSyn | kAck, "");
+    } else if (flows_.count(segment->from_) == 0) {
+      aPacket[26] = static_cast<char>(aPacket[26] | kReturned);
+      aPacket[27] = 0;
+      socket_->Send(outbound_, aPacket);
+    } else if (segment->payload_ > 0) {
+      const auto last = leavingSince_ ? kAck | kFin : kAck;
+      Send(*segment,
+           static_cast<std::uint8_t>(last),
+           options_["name"] + " " + DataOf(aPacket));
+    } else if (segment->finishing_) {
+      Send(*segment, kAck | kFin, "");
+      flows_.erase(segment->from_);
+    }
+  }
+
+  void Send(const relay::Segment& aTo,
+            std::uint8_t aFlags,
+            const std::string& aData)
+  {
+    socket_->Send(outbound_,
+                  PacketOf(aTo.to_,
+                           aTo.from_,
+                           aTo.opening_ ? kStart : aTo.acknowledged_,
+                           aTo.sequence_ + 1,
+                           aFlags,
+                           aData));
+  }
+
+  void Beat()
+  {
+    const auto over = leavingSince_ && Clock::now() - *leavingSince_ > kDrain;
+    Call(over ? "DELETE" : "PUT");
+    timer_.expires_after(kBeat);
+    timer_.async_wait([this, over](const ErrorValue&) {
+      if (over) {
+        context_.stop();
+      } else {
+        Beat();
+      }
+    });
+  }
+
+  /** One blocking call; an agent that is down refuses it at once. */
+  void Call(const std::string& aMethod)
+  {
+    const auto body = R"({"service":")" + options_["service"] +
+                      R"(","address":")" + options_["listen"] +
+                      R"(","zone":"z","version":"v1","slots":3,"state":")" +
+                      (leavingSince_ ? "draining" : "ready") +
+                      R"(","warmup-left-ms":0,"seq":)" +
+                      std::to_string(++sequence_) + R"(,"born":)" +
+                      std::to_string(born_) + "}";
+    ErrorValue error;
+    tcp::socket socket(context_);
+    socket.connect(cornelshore::net::ToEndpoint<tcp>(reports_), error);
+    if (error) {
+      return;
+    }
+    asio::write(socket,
+                asio::buffer(aMethod + " /cornelshore/instances/" +
+                             options_["name"] +
+                             " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                             "Content-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body),
+                error);
+  }
+
+  static constexpr std::uint32_t kStart = 5000;
+
+  asio::io_context& context_;
+  std::map<std::string, std::string> options_;
+  asio::steady_timer timer_;
+  Address outbound_;
+  Address reports_;
+  std::unique_ptr<UdpSocket> socket_;
+  relay::Codec codec_;
+  std::int64_t born_;
+  std::uint64_t sequence_{};
+  std::map<Address, int> flows_;
+  std::optional<Clock::time_point> leavingSince_;
+};
+
+/** Callers with one flow each; a lost flow is counted and opened anew. */
+class Callers
+{
+public:
+  Callers(asio::io_context& aContext,
+          std::map<std::string, std::string> aOptions,
+          std::vector<Address> aBalancers)
+    : options_(std::move(aOptions))
+    , balancers_(std::move(aBalancers))
+    , timer_(aContext)
+    , service_(*cornelshore::ParseAddress(options_["service"]))
+    , socket_(*UdpSocket::Open(aContext,
+                               *cornelshore::ParseAddress(options_["listen"])))
+    , codec_(cornelshore::platform::SegmentCodec())
+  {
+    flows_.resize(std::stoul(options_["flows"]));
+    for (auto& flow : flows_) {
+      Renew(flow);
+    }
+    socket_->StartReceiving([this](const Address&, std::string_view aBytes) {
+      OnPacket(std::string(aBytes));
+    });
+    Tick();
+  }
+
+  void Report() const
+  {
+    std::cout << "opened=" << opened_ << "\nanswered=" << answered_
+              << "\nreset=" << reset_ << "\nsilent=" << silent_
+              << "\nwrong=" << wrong_ << std::endl;
+  }
+
+private:
+  struct Flow
+  {
+    std::uint16_t port_{};
+    std::string host_;
+    std::uint32_t requests_{};
+    std::uint32_t next_{ 1 };
+    std::uint32_t acknowledged_{};
+    bool open_{};
+    bool waiting_{};
+    unsigned tries_{};
+    Clock::time_point since_;
+    Clock::time_point due_;
+  };
+
+  void Renew(Flow& aFlow)
+  {
+    aFlow = {};
+    aFlow.port_ = ++lastPort_;
+    aFlow.due_ = aFlow.since_ = Clock::now();
+  }
+
+  std::string RequestOf(const Flow& aFlow) const
+  {
+    return std::to_string(aFlow.port_) + "/" + std::to_string(aFlow.requests_);
+  }
+
+  void Send(Flow& aFlow)
+  {
+    auto from = socket_->Local();
+    from.port_ = aFlow.port_;
+    const auto packet = aFlow.open_
+                          ? PacketOf(from,
+                                     service_,
+                                     aFlow.next_,
+                                     aFlow.acknowledged_,
+                                     kAck,
+                                     RequestOf(aFlow))
+                          : PacketOf(from, service_, 0, aFlow.tries_, kSyn, "");
+    const auto through = (aFlow.port_ + aFlow.tries_) % balancers_.size();
+    socket_->Send(balancers_[through], packet);
+    const auto wait = kFirstAgain * (1U << std::min(aFlow.tries_, 3U));
+    aFlow.due_ = Clock::now() + std::min<milliseconds>(wait, kLastAgain);
+    ++aFlow.tries_;
+    aFlow.waiting_ = true;
+  }
+
+  void Tick()
+  {
+    const auto now = Clock::now();
+    for (auto& flow : flows_) {
+      if (flow.waiting_ && now - flow.since_ > kGiveUp) {
+        ++silent_;
+        Renew(flow);
+      }
+      if (flow.due_ <= now) {
+        Send(flow);
+      }
+    }
+    timer_.expires_after(milliseconds{ 10 });
+    timer_.async_wait([this](const ErrorValue&) { Tick(); });
+  }
+
+  void OnPacket(const std::string& aPacket)
+  {
+    const auto segment = codec_.parse_(aPacket);
+    for (auto& flow : flows_) {
+      if (segment && segment->to_.port_ == flow.port_) {
+        OnSegment(flow, *segment, DataOf(aPacket));
+        return;
+      }
+    }
+  }
+
+  void OnSegment(Flow& aFlow,
+                 const relay::Segment& aSegment,
+                 const std::string& aData)
+  {
+    if (aSegment.reset_) {
+      reset_ += aFlow.open_ ? 1 : 0;
+      Renew(aFlow);
+      aFlow.due_ = Clock::now() + kPause;
+    } else if (aSegment.opening_ && !aFlow.open_) {
+      ++opened_;
+      aFlow.open_ = true;
+      aFlow.acknowledged_ = aSegment.sequence_ + 1;
+      Next(aFlow);
+    } else if (aFlow.open_ && aFlow.waiting_ && !aData.empty()) {
+      const auto name = aData.substr(0, aData.find(' '));
+      const auto fits = aData.substr(name.size() + 1) == RequestOf(aFlow);
+      if (!fits) {
+        return;
+      }
+      wrong_ += aFlow.host_.empty() || aFlow.host_ == name ? 0 : 1;
+      aFlow.host_ = name;
+      ++answered_;
+      if (aSegment.finishing_) {
+        Renew(aFlow);
+      } else {
+        Next(aFlow);
+      }
+    }
+  }
+
+  void Next(Flow& aFlow)
+  {
+    ++aFlow.requests_;
+    ++aFlow.next_;
+    aFlow.tries_ = 0;
+    aFlow.waiting_ = false;
+    aFlow.since_ = aFlow.due_ = Clock::now() + kPause;
+  }
+
+  std::map<std::string, std::string> options_;
+  std::vector<Address> balancers_;
+  asio::steady_timer timer_;
+  Address service_;
+  std::unique_ptr<UdpSocket> socket_;
+  relay::Codec codec_;
+  std::vector<Flow> flows_;
+  std::uint16_t lastPort_{ 10000 };
+  std::uint64_t opened_{};
+  std::uint64_t answered_{};
+  std::uint64_t reset_{};
+  std::uint64_t silent_{};
+  std::uint64_t wrong_{};
+};
+
+} // namespace
+
+/** Usage: standin_segments host|callers [--KEY VALUE]... [--balancer
+ * ADDRESS]... */
+int
+main(int aCount, char** aArguments)
+{
+  const std::vector<std::string> words(aArguments, aArguments + aCount);
+  std::map<std::string, std::string> options;
+  std::vector<Address> balancers;
+  for (std::size_t index = 2; index + 1 < words.size(); index += 2) {
+    if (words[index] == "--balancer") {
+      balancers.push_back(*cornelshore::ParseAddress(words[index + 1]));
+    } else {
+      options[words[index].substr(2)] = words[index + 1];
+    }
+  }
+  asio::io_context context;
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  if (words.size() > 1 && words[1] == "host") {
+    Host host(context, options);
+    signals.async_wait([&](const ErrorValue&, int) { host.Leave(); });
+    context.run();
+    return 0;
+  }
+  Callers callers(context, options, balancers);
+  signals.async_wait([&](const ErrorValue&, int) { context.stop(); });
+  context.run();
+  callers.Report();
+  return 0;
+}
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -330,7 +330,7 @@
 {
   if (aFlow.busy_ != aBusy) {
     aFlow.busy_ = aBusy;
-    busy_ += aBusy ? 1 : -1;
+    busy_ = aBusy ? busy_ + 1 : busy_ - 1;
   }
 }
 
--- a/test/platform/desired_state.cpp
+++ b/test/platform/desired_state.cpp
@@ -41,8 +41,7 @@
   EXPECT_EQ(first.timeout_, std::chrono::milliseconds{ 1200 });
   EXPECT_EQ(first.objective_, std::chrono::milliseconds{ 200 });
   EXPECT_EQ(first.precedence_, 1);
-  EXPECT_EQ(first.to_,
-            (std::vector<RouteShare>{ { ServiceIdOf("huvo"), 1 } }));
+  EXPECT_EQ(first.to_, (std::vector<RouteShare>{ { ServiceIdOf("huvo"), 1 } }));
   EXPECT_EQ(change->routes_[1].to_,
             (std::vector<RouteShare>{ { ServiceIdOf("huvo"), 90 },
                                       { ServiceIdOf("wuno"), 10 } }));
