--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -264,7 +264,8 @@
   template<typename Answer>
   void operator()(Answer& aAction)
   {
-    calls_.Answer(aAction.token_, std::move(aAction));
+    const auto token = aAction.token_;
+    calls_.Answer(token, std::move(aAction));
   }
 
   [[nodiscard]] bool HasEnded() const noexcept { return ended_; }
@@ -393,8 +394,8 @@
 ApiHooks(ControlDecider& aDecider, WaitingCalls& aCalls)
 {
   platform::ControlApi::Hooks hooks;
-  hooks.put_ = [&](consensus::Change aChange,
-                   platform::ControlApi::PutDone aDone) {
+  hooks.put_ = [&](const consensus::Change& aChange,
+                   const platform::ControlApi::PutDone& aDone) {
     const auto posted =
       aDecider.Post([&aDecider, &aCalls, aChange, aDone](auto, auto&) {
         aDecider.Feed(
@@ -407,7 +408,7 @@
       aDone(platform::PutOutcome::Unclear);
     }
   };
-  hooks.get_ = [&](platform::ControlApi::GetDone aDone) {
+  hooks.get_ = [&](const platform::ControlApi::GetDone& aDone) {
     const auto posted = aDecider.Post([&aDecider, &aCalls, aDone](auto, auto&) {
       aDecider.Feed(
         role::ShowRequested{ aCalls.Add([aDone](const CallAnswer& aAnswer) {
--- a/src/cornelshore/daemon/relay_agent_process.cpp
+++ b/src/cornelshore/daemon/relay_agent_process.cpp
@@ -118,12 +118,14 @@
 ApiHooks(RelayAgentDecider& aDecider, WaitingReports& aReports)
 {
   platform::UpstreamApi::Hooks hooks;
-  hooks.report_ = [&](relay::HostReport aReport, WaitingReports::Done aDone) {
+  hooks.report_ = [&](const relay::HostReport& aReport,
+                      const WaitingReports::Done& aDone) {
     aDecider.Post([&aDecider, &aReports, aReport, aDone](auto, auto&) {
       aDecider.Feed(role::UpstreamReported{ aReports.Add(aDone), aReport });
     });
   };
-  hooks.ended_ = [&](std::string aInstance, WaitingReports::Done aDone) {
+  hooks.ended_ = [&](const std::string& aInstance,
+                     const WaitingReports::Done& aDone) {
     aDecider.Post([&aDecider, &aReports, aInstance, aDone](auto, auto&) {
       aDecider.Feed(role::UpstreamEnded{ aReports.Add(aDone), aInstance });
     });
--- a/test/cornelshore/consensus/self_forming.cpp
+++ b/test/cornelshore/consensus/self_forming.cpp
@@ -53,7 +53,8 @@
       now_ += milliseconds{ 1 };
       auto due = std::exchange(network_, {});
       for (auto& message : due) {
-        Tell(message.to_.node_.value_, Received{ std::move(message) });
+        const auto to = message.to_.node_.value_;
+        Tell(to, Received{ std::move(message) });
       }
       for (auto& [node, vm] : vms_) {
         if (vm.replica_ && vm.replica_->NextTimer() <= now_) {
--- a/test/cornelshore/settings/settings.cpp
+++ b/test/cornelshore/settings/settings.cpp
@@ -181,5 +181,82 @@
             absl::string_view::npos);
 }
 
+constexpr const char* kRelayAgent = R"(role = "agent"
+name = "a"
+data_centre = "d"
+[node]
+address = "127.0.0.1:1"
+seeds = ["127.0.0.9:2", "127.0.0.8:2"]
+seeds_share_own_port = true
+authentication = "off"
+[operator]
+address = "127.0.0.1:3"
+[relay]
+packet_address = "127.0.0.1:4"
+readiness_address = "127.0.0.1:5"
+outbound_address = "127.0.0.1:6"
+upstream_address = "127.0.0.1:7"
+report_address = "127.0.0.1:8"
+report_interval_ms = 770
+service = "s"
+)";
+
+TEST(Settings, ReadsAnAgentOfFlowsOfSegments)
+{
+  const TextFile file(kRelayAgent);
+  const auto settings = Load(file.Path());
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_TRUE(settings->relay_.enabled_);
+  EXPECT_EQ(settings->authentication_, Authentication::Off);
+  EXPECT_EQ(settings->seeds_[0], *ParseAddress("127.0.0.9:1"));
+  EXPECT_EQ(settings->relay_.reportInterval_, std::chrono::milliseconds{ 770 });
+}
+
+TEST(Settings, NamesWhatAnAgentOfFlowsOfSegmentsLacks)
+{
+  for (const std::string key : { "packet_address",
+                                 "outbound_address",
+                                 "upstream_address",
+                                 "service",
+                                 "report_interval_ms" }) {
+    std::string text = kRelayAgent;
+    const auto at = text.find("\n" + key) + 1;
+    text.erase(at, text.find('\n', at) + 1 - at);
+    const TextFile file(text);
+    const auto status = Load(file.Path()).status();
+    EXPECT_TRUE(absl::IsInvalidArgument(status)) << key;
+    EXPECT_NE(status.message().find(key), std::string::npos) << status;
+  }
+}
+
+TEST(Settings, TakesTheSeedsForTheFirstMembersOfAGroupThatFormsItself)
+{
+  const TextFile file(R"(role = "control"
+name = "127.0.0.9:2"
+data_centre = "d"
+[node]
+address = "127.0.0.9:1"
+seeds = ["127.0.0.9:2", "127.0.0.8:2", "127.0.0.7:2"]
+seeds_share_own_port = true
+authentication = "off"
+[operator]
+address = "127.0.0.1:3"
+[control]
+data_folder = "/tmp/x"
+bootstrap = true
+tolerated_losses = 2
+synced_writes_last = true
+api_address = "127.0.0.9:2"
+)");
+  const auto settings = Load(file.Path());
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  const auto& control = settings->control_;
+  EXPECT_TRUE(control.formsItself_ && control.syncedWritesLast_);
+  EXPECT_EQ(control.toleratedLosses_, 2U);
+  ASSERT_EQ(control.members_.size(), 3U);
+  EXPECT_EQ(control.members_[1].name_, "127.0.0.8:2");
+  EXPECT_EQ(control.members_[1].address_, *ParseAddress("127.0.0.8:1"));
+}
+
 } // namespace
 } // namespace cornelshore::settings
