--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -113,7 +113,11 @@
   } >"$work/agent-$1.toml"
 }
 
-start_process() { start "$1" "$build/cornelshored" --config "$work/$1.toml"; } # NAME
+# A daemon's log goes to its standard output.
+start_process() { # NAME
+  "$build/cornelshored" --config "$work/$1.toml" >>"$work/$1.log" 2>&1 </dev/null &
+  pids[$1]=$!
+}
 
 start_upstream() { # INDEX
   start "upstream-$1" "$build/standin_upstream" --name "upstream-$1" --slots 3 --work-ms 10 \
--- a/src/cornelshore/daemon/relay_balancer_process.cpp
+++ b/src/cornelshore/daemon/relay_balancer_process.cpp
@@ -40,7 +40,7 @@
 
   void operator()(relay::ToCaller& aAction)
   {
-    auto caller = aAction.caller_;
+    auto caller = aAction.key_.caller_;
     caller.port_ = callerPort_;
     out_.Push({ caller, ToCaller{ &packets_, std::move(aAction.packet_) } });
   }
--- a/src/cornelshore/log/event.cpp
+++ b/src/cornelshore/log/event.cpp
@@ -73,7 +73,7 @@
     "Process",
     boost::log::attributes::constant<std::string>(std::string(aProcess)));
   boost::log::add_console_log(
-    std::clog,
+    std::cout,
     boost::log::keywords::auto_flush = true,
     boost::log::keywords::format =
       (expressions::stream
--- a/src/cornelshore/log/event.hpp
+++ b/src/cornelshore/log/event.hpp
@@ -49,7 +49,7 @@
   std::string line_;
 };
 
-/** @brief Sets up the process's log on standard error. */
+/** @brief Sets up the process's log on standard output. */
 void Start(Level aLeast, std::string_view aProcess);
 
 /** @brief Writes the event as one line when its level is enabled. */
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -73,8 +73,9 @@
     return true;
   }
   if (aSegment.opening_) {
-    aOut.emplace_back(
-      ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+    aOut.emplace_back(ToCaller{ aKey,
+                                ResetReason::NoRoute,
+                                codec_.reset_(aKey, aSegment.acknowledged_) });
   }
   return false;
 }
@@ -124,8 +125,8 @@
   Note(BalancerCount::Opened);
   if (!Pick(aNow, flow)) {
     Note(BalancerCount::NoHost);
-    aOut.emplace_back(
-      ToCaller{ aKey.caller_, codec_.reset_(aKey, aSegment.acknowledged_) });
+    aOut.emplace_back(ToCaller{
+      aKey, ResetReason::NoHost, codec_.reset_(aKey, aSegment.acknowledged_) });
     return;
   }
   auto& held = flows_[aKey] = std::move(flow);
@@ -232,8 +233,10 @@
   const auto found = flows_.find(aKey);
   const auto segment = codec_.parse_(found->second.packet_);
   Note(BalancerCount::Lost);
-  aOut.emplace_back(ToCaller{
-    aKey.caller_, codec_.reset_(aKey, segment ? segment->acknowledged_ : 0) });
+  aOut.emplace_back(
+    ToCaller{ aKey,
+              ResetReason::Lost,
+              codec_.reset_(aKey, segment ? segment->acknowledged_ : 0) });
   flows_.erase(found);
 }
 
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -28,10 +28,26 @@
   Carried carried_;
 };
 
-/** @brief Send a packet to a caller; its port is the platform's choice. */
+/** @brief Why a balancer resets a flow. */
+enum class ResetReason : std::uint8_t
+{
+  NoRoute, ///< An opening to an address without a route.
+  NoHost,  ///< An opening while no host of the service takes flows.
+  Lost,    ///< Every host denies the flow.
+};
+
+/** @brief Names of `ResetReason`. */
+inline constexpr std::array<EnumName<ResetReason>, 3> kResetReasonNames{ {
+  { ResetReason::NoRoute, "no_route" },
+  { ResetReason::NoHost, "no_host" },
+  { ResetReason::Lost, "lost" },
+} };
+
+/** @brief Send a reset to a flow's caller, at the port that callers share. */
 struct ToCaller
 {
-  Address caller_;
+  FlowKey key_;
+  ResetReason reason_{ ResetReason::NoRoute };
   std::string packet_;
 };
 
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -23,6 +23,9 @@
 /** Left of the longest planned stop for the process itself to end. */
 constexpr Duration kStopMargin = std::chrono::milliseconds{ 700 };
 
+/** Lines on resets a second; a planned day has a few, a flood thousands. */
+constexpr std::uint32_t kResetLinesPerSecond = 20;
+
 /** Silence of callers after which a stopping balancer ends. */
 constexpr Duration kQuiet = std::chrono::milliseconds{ 700 };
 
@@ -91,18 +94,49 @@
              { "confirmed", aChange.confirmed_ ? "yes" : "no" } } });
   }
 
-  void Carry(relay::Balancer::Actions aActions, Actions& aOut)
+  void Carry(TimePoint aNow, relay::Balancer::Actions aActions, Actions& aOut)
   {
     for (auto& action : aActions) {
       if (auto* send = std::get_if<relay::ToAgent>(&action)) {
         aOut.emplace_back(
           SendNode{ send->agent_, relay::Message(std::move(send->carried_)) });
       } else {
-        aOut.emplace_back(std::get<relay::ToCaller>(std::move(action)));
+        auto& reset = std::get<relay::ToCaller>(action);
+        LogReset(aNow, reset, aOut);
+        aOut.emplace_back(std::move(reset));
       }
     }
   }
 
+  /** Each reset is logged up to a rate; what was left out is counted. */
+  void LogReset(TimePoint aNow, const relay::ToCaller& aReset, Actions& aOut)
+  {
+    if (aNow - loggingSince_ >= std::chrono::seconds{ 1 }) {
+      if (resetsUnlogged_ > 0) {
+        aOut.emplace_back(
+          Log{ Weight::Warning,
+               "resets_not_logged",
+               { { "count", std::to_string(resetsUnlogged_) } } });
+      }
+      loggingSince_ = aNow;
+      resetsLogged_ = resetsUnlogged_ = 0;
+    }
+    if (resetsLogged_ >= kResetLinesPerSecond) {
+      ++resetsUnlogged_;
+      return;
+    }
+    ++resetsLogged_;
+    aOut.emplace_back(Log{
+      Weight::Warning,
+      "flow_reset",
+      { { "caller", ToString(aReset.key_.caller_) },
+        { "service_address", ToString(aReset.key_.service_) },
+        { "reason",
+          std::string(NameIn(relay::kResetReasonNames, aReset.reason_)) },
+        { "config_version", std::to_string(flows_.Routes().Version().value_) },
+        { "hosts", std::to_string(flows_.Hosts()) } } });
+  }
+
   void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
   {
     if (auto* news = std::get_if<dissemination::Message>(&aEvent.message_)) {
@@ -121,7 +155,7 @@
     if (auto* answer = std::get_if<relay::Answer>(message)) {
       relay::Balancer::Actions actions;
       flows_.OnAnswer(aNow, host, std::move(*answer), actions);
-      Carry(std::move(actions), aOut);
+      Carry(aNow, std::move(actions), aOut);
     } else if (const auto* load = std::get_if<relay::HostLoad>(message)) {
       flows_.OnLoad(aNow, host, *load);
     } else {
@@ -133,7 +167,7 @@
   {
     relay::Balancer::Actions actions;
     flows_.OnPacket(aNow, std::move(aEvent.packet_), actions);
-    Carry(std::move(actions), aOut);
+    Carry(aNow, std::move(actions), aOut);
   }
 
   void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
@@ -152,7 +186,7 @@
     if (flows_.NextTimer() <= aNow) {
       relay::Balancer::Actions actions;
       flows_.Tick(aNow, actions);
-      Carry(std::move(actions), aOut);
+      Carry(aNow, std::move(actions), aOut);
     }
     if (stopSince_ && StopDue() <= aNow) {
       aOut.emplace_back(Ended{});
@@ -190,6 +224,9 @@
   std::optional<TimePoint> stopSince_;
   bool ready_{};
   std::uint64_t misplaced_{};
+  TimePoint loggingSince_{};
+  std::uint32_t resetsLogged_{};
+  std::uint32_t resetsUnlogged_{};
 };
 
 RelayBalancer::RelayBalancer(std::unique_ptr<Parts> aParts)
