--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -125,6 +125,9 @@
   Note(BalancerCount::Opened);
   if (!Pick(aNow, flow)) {
     Note(BalancerCount::NoHost);
+    if (!inStepAt_) {
+      return;
+    }
     aOut.emplace_back(ToCaller{
       aKey, ResetReason::NoHost, codec_.reset_(aKey, aSegment.acknowledged_) });
     return;
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -62,7 +62,7 @@
   Searched,  ///< Packets of flows that no host is known for.
   Lost,      ///< Flows reset: every host denies them.
   NoRoute,   ///< Dropped or reset: the address has no route.
-  NoHost,    ///< Openings reset: no host of the service takes flows.
+  NoHost,    ///< Openings reset, or dropped while not in step: no host.
   Malformed, ///< No packet of a flow.
 };
 
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -329,6 +329,19 @@
             std::set<std::uint64_t>{ 3 });
 }
 
+TEST_F(BalancerTest, ResetsNoOpeningBeforeItsRecordsWereInStep)
+{
+  Balancer restarted(SettingsOf(), PlainCodec());
+  restarted.UpdateRoutes(ConfigurationOf(1));
+  const auto opening = PacketOf(FromCaller(1, kBoardAddress, true));
+  Balancer::Actions actions;
+  restarted.OnPacket(kStart, opening, actions);
+  EXPECT_TRUE(actions.empty());
+  restarted.NoteInStep(kStart);
+  restarted.OnPacket(kStart, opening, actions);
+  EXPECT_EQ(ResetsIn(actions), 1U);
+}
+
 TEST_F(BalancerTest, CountsMalformedPackets)
 {
   Balancer::Actions actions;
