Give the control process's log a file of its own

control_process.cpp had grown to 647 lines with two jobs: opening, setting up and healing the log, and running the process.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -11,6 +11,7 @@
 
 #include <cornelshore/core/hash.hpp>
 #include <cornelshore/core/target.hpp>
+#include <cornelshore/daemon/control_log.hpp>
 #include <cornelshore/daemon/decider.hpp>
 #include <cornelshore/daemon/operator_port.hpp>
 #include <cornelshore/daemon/targets_json.hpp>
@@ -36,10 +37,6 @@
 constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 60 };
 constexpr std::chrono::milliseconds kSelfFormingElection{ 300 };
 
-/** A start waits so long for room on a full disk before it gives up. */
-constexpr std::chrono::seconds kFullDiskPatience{ 4 };
-constexpr std::chrono::milliseconds kFullDiskPause{ 200 };
-
 /** The thread that writes and syncs; one sync covers all that waits. */
 class StorageSide
 {
@@ -441,72 +438,6 @@
     platform::ControlApi(ApiHooks(aDecider, aCalls)));
 }
 
-/** Disk number of a member at the group's first start. */
-constexpr Incarnation kFirstDisk{ 1 };
-
-/** State of an empty folder: a first member's, or that of one who joins. */
-consensus::DurableState
-EmptyFolderState(const Runtime& aRuntime)
-{
-  const auto& control = aRuntime.Settings().control_;
-  std::vector<consensus::ReplicaId> voters;
-  for (const auto& member : control.members_) {
-    voters.push_back({ NodeIdOf(member.name_), kFirstDisk });
-  }
-  const auto isFirst =
-    std::any_of(voters.begin(), voters.end(), [&](const auto& aVoter) {
-      return aVoter.node_ == aRuntime.Self();
-    });
-  if (!control.bootstrap_ || !isFirst) {
-    return consensus::JoiningState({ aRuntime.Self(), aRuntime.Run() });
-  }
-  return consensus::FirstState({ aRuntime.Self(), kFirstDisk }, voters);
-}
-
-consensus::Verification
-FreshVerification(const settings::ControlSettings& aControl)
-{
-  if (aControl.syncedWritesLast_) {
-    return consensus::Verification::Durable;
-  }
-  return aControl.bootstrap_ ? consensus::Verification::Unproven
-                             : consensus::Verification::Continued;
-}
-
-absl::StatusOr<storage::Recovered>
-OpenLog(const Runtime& aRuntime)
-{
-  const auto& control = aRuntime.Settings().control_;
-  auto recovered = storage::Log::Open(control.dataFolder_);
-  if (absl::IsDataLoss(recovered.status()) && control.formsItself_) {
-    log::Write(log::Level::Error,
-               log::Event("disk_discarded")
-                 .With("why", std::string(recovered.status().message())));
-    if (auto status = storage::Discard(control.dataFolder_); !status.ok()) {
-      return status;
-    }
-    recovered = storage::Log::Open(control.dataFolder_);
-  }
-  if (recovered.ok() && control.syncedWritesLast_) {
-    recovered->state_.hard_.proven_ = true;
-    recovered->verification_ = consensus::Verification::Durable;
-  }
-  if (recovered.ok() || !absl::IsNotFound(recovered.status())) {
-    return recovered;
-  }
-  auto state = EmptyFolderState(aRuntime);
-  state.hard_.proven_ = state.hard_.proven_ || control.syncedWritesLast_;
-  auto log = storage::Log::Create(control.dataFolder_, state);
-  if (!log.ok()) {
-    return log.status();
-  }
-  storage::Recovered fresh;
-  fresh.log_ = *std::move(log);
-  fresh.state_ = std::move(state);
-  fresh.verification_ = FreshVerification(control);
-  return fresh;
-}
-
 consensus::ReplicaSettings
 ReplicaSettingsOf(const settings::ControlSettings& aControl)
 {
@@ -521,27 +452,6 @@
   return replica;
 }
 
-/**
- * Readies the folder of a member whose group forms itself for its next start:
- * one that the group went on without, or whose disk is behind, joins anew.
- * @return Why the process ends.
- */
-absl::Status
-Heal(const settings::ControlSettings& aControl, consensus::Fault aFault)
-{
-  const auto joinsAnew = aFault == consensus::Fault::Removed ||
-                         aFault == consensus::Fault::RolledBack;
-  if (joinsAnew) {
-    if (auto status = storage::Discard(aControl.dataFolder_); !status.ok()) {
-      return status;
-    }
-  }
-  return absl::AbortedError(
-    absl::StrCat("the replica faulted (",
-                 std::string(NameIn(consensus::kFaultNames, aFault)),
-                 "); it takes part again after a restart"));
-}
-
 absl::StatusOr<std::unique_ptr<role::Control>>
 BuildRole(const Runtime& aRuntime, storage::Recovered& aRecovered)
 {
@@ -569,25 +479,12 @@
     .Build(Now());
 }
 
-/** Opens the log; a full disk may have room again in a moment. */
-absl::StatusOr<storage::Recovered>
-OpenLogInTime(const Runtime& aRuntime)
-{
-  auto recovered = OpenLog(aRuntime);
-  const auto end = Now() + kFullDiskPatience;
-  while (absl::IsResourceExhausted(recovered.status()) && Now() < end) {
-    std::this_thread::sleep_for(kFullDiskPause);
-    recovered = OpenLog(aRuntime);
-  }
-  return recovered;
-}
-
 } // namespace
 
 absl::Status
 RunControl(Runtime& aRuntime)
 {
-  auto recovered = OpenLogInTime(aRuntime);
+  auto recovered = OpenControlLog(aRuntime);
   if (!recovered.ok()) {
     return recovered.status();
   }
@@ -641,7 +538,7 @@
     return absl::OkStatus();
   }
   storage.reset();
-  return Heal(aRuntime.Settings().control_, carrier.Fault());
+  return HealControlLog(aRuntime.Settings().control_, carrier.Fault());
 }
 
 } // namespace cornelshore::daemon
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -254,10 +254,10 @@
       return ReportOutcome::Late;
     }
     if (!sameRun) {
-      StartRun(aNow, aReport);
+      StartRun(aReport);
     }
   } else {
-    StartRun(aNow, aReport);
+    StartRun(aReport);
   }
   host_ = aReport;
   heardAt_ = aNow;
@@ -265,7 +265,7 @@
 }
 
 void
-Agent::StartRun(TimePoint aNow, const HostReport& aReport)
+Agent::StartRun(const HostReport& aReport)
 {
   runBeganHere_ = host_ || ended_ || aReport.sequence_ <= 1;
   if (runBeganHere_) {
@@ -274,11 +274,10 @@
     closed_ = 0;
   }
   ended_.reset();
-  static_cast<void>(aNow);
 }
 
 bool
-Agent::OnEnded(TimePoint, std::string_view aInstance)
+Agent::OnEnded(std::string_view aInstance)
 {
   if (!host_ || host_->instance_ != aInstance) {
     return false;
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -133,7 +133,7 @@
   ReportOutcome OnReport(TimePoint aNow, const HostReport& aReport);
 
   /** @brief The run of the upstream ended; false when it is another one. */
-  bool OnEnded(TimePoint aNow, std::string_view aInstance);
+  bool OnEnded(std::string_view aInstance);
 
   /** @brief A configuration is in force. */
   void UpdateRoutes(const Configuration& aConfiguration);
@@ -213,7 +213,7 @@
   void SetBusy(Flow& aFlow, bool aBusy) noexcept;
   void CloseWhenDone(Flow& aFlow, bool aReset) noexcept;
   void Forget(const FlowKey& aKey);
-  void StartRun(TimePoint aNow, const HostReport& aReport);
+  void StartRun(const HostReport& aReport);
   [[nodiscard]] bool MayOpen(TimePoint aNow,
                              const FlowKey& aKey,
                              const Carried& aCarried) const;
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -148,7 +148,7 @@
 
   void Handle(TimePoint aNow, UpstreamEnded& aEvent, Actions& aOut)
   {
-    const auto ended = flows_.OnEnded(aNow, aEvent.instance_);
+    const auto ended = flows_.OnEnded(aEvent.instance_);
     if (ended) {
       aOut.emplace_back(Log{
         Weight::Info, "upstream_ended", { { "instance", aEvent.instance_ } } });
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -275,8 +275,8 @@
 TEST_F(AgentTest, TakesALaterReportOfAnEndedRunForLate)
 {
   agent_.OnReport(kStart, ReportOf(1));
-  EXPECT_TRUE(agent_.OnEnded(kStart, "i-1"));
-  EXPECT_FALSE(agent_.OnEnded(kStart, "i-1"));
+  EXPECT_TRUE(agent_.OnEnded("i-1"));
+  EXPECT_FALSE(agent_.OnEnded("i-1"));
   EXPECT_EQ(agent_.OnReport(kStart, ReportOf(9)), ReportOutcome::Late);
   EXPECT_FALSE(agent_.Host());
 }
