Push control's confirmation on when it first comes

After a final fault balancers held the configuration 0.3 to 0.5 s before they learned that control stood behind it, by a round with a random peer. The test fails without it.

--- a/src/cornelshore/dissemination/node_spread.cpp
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -50,6 +50,12 @@
       SpreadConfig(aNow);
     }
   }
+  const auto confirmed =
+    released_ && confirmation_.Covers(aNow, config_.Version());
+  if (confirmed && !wasConfirmed_ && !IsAgent()) {
+    SpreadConfig(aNow);
+  }
+  wasConfirmed_ = confirmed;
   spreadAt_.reset();
   if (urgentSubjects_.empty()) {
     return;
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -107,6 +107,7 @@
   std::uint64_t selfSequence_{};
   bool selfGone_{};
   std::optional<TimePoint> startedAt_;
+  bool wasConfirmed_{}; ///< At the last event; others that wait are told.
   bool comparesPart_{}; ///< The last comparison left differences out.
   bool joined_{};       ///< Was in step once.
   bool mending_{};      ///< The last comparison found much to mend.
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -409,5 +409,29 @@
   }));
 }
 
+TEST(Node, BringsAConfigurationInForceSoonOnceControlConfirmsIt)
+{
+  Fleet fleet(11);
+  Fill(fleet, 5, 12, 0);
+  for (auto& member : fleet.Members()) {
+    member.settings_.joiningRound_ = std::chrono::milliseconds(100);
+  }
+  for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+    fleet.Restart(index);
+  }
+  for (std::size_t control = 0; control < 5; ++control) {
+    fleet.Feed(control, ConfigAccepted{ ConfigVersion{ 3 }, "routes" });
+  }
+  fleet.RunFor(std::chrono::milliseconds(900));
+  for (std::size_t index = 5; index < 17; ++index) {
+    EXPECT_EQ(fleet.At(index).Config(), ConfigVersion{});
+  }
+  fleet.Feed(2, ControlConfirmed{ ConfigVersion{ 3 }, 1 });
+  fleet.RunFor(std::chrono::milliseconds(150));
+  for (std::size_t index = 5; index < 17; ++index) {
+    EXPECT_EQ(fleet.At(index).Config(), ConfigVersion{ 3 }) << index;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
