Let balancers watch the hosts that they know, so that loads reach all of them

Cause: an agent told its load to the balancers that it happened to know, and it learnt of balancers only by samples in answers.

Change: a balancer asks the agent of each host that it learns of to tell its load, each 200 ms until heard and each second after that; agents tell those who asked within 3.5 s.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -10,15 +10,6 @@
 /** How often old flows are looked for. */
 constexpr Duration kSweepEvery = std::chrono::seconds{ 2 };
 
-/** Random part of a host's cost, so that balancers do not all choose one. */
-constexpr double kJitter = 0.15;
-
-/** What a host that warms up costs more, in busy slots. */
-constexpr double kWarmingPenalty = 0.7;
-
-/** Cost of a host that did not answer a short while ago. */
-constexpr double kSuspectPenalty = 1000.0;
-
 /** Offers after which a busy host is asked to take the flow all the same. */
 constexpr std::uint32_t kOffersBeforeInsisting = 2;
 
@@ -27,7 +18,7 @@
 Balancer::Balancer(BalancerSettings aSettings, Codec aCodec)
   : settings_(aSettings)
   , codec_(std::move(aCodec))
-  , random_(aSettings.seed_)
+  , hosts_(aSettings.hosts_, aSettings.seed_)
 {
 }
 
@@ -123,7 +114,7 @@
   flow.lastPacket_ = aNow;
   flow.packet_ = std::move(aPacket);
   Note(BalancerCount::Opened);
-  if (!Pick(aNow, flow)) {
+  if (!hosts_.Pick(aNow, flow.service_, flow.tried_)) {
     Note(BalancerCount::NoHost);
     if (!inStepAt_) {
       return;
@@ -139,10 +130,10 @@
 void
 Balancer::Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
 {
-  auto host = Pick(aNow, aFlow);
+  auto host = hosts_.Pick(aNow, aFlow.service_, aFlow.tried_);
   if (!host && !aFlow.tried_.empty()) {
     aFlow.tried_.clear();
-    host = Pick(aNow, aFlow);
+    host = hosts_.Pick(aNow, aFlow.service_, aFlow.tried_);
   }
   if (!host) {
     return;
@@ -154,7 +145,7 @@
   aFlow.host_ = *host;
   aFlow.tried_.push_back(*host);
   ++aFlow.offers_;
-  ++hosts_[*host].offered_;
+  hosts_.NoteOffered(*host);
   Send(*host,
        insists ? Purpose::Insist : Purpose::Open,
        aFlow.service_,
@@ -173,7 +164,7 @@
 }
 
 bool
-Balancer::MayHold(const Host& aHost, const Flow& aFlow)
+Balancer::MayHold(const KnownHost& aHost, const Flow& aFlow)
 {
   return aHost.record_.state_ != HostState::Gone &&
          (aFlow.everywhere_ || aFlow.service_ == kAnyService ||
@@ -186,7 +177,8 @@
   if (aFlow.denied_.empty()) {
     return false;
   }
-  return std::all_of(hosts_.begin(), hosts_.end(), [&](const auto& aRow) {
+  const auto& all = hosts_.All();
+  return std::all_of(all.begin(), all.end(), [&](const auto& aRow) {
     return !MayHold(aRow.second, aFlow) ||
            std::find(aFlow.denied_.begin(), aFlow.denied_.end(), aRow.first) !=
              aFlow.denied_.end();
@@ -209,7 +201,7 @@
                  Actions& aOut)
 {
   Note(BalancerCount::Searched);
-  for (const auto& [id, host] : hosts_) {
+  for (const auto& [id, host] : hosts_.All()) {
     if (MayHold(host, aFlow) && id != aExcept) {
       Send(id, Purpose::Search, kAnyService, aPacket, aOut);
     }
@@ -265,13 +257,13 @@
                std::string aPacket,
                Actions& aOut)
 {
-  const auto host = hosts_.find(aHost);
-  if (host == hosts_.end()) {
+  const auto* host = hosts_.Find(aHost);
+  if (host == nullptr) {
     return;
   }
   aOut.emplace_back(ToAgent{
     aHost,
-    host->second.record_.agent_,
+    host->record_.agent_,
     Carried{ aPurpose, aService, routes_.Version(), std::move(aPacket) } });
 }
 
@@ -324,7 +316,7 @@
     Search(aFlow, std::move(aAnswer.packet_), aHost, aOut);
   }
   const auto mayWiden =
-    !aFlow.everywhere_ && hosts_.size() <= settings_.mostSearched_;
+    !aFlow.everywhere_ && Hosts() <= settings_.mostSearched_;
   if (mayWiden && AllDenied(aFlow)) {
     SearchEverywhere(aNow, aAnswer.key_, aFlow, aOut);
   }
@@ -345,36 +337,20 @@
   }
   aFlow.packet_.clear();
   aFlow.tried_.clear();
-  if (const auto host = hosts_.find(aHost); host != hosts_.end()) {
-    host->second.suspicion_ = Duration::zero();
-    host->second.suspectUntil_ = TimePoint{};
-  }
+  hosts_.Trust(aHost);
 }
 
 void
 Balancer::OnLoad(TimePoint aNow, HostId aHost, const HostLoad& aLoad)
 {
-  const auto found = hosts_.find(aHost);
-  if (found == hosts_.end()) {
-    return;
-  }
-  auto& host = found->second;
-  host.load_ = aLoad;
-  host.heardAt_ = aNow;
-  host.offered_ = 0;
+  hosts_.OnLoad(aNow, aHost, aLoad);
 }
 
 void
 Balancer::UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords)
 {
-  for (const auto& record : aRecords) {
-    auto& host = hosts_[record.id_];
-    if (host.record_.incarnation_ != record.incarnation_) {
-      host = {};
-      host.knownAt_ = aNow;
-    }
-    host.record_ = record;
-  }
+  hosts_.Update(aNow, aRecords);
+  nextTimer_ = std::min(nextTimer_, hosts_.NextWatch());
 }
 
 void
@@ -383,77 +359,13 @@
   routes_.Update(aConfiguration);
 }
 
-void
-Balancer::Suspect(TimePoint aNow, HostId aHost)
-{
-  const auto found = hosts_.find(aHost);
-  if (found == hosts_.end()) {
-    return;
-  }
-  auto& host = found->second;
-  host.suspicion_ = std::clamp(
-    host.suspicion_ * 2, settings_.suspicion_, settings_.longestSuspicion_);
-  host.suspectUntil_ = aNow + host.suspicion_;
-}
-
-bool
-Balancer::Takes(TimePoint aNow, const Host& aHost) const
-{
-  if (aHost.record_.state_ != HostState::Ready) {
-    return false;
-  }
-  if (!aHost.heardAt_) {
-    return aNow - aHost.knownAt_ < settings_.loadLife_;
-  }
-  return aHost.load_.accepts_ && aNow - *aHost.heardAt_ < settings_.loadLife_;
-}
-
-double
-Balancer::Cost(TimePoint aNow, const Host& aHost)
-{
-  const auto slots = std::max<double>(1.0, aHost.record_.slots_);
-  auto busy = static_cast<double>(aHost.load_.busy_ + aHost.offered_) +
-              settings_.flowWeight_ * aHost.load_.flows_;
-  if (aHost.load_.warming_) {
-    busy += kWarmingPenalty;
-  }
-  auto cost = busy / slots + kJitter * random_.Unit();
-  if (aHost.record_.dataCentre_ != settings_.dataCentre_) {
-    cost += settings_.farPenalty_;
-  }
-  if (aNow < aHost.suspectUntil_) {
-    cost += kSuspectPenalty;
-  }
-  return cost;
-}
-
-std::optional<HostId>
-Balancer::Pick(TimePoint aNow, const Flow& aFlow)
-{
-  std::optional<HostId> best;
-  double least = 0;
-  for (const auto& [id, host] : hosts_) {
-    const auto tried = std::find(aFlow.tried_.begin(), aFlow.tried_.end(), id);
-    if (host.record_.service_ != aFlow.service_ || !Takes(aNow, host) ||
-        tried != aFlow.tried_.end()) {
-      continue;
-    }
-    const auto cost = Cost(aNow, host);
-    if (!best || cost < least) {
-      best = id;
-      least = cost;
-    }
-  }
-  return best;
-}
-
 void
 Balancer::OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
 {
   if (aFlow.phase_ == Phase::Searching && IsLost(aNow, aFlow)) {
     ResetLost(aKey, aOut);
   } else if (aFlow.phase_ == Phase::Opening) {
-    Suspect(aNow, aFlow.host_);
+    hosts_.Suspect(aNow, aFlow.host_);
     if (aFlow.offers_ < settings_.mostOffers_) {
       Offer(aNow, aKey, aFlow, aOut);
     }
@@ -481,12 +393,12 @@
     absl::erase_if(flows_, [&](const auto& aRow) {
       return aNow - aRow.second.lastPacket_ > settings_.flowLife_;
     });
-    std::erase_if(hosts_, [&](const auto& aRow) {
-      return aRow.second.record_.state_ == HostState::Gone &&
-             aNow - aRow.second.knownAt_ > settings_.flowLife_;
-    });
+    hosts_.ForgetGoneBefore(aNow - settings_.flowLife_);
+  }
+  for (const auto& agent : hosts_.TakeWatches(aNow)) {
+    aOut.emplace_back(WatchAgent{ agent });
   }
-  nextTimer_ = sweepAt_;
+  nextTimer_ = std::min(sweepAt_, hosts_.NextWatch());
   for (const auto& [due, key] : due_) {
     nextTimer_ = std::min(nextTimer_, due);
   }
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -12,8 +11,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cornelshore/core/host.hpp>
-#include <cornelshore/core/random.hpp>
 #include <cornelshore/core/time.hpp>
+#include <cornelshore/relay/host_table.hpp>
 #include <cornelshore/relay/message.hpp>
 #include <cornelshore/relay/route_table.hpp>
 #include <cornelshore/relay/segment.hpp>
@@ -51,7 +50,13 @@
   std::string packet_;
 };
 
-using BalancerAction = std::variant<ToAgent, ToCaller>;
+/** @brief Ask a host's agent to tell its load from now on. */
+struct WatchAgent
+{
+  Address agent_;
+};
+
+using BalancerAction = std::variant<ToAgent, ToCaller, WatchAgent>;
 
 /** @brief What a balancer did with callers' packets, for the metrics. */
 enum class BalancerCount : std::uint8_t
@@ -81,23 +86,13 @@
 /** @brief Times and weights of a balancer. */
 struct BalancerSettings
 {
-  DataCentreId dataCentre_;
+  HostTableSettings hosts_;
   std::uint64_t seed_{};
   /** An opening without an answer goes on to another host; some round trips
    * between data centres and a busy agent's delay. */
   Duration openTimeout_{ std::chrono::milliseconds{ 100 } };
   /** Offers of one opening; callers give up after 1.4 s. */
   std::uint32_t mostOffers_{ 12 };
-  /** A host that did not answer an opening gets none for so long, doubled
-   * each time. */
-  Duration suspicion_{ std::chrono::milliseconds{ 500 } };
-  Duration longestSuspicion_{ std::chrono::seconds{ 8 } };
-  /** Load reports come each second; a host unheard for so long is avoided. */
-  Duration loadLife_{ std::chrono::milliseconds{ 2500 } };
-  /** Load that a host in another data centre must be better by, in slots. */
-  double farPenalty_{ 0.3 };
-  /** What an open flow adds to a host's load, in busy slots. */
-  double flowWeight_{ 0.1 };
   /** A flow that every host denies is reset when it was looked for so long: a
    * host that has just joined may not be known here yet. */
   Duration searchLeast_{ std::chrono::milliseconds{ 100 } };
@@ -146,7 +141,10 @@
 
   [[nodiscard]] const RouteTable& Routes() const noexcept { return routes_; }
   [[nodiscard]] std::size_t Flows() const noexcept { return flows_.size(); }
-  [[nodiscard]] std::size_t Hosts() const noexcept { return hosts_.size(); }
+  [[nodiscard]] std::size_t Hosts() const noexcept
+  {
+    return hosts_.All().size();
+  }
   [[nodiscard]] std::uint64_t Count(BalancerCount aCount) const noexcept
   {
     return counts_[static_cast<std::size_t>(aCount)];
@@ -155,18 +153,6 @@
   [[nodiscard]] TimePoint LastPacket() const noexcept { return lastPacket_; }
 
 private:
-  /** What is known of a host. */
-  struct Host
-  {
-    HostRecord record_;
-    HostLoad load_;
-    std::optional<TimePoint> heardAt_;
-    TimePoint knownAt_;
-    TimePoint suspectUntil_;
-    Duration suspicion_{};
-    std::uint32_t offered_{}; ///< Since the last load report.
-  };
-
   enum class Phase : std::uint8_t
   {
     Opening,
@@ -225,7 +211,7 @@
   [[nodiscard]] bool AllDenied(const Flow& aFlow) const;
   /** @brief Whether each host that could hold the flow has denied it. */
   [[nodiscard]] bool IsLost(TimePoint aNow, const Flow& aFlow) const;
-  [[nodiscard]] static bool MayHold(const Host& aHost, const Flow& aFlow);
+  [[nodiscard]] static bool MayHold(const KnownHost& aHost, const Flow& aFlow);
   void SendDirect(const Flow& aFlow, std::string aPacket, Actions& aOut);
   void Send(HostId aHost,
             Purpose aPurpose,
@@ -239,10 +225,6 @@
                 Actions& aOut);
   void OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow);
-  void Suspect(TimePoint aNow, HostId aHost);
-  [[nodiscard]] std::optional<HostId> Pick(TimePoint aNow, const Flow& aFlow);
-  [[nodiscard]] bool Takes(TimePoint aNow, const Host& aHost) const;
-  [[nodiscard]] double Cost(TimePoint aNow, const Host& aHost);
   void Note(BalancerCount aCount) noexcept
   {
     ++counts_[static_cast<std::size_t>(aCount)];
@@ -250,9 +232,8 @@
 
   BalancerSettings settings_;
   Codec codec_;
-  Random random_;
   RouteTable routes_;
-  std::map<HostId, Host> hosts_;
+  HostTable hosts_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
   std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Flows to look at.
   TimePoint nextTimer_{ TimePoint::max() };
--- a/src/cornelshore/relay/fwd.hpp
+++ b/src/cornelshore/relay/fwd.hpp
@@ -5,6 +5,8 @@
 
 class Agent;
 class Balancer;
+class HostTable;
+class LoadReports;
 class RouteTable;
 struct Answer;
 struct Carried;
@@ -12,6 +14,7 @@
 struct HostLoad;
 struct HostReport;
 struct Segment;
+struct Watch;
 
 } // namespace cornelshore::relay
 
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -85,8 +85,14 @@
   bool operator==(const Answer&) const noexcept = default;
 };
 
+/** @brief Balancer to agent: tell the host's load from now on. */
+struct Watch
+{
+  bool operator==(const Watch&) const noexcept = default;
+};
+
 /** @brief Everything that balancers and agents say about flows of segments. */
-using Message = std::variant<Carried, Answer, HostLoad>;
+using Message = std::variant<Carried, Answer, HostLoad, Watch>;
 
 } // namespace cornelshore::relay
 
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include <cornelshore/relay/load_reports.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
 namespace cornelshore::role {
@@ -12,10 +13,6 @@
 
 using Actions = std::vector<RelayAgentAction>;
 
-/** Least and most time between two reports of the host's load. */
-constexpr Duration kLoadEvery = std::chrono::milliseconds{ 250 };
-constexpr Duration kLoadAtLeastEvery = std::chrono::seconds{ 1 };
-
 } // namespace
 
 struct RelayAgent::Parts
@@ -100,6 +97,13 @@
       return;
     }
     auto* message = std::get_if<relay::Message>(&aEvent.message_);
+    if (message != nullptr && std::holds_alternative<relay::Watch>(*message)) {
+      if (reports_.Watch(aNow, aEvent.address_)) {
+        aOut.emplace_back(
+          SendNode{ aEvent.address_, relay::Message(flows_.Load(aNow)) });
+      }
+      return;
+    }
     auto* carried =
       message == nullptr ? nullptr : std::get_if<relay::Carried>(message);
     if (carried == nullptr) {
@@ -163,7 +167,7 @@
   {
     auto load = flows_.Load(aNow);
     load.accepts_ = false;
-    TellLoad(load, aOut);
+    TellLoad(aNow, load, true, aOut);
     aOut.emplace_back(Ended{ flows_.Load(aNow).flows_ });
   }
 
@@ -175,23 +179,18 @@
     if (flows_.NextTimer() <= aNow) {
       flows_.Tick(aNow);
     }
-    if (loadAt_ <= aNow) {
-      loadAt_ = aNow + kLoadEvery;
-      const auto load = flows_.Load(aNow);
-      if (load != told_ || toldAt_ + kLoadAtLeastEvery <= aNow) {
-        told_ = load;
-        toldAt_ = aNow;
-        TellLoad(load, aOut);
-      }
+    if (reports_.Next() <= aNow) {
+      TellLoad(aNow, flows_.Load(aNow), false, aOut);
     }
   }
 
-  void TellLoad(const relay::HostLoad& aLoad, Actions& aOut) const
+  void TellLoad(TimePoint aNow,
+                const relay::HostLoad& aLoad,
+                bool aForced,
+                Actions& aOut)
   {
-    for (const auto& peer : node_.Peers()) {
-      if (peer.role_ == membership::NodeRole::Balancer) {
-        aOut.emplace_back(SendNode{ peer.address_, relay::Message(aLoad) });
-      }
+    for (const auto& balancer : reports_.Take(aNow, aLoad, aForced)) {
+      aOut.emplace_back(SendNode{ balancer, relay::Message(aLoad) });
     }
   }
 
@@ -210,7 +209,7 @@
     record_.state_ = state;
     ++record_.sequence_;
     Feed(aNow, dissemination::HostAnnounced{ record_ }, aOut);
-    loadAt_ = aNow;
+    TellLoad(aNow, flows_.Load(aNow), true, aOut);
   }
 
   dissemination::Node node_;
@@ -218,9 +217,7 @@
   Hooks hooks_;
   HostRecord record_;
   std::optional<HostState> announced_;
-  relay::HostLoad told_;
-  TimePoint toldAt_{};
-  TimePoint loadAt_{};
+  relay::LoadReports reports_{ relay::LoadReportsSettings{} };
   std::uint64_t misplaced_{};
 };
 
@@ -242,8 +239,9 @@
 TimePoint
 RelayAgent::NextTimer() const
 {
-  return std::min(
-    { parts_->node_.NextTimer(), parts_->flows_.NextTimer(), parts_->loadAt_ });
+  return std::min({ parts_->node_.NextTimer(),
+                    parts_->flows_.NextTimer(),
+                    parts_->reports_.Next() });
 }
 
 Dump
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -100,6 +100,9 @@
       if (auto* send = std::get_if<relay::ToAgent>(&action)) {
         aOut.emplace_back(
           SendNode{ send->agent_, relay::Message(std::move(send->carried_)) });
+      } else if (const auto* watch = std::get_if<relay::WatchAgent>(&action)) {
+        aOut.emplace_back(
+          SendNode{ watch->agent_, relay::Message(relay::Watch{}) });
       } else {
         auto& reset = std::get<relay::ToCaller>(action);
         LogReset(aNow, reset, aOut);
@@ -356,7 +359,7 @@
     return node.status();
   }
   relay::BalancerSettings settings;
-  settings.dataCentre_ = node_.dataCentre_;
+  settings.hosts_.dataCentre_ = node_.dataCentre_;
   settings.seed_ = node_.seed_;
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        relay::Balancer(settings, codec_));
--- a/src/cornelshore/wire/relay_codec.cpp
+++ b/src/cornelshore/wire/relay_codec.cpp
@@ -65,6 +65,16 @@
   aMessage.packet_ = aReader.Bytes(kMostSegmentBytes);
 }
 
+void
+EncodeBody(Writer& /*aWriter*/, const relay::Watch& /*aMessage*/)
+{
+}
+
+void
+DecodeBody(Reader& /*aReader*/, relay::Watch& /*aMessage*/)
+{
+}
+
 template<typename Body>
 relay::Message
 DecodeAs(Reader& aReader)
@@ -82,8 +92,10 @@
       return DecodeAs<relay::Carried>(aReader);
     case 1:
       return DecodeAs<relay::Answer>(aReader);
-    default:
+    case 2:
       return DecodeAs<relay::HostLoad>(aReader);
+    default:
+      return DecodeAs<relay::Watch>(aReader);
   }
 }
 
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -342,6 +342,48 @@
   EXPECT_EQ(ResetsIn(actions), 1U);
 }
 
+std::set<Address>
+WatchedIn(const Balancer::Actions& aActions)
+{
+  std::set<Address> agents;
+  for (const auto& action : aActions) {
+    if (const auto* watch = std::get_if<WatchAgent>(&action)) {
+      agents.insert(watch->agent_);
+    }
+  }
+  return agents;
+}
+
+TEST_F(BalancerTest, WatchesEachHostThatItLearnsOfAtOnce)
+{
+  Balancer balancer(SettingsOf(), PlainCodec());
+  balancer.UpdateHosts(kStart, { RecordOf(1, kBoards), RecordOf(2, kSheets) });
+  EXPECT_EQ(balancer.NextTimer(), kStart);
+  Balancer::Actions actions;
+  balancer.Tick(kStart, actions);
+  EXPECT_EQ(WatchedIn(actions),
+            (std::set<Address>{ RecordOf(1, kBoards).agent_,
+                                RecordOf(2, kSheets).agent_ }));
+}
+
+TEST_F(BalancerTest, AsksAHostThatItNeverHeardAgainBeforeOthers)
+{
+  Balancer balancer(SettingsOf(), PlainCodec());
+  balancer.UpdateHosts(kStart, { RecordOf(1, kBoards), RecordOf(2, kSheets) });
+  Balancer::Actions actions;
+  balancer.Tick(kStart, actions);
+  balancer.OnLoad(kStart, HostId{ 1 }, { 0, 0, 4, true, false });
+  actions.clear();
+  balancer.Tick(kStart + milliseconds{ 200 }, actions);
+  EXPECT_EQ(WatchedIn(actions),
+            std::set<Address>{ RecordOf(2, kSheets).agent_ });
+  balancer.OnLoad(kStart, HostId{ 2 }, { 0, 0, 4, true, false });
+  for (int round = 2; round <= 10; ++round) {
+    balancer.Tick(kStart + round * milliseconds{ 200 }, actions);
+  }
+  EXPECT_TRUE(WatchedIn(actions).contains(RecordOf(1, kBoards).agent_));
+}
+
 TEST_F(BalancerTest, CountsMalformedPackets)
 {
   Balancer::Actions actions;
