Keep openings and searches of a balancer that has just started

Cause: after a restart, openings that came before routes, hosts or their records were known were dropped, and flows were looked for only at the hosts known when their packet came. Callers repeat after 0.2, 0.6 and 1.4 s, so that requests of the first half second mostly ran into their deadline. Ruled out: hosts (ready before balancers) and readiness (the fabric uses all while few are ready).

Change: a balancer holds such openings (4,096 at most, as long as their callers wait) and goes on with them, and with searches at hosts that it has just learnt of, as soon as routes, hosts or the first comparison come.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -32,6 +32,10 @@
   }
   lastPacket_ = aNow;
   const auto key = KeyFromCaller(*segment);
+  if (segment->opening_ && routes_.Version().value_ == 0) {
+    Hold(aNow, key, std::move(aPacket));
+    return;
+  }
   const auto known = flows_.find(key);
   if (!MayCarry(key, *segment, aOut)) {
     Note(BalancerCount::NoRoute);
@@ -49,7 +53,7 @@
   StartSearch(aNow, flow);
   flow.service_ = routes_.ServiceOf(key).value_or(kAnyService);
   flow.lastPacket_ = aNow;
-  Search(flow, std::move(aPacket), std::nullopt, aOut);
+  Search(aNow, flow, std::move(aPacket), std::nullopt, aOut);
 }
 
 bool
@@ -57,10 +61,7 @@
                    const Segment& aSegment,
                    Actions& aOut) const
 {
-  if (routes_.Version().value_ == 0) {
-    return !aSegment.opening_;
-  }
-  if (routes_.Find(aKey.service_) != nullptr) {
+  if (routes_.Version().value_ == 0 || routes_.Find(aKey.service_) != nullptr) {
     return true;
   }
   if (aSegment.opening_) {
@@ -90,7 +91,7 @@
       ResetLost(aKey, aOut);
       return;
     }
-    Search(aFlow, std::move(aPacket), std::nullopt, aOut);
+    Search(aNow, aFlow, std::move(aPacket), std::nullopt, aOut);
     return;
   }
   if (aSegment.opening_ && aFlow.phase_ == Phase::Opening) {
@@ -117,6 +118,7 @@
   if (!hosts_.Pick(aNow, flow.service_, flow.tried_)) {
     Note(BalancerCount::NoHost);
     if (!inStepAt_) {
+      Hold(aNow, aKey, std::move(flow.packet_));
       return;
     }
     aOut.emplace_back(ToCaller{
@@ -127,6 +129,55 @@
   Offer(aNow, aKey, held, aOut);
 }
 
+void
+Balancer::Hold(TimePoint aNow, const FlowKey& aKey, std::string aPacket)
+{
+  if (held_.size() >= settings_.mostHeld_ && !held_.contains(aKey)) {
+    Note(BalancerCount::NoHost);
+    return;
+  }
+  const auto [row, added] = held_.try_emplace(aKey);
+  row->second.packet_ = std::move(aPacket);
+  if (added) {
+    row->second.since_ = aNow;
+  }
+}
+
+void
+Balancer::ResumeAtOnce()
+{
+  resumes_ = true;
+  nextTimer_ = TimePoint{};
+}
+
+void
+Balancer::Resume(TimePoint aNow, Actions& aOut)
+{
+  for (auto& [key, opening] : std::exchange(held_, {})) {
+    if (aNow - opening.since_ > settings_.openingLife_) {
+      continue;
+    }
+    OnPacket(aNow, std::move(opening.packet_), aOut);
+    if (const auto again = held_.find(key); again != held_.end()) {
+      again->second.since_ = opening.since_;
+    }
+  }
+  for (auto& [key, flow] : flows_) {
+    if (flow.phase_ != Phase::Searching) {
+      continue;
+    }
+    for (const auto& [id, host] : hosts_.All()) {
+      if (MayHold(host, flow) && host.knownAt_ >= flow.searchedAt_) {
+        Send(id, Purpose::Search, kAnyService, flow.packet_, aOut);
+      }
+    }
+    flow.searchedAt_ = aNow;
+    if (flow.due_ <= aNow) {
+      WakeAt(aNow + settings_.searchLeast_, key, flow);
+    }
+  }
+}
+
 void
 Balancer::Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
 {
@@ -195,12 +246,14 @@
 }
 
 void
-Balancer::Search(Flow& aFlow,
+Balancer::Search(TimePoint aNow,
+                 Flow& aFlow,
                  std::string aPacket,
                  std::optional<HostId> aExcept,
                  Actions& aOut)
 {
   Note(BalancerCount::Searched);
+  aFlow.searchedAt_ = aNow;
   for (const auto& [id, host] : hosts_.All()) {
     if (MayHold(host, aFlow) && id != aExcept) {
       Send(id, Purpose::Search, kAnyService, aPacket, aOut);
@@ -218,7 +271,7 @@
   aFlow.everywhere_ = true;
   aFlow.searchingSince_ = aNow;
   aFlow.denied_.clear();
-  Search(aFlow, aFlow.packet_, std::nullopt, aOut);
+  Search(aNow, aFlow, aFlow.packet_, std::nullopt, aOut);
   WakeAt(aNow + settings_.searchLeast_, aKey, aFlow);
 }
 
@@ -313,7 +366,7 @@
     aFlow.denied_.push_back(aHost);
   }
   if (!aAnswer.packet_.empty()) {
-    Search(aFlow, std::move(aAnswer.packet_), aHost, aOut);
+    Search(aNow, aFlow, std::move(aAnswer.packet_), aHost, aOut);
   }
   const auto mayWiden =
     !aFlow.everywhere_ && Hosts() <= settings_.mostSearched_;
@@ -349,14 +402,27 @@
 void
 Balancer::UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords)
 {
-  hosts_.Update(aNow, aRecords);
-  nextTimer_ = std::min(nextTimer_, hosts_.NextWatch());
+  if (hosts_.Update(aNow, aRecords)) {
+    ResumeAtOnce();
+  }
+}
+
+void
+Balancer::NoteInStep(TimePoint aAt)
+{
+  if (!std::exchange(inStepAt_, aAt)) {
+    ResumeAtOnce();
+  }
 }
 
 void
 Balancer::UpdateRoutes(const Configuration& aConfiguration)
 {
+  const auto first = routes_.Version().value_ == 0;
   routes_.Update(aConfiguration);
+  if (first) {
+    ResumeAtOnce();
+  }
 }
 
 void
@@ -375,6 +441,9 @@
 void
 Balancer::Tick(TimePoint aNow, Actions& aOut)
 {
+  if (std::exchange(resumes_, false)) {
+    Resume(aNow, aOut);
+  }
   std::vector<std::pair<TimePoint, FlowKey>> waiting;
   waiting.swap(due_);
   for (auto& [due, key] : waiting) {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -102,6 +102,11 @@
   /** Host records must have been in step with others' so lately before a flow
    * that all known hosts deny is reset; rounds come each second. */
   Duration inStepLife_{ std::chrono::milliseconds{ 1500 } };
+  /** Openings kept until a balancer that has just started can offer them; a
+   * second's worth. */
+  std::size_t mostHeld_{ 4096 };
+  /** Callers give up an opening after so long. */
+  Duration openingLife_{ std::chrono::milliseconds{ 1400 } };
   /** Flows unheard for so long are forgotten. */
   Duration flowLife_{ std::chrono::seconds{ 70 } };
 };
@@ -129,7 +134,7 @@
   void UpdateHosts(TimePoint aNow, const std::vector<HostRecord>& aRecords);
 
   /** @brief The host records were in step with others' at that time. */
-  void NoteInStep(TimePoint aAt) noexcept { inStepAt_ = aAt; }
+  void NoteInStep(TimePoint aAt);
 
   /** @brief A configuration is in force. */
   void UpdateRoutes(const Configuration& aConfiguration);
@@ -172,10 +177,23 @@
     std::uint32_t offers_{};
     TimePoint due_;
     TimePoint searchingSince_;
+    TimePoint searchedAt_;       ///< Hosts known since then were not asked.
     bool everywhere_{};          ///< Hosts of all services are asked.
     std::vector<HostId> denied_; ///< Hosts that do not hold it.
   };
 
+  /** An opening that came before it could be offered. */
+  struct HeldOpening
+  {
+    std::string packet_;
+    TimePoint since_;
+  };
+
+  void Hold(TimePoint aNow, const FlowKey& aKey, std::string aPacket);
+  /** @brief Goes on with what waited for routes, hosts or their records. */
+  void Resume(TimePoint aNow, Actions& aOut);
+  void ResumeAtOnce();
+
   /**
    * Before any configuration is known, open flows are carried on: their hosts
    * were chosen by one that was in force.
@@ -196,7 +214,8 @@
             Actions& aOut);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void StartSearch(TimePoint aNow, Flow& aFlow);
-  void Search(Flow& aFlow,
+  void Search(TimePoint aNow,
+              Flow& aFlow,
               std::string aPacket,
               std::optional<HostId> aExcept,
               Actions& aOut);
@@ -235,6 +254,8 @@
   RouteTable routes_;
   HostTable hosts_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
+  absl::flat_hash_map<FlowKey, HeldOpening> held_;
+  bool resumes_{};
   std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Flows to look at.
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -23,18 +23,21 @@
 {
 }
 
-void
+bool
 HostTable::Update(TimePoint aNow, const std::vector<HostRecord>& aRecords)
 {
+  auto started = false;
   for (const auto& record : aRecords) {
     auto& host = hosts_[record.id_];
     if (host.record_.incarnation_ != record.incarnation_) {
       host = {};
       host.knownAt_ = aNow;
       watchAt_ = aNow;
+      started = true;
     }
     host.record_ = record;
   }
+  return started;
 }
 
 void
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -61,8 +61,8 @@
 
   HostTable(HostTableSettings aSettings, std::uint64_t aSeed);
 
-  /** @brief Host records that are new. */
-  void Update(TimePoint aNow, const std::vector<HostRecord>& aRecords);
+  /** @brief Host records that are new; true when a host started anew. */
+  bool Update(TimePoint aNow, const std::vector<HostRecord>& aRecords);
 
   /** @brief A host's agent told its load. */
   void OnLoad(TimePoint aNow, HostId aHost, const HostLoad& aLoad);
