Keep joining rounds until enough others are in step

Cause: a process went from rounds of 100 ms to rounds of 1 s after it was in step with one other, but counts as in step with two. And in a fleet that starts as a whole nobody counted for 2 s; now five joining rounds, of three others each.

Change: joining rounds go on until ConfirmedAt() is known. The test of 20 restarts of a whole fleet fails before.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -23,8 +23,11 @@
 constexpr std::uint64_t kSampleOneIn = 8;
 constexpr std::size_t kRumorsAnAnswer = 6;
 /** Two that have just started hold the same little: in a fleet that runs they
- * do not count for each other, and one that starts as a whole waits so long. */
+ * do not count for each other, and one that starts as a whole waits so long:
+ * each joining round asks three others, so that one of five meets a process
+ * that ran before even when most have restarted. */
 constexpr int kSettlingRounds = 2;
+constexpr int kSettlingJoiningRounds = 5;
 constexpr Duration kWantAgainAfter = std::chrono::milliseconds(300);
 
 } // namespace
@@ -268,8 +271,10 @@
     return;
   }
   const auto newcomer = header.inStepAge_ >= kNeverInStep;
-  const auto settling =
-    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
+  const auto settles =
+    std::min<Duration>(settings_.round_ * kSettlingRounds,
+                       settings_.joiningRound_ * kSettlingJoiningRounds);
+  const auto settling = startedAt_ && aNow - *startedAt_ < settles;
   if (newcomer && settling && !IsAgent()) {
     return;
   }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -94,6 +94,12 @@
   return inStep_.Since(needed);
 }
 
+bool
+Node::State::IsBehind() const noexcept
+{
+  return !released_ || !ConfirmedAt();
+}
+
 ServiceId
 Node::State::ScopeWith(NodeId aTo) const
 {
@@ -237,10 +243,9 @@
   if (aNow < nextRound_) {
     return;
   }
-  const auto behind = !joined_ || !released_;
   nextRound_ =
-    aNow + (behind ? std::min(settings_.round_, settings_.joiningRound_)
-                   : settings_.round_);
+    aNow + (IsBehind() ? std::min(settings_.round_, settings_.joiningRound_)
+                       : settings_.round_);
   ++round_;
   if (!IsAgent() && aNow >= renewAt_) {
     Renew(aNow);
@@ -257,8 +262,7 @@
 {
   std::vector<NodeId> peers;
   if (!IsAgent()) {
-    const bool behind = !joined_ || !released_;
-    peers = partners_.Pick(ledger_, behind ? kJoiningPartners : 1);
+    peers = partners_.Pick(ledger_, IsBehind() ? kJoiningPartners : 1);
   } else {
     peers = partners_.PickForAgent(ledger_);
     const bool awaited =
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -433,5 +433,35 @@
   }
 }
 
+TEST(Node, IsInStepSoonAfterAllRestarted)
+{
+  Fleet fleet(13);
+  Fill(fleet, 5, 11, 15);
+  for (auto& member : fleet.Members()) {
+    member.settings_.joiningRound_ = std::chrono::milliseconds(100);
+  }
+  fleet.RunFor(std::chrono::seconds(5));
+  for (int run = 0; run < 20; ++run) {
+    for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+      fleet.Restart(index);
+    }
+    for (std::size_t control = 0; control < 5; ++control) {
+      fleet.Feed(control, ConfigAccepted{ ConfigVersion{ 3 }, "routes" });
+    }
+    fleet.RunFor(std::chrono::milliseconds(300));
+    for (std::size_t agent = 16; agent < 31; ++agent) {
+      fleet.Feed(
+        agent,
+        HostAnnounced{ RecordOf(fleet.Members()[agent], 1, HostState::Ready) });
+    }
+    fleet.Feed(2, ControlConfirmed{ ConfigVersion{ 3 }, 1 });
+    constexpr auto kLastFirstTick = std::chrono::milliseconds(1000);
+    fleet.RunFor(kLastFirstTick + std::chrono::milliseconds(400));
+    for (std::size_t balancer = 5; balancer < 16; ++balancer) {
+      EXPECT_TRUE(fleet.At(balancer).ConfirmedAt()) << run << " " << balancer;
+    }
+  }
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
