--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -61,8 +61,13 @@
    * add and remove members.
    */
   std::size_t votersWanted_{ 0 };
-  /** A voter unheard for so long gives way to a learner that is caught up. */
-  Duration voterSilence_{ std::chrono::milliseconds{ 2500 } };
+  /**
+   * A voter unheard for so long gives way to a learner that is caught up. A VM
+   * that took a lost one's place must vote before others may be lost, 4 s after
+   * its start, also when the leader is lost meanwhile: an election of 0.9 s and
+   * this silence once more.
+   */
+  Duration voterSilence_{ std::chrono::milliseconds{ 1200 } };
   /** A learner unheard for so long is dropped from a group that forms itself.
    */
   Duration learnerSilence_{ std::chrono::seconds{ 20 } };
