Log by a thread of its own that never waits for standard output

Cause: each duty's thread wrote its own lines to standard output and flushed them; a reader that stopped reading stopped the data path with it.

Change: lines go through Boost.Log's bounded queue (4,096) to a thread that writes while the descriptor takes lines and drops and counts them otherwise; `event=log_lines_dropped count=N` follows.

--- a/src/cornelshore/daemon/main.cpp
+++ b/src/cornelshore/daemon/main.cpp
@@ -92,6 +92,19 @@
   return cornelshore::daemon::RunControl(**runtime);
 }
 
+/** The log, from here on until the end of a scope. */
+class Logging
+{
+public:
+  Logging(cornelshore::log::Level aLeast, std::string_view aProcess)
+  {
+    cornelshore::log::Start(aLeast, aProcess);
+  }
+  ~Logging() { cornelshore::log::Stop(); }
+  Logging(const Logging&) = delete;
+  Logging& operator=(const Logging&) = delete;
+};
+
 Exit
 Run(const CommandLine& aLine)
 {
@@ -105,7 +118,7 @@
     std::cout << aLine.config_ << ": good\n";
     return Exit::Done;
   }
-  log::Start(settings->logLevel_, settings->name_);
+  const Logging logging(settings->logLevel_, settings->name_);
   log::Write(
     log::Level::Info,
     log::Event("started").With(
--- a/src/cornelshore/log/event.cpp
+++ b/src/cornelshore/log/event.cpp
@@ -1,23 +1,81 @@
 #include <cornelshore/log/event.hpp>
 
 #include <algorithm>
+#include <atomic>
 
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 
+#include <cornelshore/log/line_writer.hpp>
+
 namespace cornelshore::log {
 
 namespace {
 
+/** Lines that wait for the writing thread at most; seconds of a flood. */
+constexpr std::size_t kQueuedLines = 4096;
+
+std::atomic<std::uint64_t> overflowed{ 0 };
+
+/** Drops lines that find the queue full. The names are Boost.Log's own. */
+class DropAndCount
+{
+public:
+  template<typename Lock>
+  static bool on_overflow(const boost::log::record_view& /*aRecord*/,
+                          Lock& /*aLock*/)
+  {
+    ++overflowed;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+/** Hands finished lines to a `LineWriter`. */
+class Backend
+  : public boost::log::sinks::basic_formatted_sink_backend<
+      char,
+      boost::log::sinks::synchronized_feeding>
+{
+public:
+  explicit Backend(int aOutput)
+    : writer_(aOutput)
+  {
+  }
+
+  void consume(const boost::log::record_view& /*aRecord*/,
+               const std::string& aLine)
+  {
+    writer_.Write(aLine, overflowed.load());
+  }
+
+private:
+  LineWriter writer_;
+};
+
+using Sink = boost::log::sinks::asynchronous_sink<
+  Backend,
+  boost::log::sinks::bounded_fifo_queue<kQueuedLines, DropAndCount>>;
+
+boost::shared_ptr<Sink>&
+ProcessSink()
+{
+  static boost::shared_ptr<Sink> sink;
+  return sink;
+}
+
 using Logger = boost::log::sources::severity_logger_mt<int>;
 
 Logger&
@@ -65,25 +123,35 @@
 }
 
 void
-Start(Level aLeast, std::string_view aProcess)
+Start(Level aLeast, std::string_view aProcess, int aOutput)
 {
   namespace expressions = boost::log::expressions;
   boost::log::add_common_attributes();
   boost::log::core::get()->add_global_attribute(
     "Process",
     boost::log::attributes::constant<std::string>(std::string(aProcess)));
-  boost::log::add_console_log(
-    std::cout,
-    boost::log::keywords::auto_flush = true,
-    boost::log::keywords::format =
-      (expressions::stream
-       << "time="
-       << expressions::format_date_time<boost::posix_time::ptime>(
-            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-       << " process=" << expressions::attr<std::string>("Process") << " "
-       << expressions::smessage));
+  auto sink = boost::make_shared<Sink>(boost::make_shared<Backend>(aOutput));
+  sink
+    ->set_formatter(expressions::stream
+                    << "time="
+                    << expressions::format_date_time<boost::posix_time::ptime>(
+                         "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                    << " process=" << expressions::attr<std::string>("Process")
+                    << " " << expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(expressions::attr<int>("Severity") >=
                                       static_cast<int>(aLeast));
+  ProcessSink() = std::move(sink);
+}
+
+void
+Stop()
+{
+  if (const auto sink = std::exchange(ProcessSink(), nullptr)) {
+    boost::log::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+  }
 }
 
 void
--- a/src/cornelshore/log/event.hpp
+++ b/src/cornelshore/log/event.hpp
@@ -49,12 +49,26 @@
   std::string line_;
 };
 
-/** @brief Sets up the process's log on standard output. */
-void Start(Level aLeast, std::string_view aProcess);
+/**
+ * @brief Sets up the process's log on standard output.
+ *
+ * A thread of its own writes the lines, from a bounded ring. Lines are dropped
+ * and counted when the ring is full or standard output takes nothing; the
+ * count follows as `event=log_lines_dropped` as soon as it takes lines again.
+ *
+ * @param aOutput Descriptor to write to; standard output unless tests say
+ * otherwise.
+ */
+void Start(Level aLeast, std::string_view aProcess, int aOutput = 1);
 
-/** @brief Writes the event as one line when its level is enabled. */
+/** @brief Writes the event as one line when its level is enabled; never waits.
+ */
 void Write(Level aLevel, const Event& aEvent);
 
+/** @brief Writes what the ring holds, as far as the output takes it, and ends
+ * the thread. */
+void Stop();
+
 } // namespace cornelshore::log
 
 #endif
