Log what is decided about each flow, with what decided it

Cause: only resets were logged; an opening that nobody answered left no trace.

Change: balancers and agents tell each decision about a flow as a value (opened, declined, unanswered, held, searched, found; taken, refused with the reason, returned, denied, closed), with the host's load, the age of what was known and the configuration's version.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -58,17 +58,44 @@
   }
 }
 
-bool
-Agent::MayOpen(TimePoint aNow,
-               const FlowKey& aKey,
-               const Carried& aCarried) const
+FlowReason
+Agent::ObstacleTo(TimePoint aNow,
+                  const FlowKey& aKey,
+                  const Carried& aCarried) const
 {
-  if (!host_ || host_->leaving_ || !HostAlive(aNow) ||
-      host_->service_ != aCarried.service_) {
-    return false;
+  if (!host_) {
+    return FlowReason::NoReport;
+  }
+  if (host_->leaving_) {
+    return FlowReason::Leaving;
+  }
+  if (!HostAlive(aNow)) {
+    return FlowReason::Silent;
+  }
+  if (host_->service_ != aCarried.service_) {
+    return FlowReason::OtherService;
   }
   const auto newerHere = routes_.Version() > aCarried.version_;
-  return !newerHere || routes_.Leads(aKey.service_, aCarried.service_);
+  return newerHere && !routes_.Leads(aKey.service_, aCarried.service_)
+           ? FlowReason::NoRoute
+           : FlowReason::None;
+}
+
+void
+Agent::Note(TimePoint aNow,
+            FlowEvent aEvent,
+            FlowReason aReason,
+            const FlowKey& aKey,
+            Actions& aOut) const
+{
+  FlowDecision decision;
+  decision.event_ = aEvent;
+  decision.key_ = aKey;
+  decision.reason_ = aReason;
+  decision.load_ = Load(aNow);
+  decision.reportAge_ = host_ ? aNow - heardAt_ : Duration{};
+  decision.version_ = routes_.Version();
+  aOut.emplace_back(decision);
 }
 
 void
@@ -79,8 +106,11 @@
             Actions& aOut)
 {
   const auto known = flows_.contains(aKey);
-  if (!known && !MayOpen(aNow, aKey, aCarried)) {
+  const auto obstacle =
+    known ? FlowReason::None : ObstacleTo(aNow, aKey, aCarried);
+  if (obstacle != FlowReason::None) {
     Note(AgentCount::Refused);
+    Note(aNow, FlowEvent::Refused, obstacle, aKey, aOut);
     Tell(aNow, aBalancer, aKey, Verdict::Refused, aOut);
     return;
   }
@@ -89,10 +119,18 @@
                 settings_.busyPerSlot_ * static_cast<double>(host_->slots_);
   if (full && aCarried.purpose_ == Purpose::Open) {
     Note(AgentCount::Busy);
+    Note(aNow, FlowEvent::Refused, FlowReason::Busy, aKey, aOut);
     Tell(aNow, aBalancer, aKey, Verdict::Busy, aOut);
     return;
   }
   Note(AgentCount::Opened);
+  if (!known) {
+    Note(aNow,
+         FlowEvent::Taken,
+         full ? FlowReason::Insisted : FlowReason::None,
+         aKey,
+         aOut);
+  }
   auto& flow = flows_[aKey];
   flow.balancer_ = aBalancer;
   flow.lastPacket_ = aNow;
@@ -125,7 +163,7 @@
       SetBusy(flow, true);
     }
     flow.callerDone_ |= aSegment.finishing_;
-    CloseWhenDone(flow, aSegment.reset_);
+    CloseWhenDone(aNow, aKey, flow, aSegment.reset_, aOut);
     if (aCarried.purpose_ == Purpose::Search) {
       Tell(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
@@ -151,6 +189,9 @@
 {
   Note(AgentCount::Unknown);
   const auto searched = aCarried.purpose_ == Purpose::Search;
+  if (!searched) {
+    Note(aNow, FlowEvent::Denied, FlowReason::None, aKey, aOut);
+  }
   Tell(aNow,
        aBalancer,
        aKey,
@@ -203,7 +244,7 @@
       SetBusy(flow, false);
     }
     flow.hostDone_ |= segment->finishing_;
-    CloseWhenDone(flow, segment->reset_);
+    CloseWhenDone(aNow, key, flow, segment->reset_, aOut);
   }
   aOut.emplace_back(FromHost{ key.caller_, std::move(aPacket) });
 }
@@ -216,6 +257,7 @@
 {
   Note(AgentCount::Returned);
   const auto key = KeyFromCaller(aSegment);
+  Note(aNow, FlowEvent::Returned, FlowReason::None, key, aOut);
   const auto found = flows_.find(key);
   if (aSegment.mark_ == kGuessMark || found == flows_.end()) {
     const auto guess = guesses_.find(key);
@@ -334,13 +376,24 @@
 }
 
 void
-Agent::CloseWhenDone(Flow& aFlow, bool aReset) noexcept
+Agent::CloseWhenDone(TimePoint aNow,
+                     const FlowKey& aKey,
+                     Flow& aFlow,
+                     bool aReset,
+                     Actions& aOut)
 {
-  if (!aFlow.closed_ && (aReset || (aFlow.callerDone_ && aFlow.hostDone_))) {
-    aFlow.closed_ = true;
-    ++closed_;
-    SetBusy(aFlow, false);
+  const auto done = aFlow.callerDone_ && aFlow.hostDone_;
+  if (aFlow.closed_ || !(aReset || done)) {
+    return;
   }
+  aFlow.closed_ = true;
+  ++closed_;
+  SetBusy(aFlow, false);
+  Note(aNow,
+       FlowEvent::Closed,
+       aReset ? FlowReason::Reset : FlowReason::Finished,
+       aKey,
+       aOut);
 }
 
 void
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -12,6 +12,7 @@
 
 #include <cornelshore/core/names.hpp>
 #include <cornelshore/core/time.hpp>
+#include <cornelshore/relay/decision.hpp>
 #include <cornelshore/relay/message.hpp>
 #include <cornelshore/relay/route_table.hpp>
 #include <cornelshore/relay/segment.hpp>
@@ -52,7 +53,7 @@
   Answer answer_;
 };
 
-using AgentAction = std::variant<ToHost, FromHost, ToBalancer>;
+using AgentAction = std::variant<ToHost, FromHost, ToBalancer, FlowDecision>;
 
 /** @brief What an agent did with packets, for the metrics. */
 enum class AgentCount : std::uint8_t
@@ -211,12 +212,23 @@
             Actions& aOut,
             std::string aPacket = {}) const;
   void SetBusy(Flow& aFlow, bool aBusy) noexcept;
-  void CloseWhenDone(Flow& aFlow, bool aReset) noexcept;
+  void CloseWhenDone(TimePoint aNow,
+                     const FlowKey& aKey,
+                     Flow& aFlow,
+                     bool aReset,
+                     Actions& aOut);
   void Forget(const FlowKey& aKey);
   void StartRun(const HostReport& aReport);
-  [[nodiscard]] bool MayOpen(TimePoint aNow,
-                             const FlowKey& aKey,
-                             const Carried& aCarried) const;
+  /** @brief Why the host may not open the flow; `None`: it may. */
+  [[nodiscard]] FlowReason ObstacleTo(TimePoint aNow,
+                                      const FlowKey& aKey,
+                                      const Carried& aCarried) const;
+  /** @brief Notes what was decided about a flow, for the log. */
+  void Note(TimePoint aNow,
+            FlowEvent aEvent,
+            FlowReason aReason,
+            const FlowKey& aKey,
+            Actions& aOut) const;
   /** @brief Whether the host may hold flows that this agent never saw. */
   [[nodiscard]] bool MayHoldOthers(TimePoint aNow) const noexcept;
   void Note(AgentCount aCount) noexcept
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -33,7 +33,7 @@
   lastPacket_ = aNow;
   const auto key = KeyFromCaller(*segment);
   if (segment->opening_ && routes_.Version().value_ == 0) {
-    Hold(aNow, key, std::move(aPacket));
+    Hold(aNow, key, std::move(aPacket), aOut);
     return;
   }
   const auto known = flows_.find(key);
@@ -52,7 +52,8 @@
   auto& flow = flows_[key];
   StartSearch(aNow, flow);
   flow.service_ = routes_.ServiceOf(key).value_or(kAnyService);
-  flow.lastPacket_ = aNow;
+  flow.since_ = flow.lastPacket_ = aNow;
+  Tell(aNow, FlowEvent::Searched, key, flow, aOut);
   Search(aNow, flow, std::move(aPacket), std::nullopt, aOut);
 }
 
@@ -112,13 +113,13 @@
 {
   Flow flow;
   flow.service_ = routes_.ServiceOf(aKey).value_or(kAnyService);
-  flow.lastPacket_ = aNow;
+  flow.since_ = flow.lastPacket_ = aNow;
   flow.packet_ = std::move(aPacket);
   Note(BalancerCount::Opened);
   if (!hosts_.Pick(aNow, flow.service_, flow.tried_)) {
     Note(BalancerCount::NoHost);
     if (!inStepAt_) {
-      Hold(aNow, aKey, std::move(flow.packet_));
+      Hold(aNow, aKey, std::move(flow.packet_), aOut);
       return;
     }
     aOut.emplace_back(ToCaller{
@@ -130,7 +131,10 @@
 }
 
 void
-Balancer::Hold(TimePoint aNow, const FlowKey& aKey, std::string aPacket)
+Balancer::Hold(TimePoint aNow,
+               const FlowKey& aKey,
+               std::string aPacket,
+               Actions& aOut)
 {
   if (held_.size() >= settings_.mostHeld_ && !held_.contains(aKey)) {
     Note(BalancerCount::NoHost);
@@ -140,9 +144,33 @@
   row->second.packet_ = std::move(aPacket);
   if (added) {
     row->second.since_ = aNow;
+    Flow flow;
+    flow.since_ = aNow;
+    Tell(aNow, FlowEvent::Held, aKey, flow, aOut);
   }
 }
 
+void
+Balancer::Tell(TimePoint aNow,
+               FlowEvent aEvent,
+               const FlowKey& aKey,
+               const Flow& aFlow,
+               Actions& aOut) const
+{
+  FlowDecision decision;
+  decision.event_ = aEvent;
+  decision.key_ = aKey;
+  decision.host_ = aFlow.host_;
+  decision.offers_ = aFlow.offers_;
+  decision.waited_ = aNow - aFlow.since_;
+  decision.version_ = routes_.Version();
+  if (const auto* host = hosts_.Find(aFlow.host_)) {
+    decision.load_ = host->load_;
+    decision.reportAge_ = host->heardAt_ ? aNow - *host->heardAt_ : Duration{};
+  }
+  aOut.emplace_back(decision);
+}
+
 void
 Balancer::ResumeAtOnce()
 {
@@ -332,12 +360,13 @@
   switch (aAnswer.verdict_) {
     case Verdict::Opened:
     case Verdict::Holds:
-      OnTaken(aAnswer, aHost, flow);
+      OnTaken(aNow, aAnswer, aHost, flow, aOut);
       return;
     case Verdict::Busy:
     case Verdict::Refused:
       if (flow.phase_ == Phase::Opening && flow.host_ == aHost &&
           flow.offers_ < settings_.mostOffers_) {
+        Tell(aNow, FlowEvent::Declined, aAnswer.key_, flow, aOut);
         Offer(aNow, aAnswer.key_, flow, aOut);
       }
       return;
@@ -356,6 +385,8 @@
 {
   if (aFlow.phase_ == Phase::Held && aFlow.host_ == aHost) {
     StartSearch(aNow, aFlow);
+    aFlow.since_ = aNow;
+    Tell(aNow, FlowEvent::Searched, aAnswer.key_, aFlow, aOut);
   }
   if (aFlow.phase_ != Phase::Searching) {
     return;
@@ -376,15 +407,28 @@
 }
 
 void
-Balancer::OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow)
+Balancer::OnTaken(TimePoint aNow,
+                  const Answer& aAnswer,
+                  HostId aHost,
+                  Flow& aFlow,
+                  Actions& aOut)
 {
   const auto late =
     aAnswer.verdict_ == Verdict::Opened && aFlow.phase_ == Phase::Held;
   if (late) {
     return;
   }
+  const auto searched = aFlow.phase_ == Phase::Searching;
+  const auto opened = aFlow.phase_ == Phase::Opening;
   aFlow.phase_ = Phase::Held;
   aFlow.host_ = aHost;
+  if (searched || opened) {
+    Tell(aNow,
+         searched ? FlowEvent::Found : FlowEvent::Opened,
+         aAnswer.key_,
+         aFlow,
+         aOut);
+  }
   if (aAnswer.verdict_ == Verdict::Holds) {
     aFlow.service_ = kAnyService;
   }
@@ -431,6 +475,7 @@
   if (aFlow.phase_ == Phase::Searching && IsLost(aNow, aFlow)) {
     ResetLost(aKey, aOut);
   } else if (aFlow.phase_ == Phase::Opening) {
+    Tell(aNow, FlowEvent::Unanswered, aKey, aFlow, aOut);
     hosts_.Suspect(aNow, aFlow.host_);
     if (aFlow.offers_ < settings_.mostOffers_) {
       Offer(aNow, aKey, aFlow, aOut);
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -12,6 +12,7 @@
 
 #include <cornelshore/core/host.hpp>
 #include <cornelshore/core/time.hpp>
+#include <cornelshore/relay/decision.hpp>
 #include <cornelshore/relay/host_table.hpp>
 #include <cornelshore/relay/message.hpp>
 #include <cornelshore/relay/route_table.hpp>
@@ -56,7 +57,8 @@
   Address agent_;
 };
 
-using BalancerAction = std::variant<ToAgent, ToCaller, WatchAgent>;
+using BalancerAction =
+  std::variant<ToAgent, ToCaller, WatchAgent, FlowDecision>;
 
 /** @brief What a balancer did with callers' packets, for the metrics. */
 enum class BalancerCount : std::uint8_t
@@ -171,6 +173,7 @@
     Phase phase_{ Phase::Opening };
     ServiceId service_;
     HostId host_;
+    TimePoint since_; ///< First packet of the opening or the search.
     TimePoint lastPacket_;
     std::string packet_; ///< To offer or to look for a host with again.
     std::vector<HostId> tried_;
@@ -189,7 +192,10 @@
     TimePoint since_;
   };
 
-  void Hold(TimePoint aNow, const FlowKey& aKey, std::string aPacket);
+  void Hold(TimePoint aNow,
+            const FlowKey& aKey,
+            std::string aPacket,
+            Actions& aOut);
   /** @brief Goes on with what waited for routes, hosts or their records. */
   void Resume(TimePoint aNow, Actions& aOut);
   void ResumeAtOnce();
@@ -243,7 +249,17 @@
                 Flow& aFlow,
                 Actions& aOut);
   void OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
-  void OnTaken(const Answer& aAnswer, HostId aHost, Flow& aFlow);
+  void OnTaken(TimePoint aNow,
+               const Answer& aAnswer,
+               HostId aHost,
+               Flow& aFlow,
+               Actions& aOut);
+  /** @brief Tells what was decided about a flow, for the log. */
+  void Tell(TimePoint aNow,
+            FlowEvent aEvent,
+            const FlowKey& aKey,
+            const Flow& aFlow,
+            Actions& aOut) const;
   void Note(BalancerCount aCount) noexcept
   {
     ++counts_[static_cast<std::size_t>(aCount)];
--- a/src/cornelshore/relay/fwd.hpp
+++ b/src/cornelshore/relay/fwd.hpp
@@ -5,12 +5,14 @@
 
 class Agent;
 class Balancer;
+class FlowSampler;
 class HostTable;
 class LoadReports;
 class RouteTable;
 struct Answer;
 struct Carried;
 struct Codec;
+struct FlowDecision;
 struct HostLoad;
 struct HostReport;
 struct Segment;
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <cornelshore/relay/load_reports.hpp>
+#include <cornelshore/role/flow_log.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
 namespace cornelshore::role {
@@ -73,12 +74,17 @@
              { "confirmed", aChange.confirmed_ ? "yes" : "no" } } });
   }
 
-  void Carry(relay::Agent::Actions aActions, Actions& aOut)
+  void Carry(TimePoint aNow, relay::Agent::Actions aActions, Actions& aOut)
   {
     for (auto& action : aActions) {
       if (auto* tell = std::get_if<relay::ToBalancer>(&action)) {
         aOut.emplace_back(SendNode{ tell->balancer_,
                                     relay::Message(std::move(tell->answer_)) });
+      } else if (const auto* decision =
+                   std::get_if<relay::FlowDecision>(&action)) {
+        for (auto& line : log_.LinesOf(aNow, *decision)) {
+          aOut.emplace_back(std::move(line));
+        }
       } else if (auto* toHost = std::get_if<relay::ToHost>(&action)) {
         aOut.emplace_back(std::move(*toHost));
       } else {
@@ -112,14 +118,14 @@
     }
     relay::Agent::Actions actions;
     flows_.OnCarried(aNow, aEvent.address_, std::move(*carried), actions);
-    Carry(std::move(actions), aOut);
+    Carry(aNow, std::move(actions), aOut);
   }
 
   void Handle(TimePoint aNow, UpstreamPacket& aEvent, Actions& aOut)
   {
     relay::Agent::Actions actions;
     flows_.OnHostPacket(aNow, std::move(aEvent.packet_), actions);
-    Carry(std::move(actions), aOut);
+    Carry(aNow, std::move(actions), aOut);
   }
 
   void Handle(TimePoint aNow, UpstreamReported& aEvent, Actions& aOut)
@@ -216,6 +222,7 @@
   relay::Agent flows_;
   Hooks hooks_;
   HostRecord record_;
+  internal::FlowLog log_;
   std::optional<HostState> announced_;
   relay::LoadReports reports_{ relay::LoadReportsSettings{} };
   std::uint64_t misplaced_{};
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include <cornelshore/role/flow_log.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
 namespace cornelshore::role {
@@ -100,6 +101,11 @@
       if (auto* send = std::get_if<relay::ToAgent>(&action)) {
         aOut.emplace_back(
           SendNode{ send->agent_, relay::Message(std::move(send->carried_)) });
+      } else if (const auto* decision =
+                   std::get_if<relay::FlowDecision>(&action)) {
+        for (auto& line : log_.LinesOf(aNow, *decision)) {
+          aOut.emplace_back(std::move(line));
+        }
       } else if (const auto* watch = std::get_if<relay::WatchAgent>(&action)) {
         aOut.emplace_back(
           SendNode{ watch->agent_, relay::Message(relay::Watch{}) });
@@ -227,6 +233,7 @@
   std::optional<TimePoint> stopSince_;
   bool ready_{};
   std::uint64_t misplaced_{};
+  internal::FlowLog log_;
   TimePoint loggingSince_{};
   std::uint32_t resetsLogged_{};
   std::uint32_t resetsUnlogged_{};
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -122,6 +122,50 @@
   ConfigVersion version_{ 1 };
 };
 
+std::vector<std::pair<FlowEvent, FlowReason>>
+DecisionsIn(const Agent::Actions& aActions)
+{
+  std::vector<std::pair<FlowEvent, FlowReason>> decisions;
+  for (const auto& action : aActions) {
+    if (const auto* decision = std::get_if<FlowDecision>(&action)) {
+      decisions.emplace_back(decision->event_, decision->reason_);
+    }
+  }
+  return decisions;
+}
+
+TEST_F(AgentTest, TellsWhyItRefusedAnOpening)
+{
+  const auto refusal = [&](TimePoint aNow, ServiceId aService = kBoards) {
+    const auto decisions =
+      DecisionsIn(Carry(aNow, Purpose::Open, FromCaller(1, true), aService));
+    EXPECT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions.front().first, FlowEvent::Refused);
+    return decisions.front().second;
+  };
+  EXPECT_EQ(refusal(kStart), FlowReason::NoReport);
+  agent_.OnReport(kStart, ReportOf(1));
+  EXPECT_EQ(refusal(kStart, ServiceIdOf("sheets")), FlowReason::OtherService);
+  EXPECT_EQ(refusal(kStart + std::chrono::seconds{ 5 }), FlowReason::Silent);
+  auto leaving = ReportOf(2);
+  leaving.leaving_ = true;
+  agent_.OnReport(kStart, leaving);
+  EXPECT_EQ(refusal(kStart), FlowReason::Leaving);
+}
+
+TEST_F(AgentTest, TellsThatItTookAFlowAndHowTheFlowEnded)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  using Decisions = std::vector<std::pair<FlowEvent, FlowReason>>;
+  EXPECT_EQ(DecisionsIn(Carry(kStart, Purpose::Open, FromCaller(1, true))),
+            (Decisions{ { FlowEvent::Taken, FlowReason::None } }));
+  EXPECT_TRUE(DecisionsIn(HostSends(kStart, FromHostTo(1, true))).empty());
+  auto reset = FromHostTo(1, false);
+  reset.reset_ = true;
+  EXPECT_EQ(DecisionsIn(HostSends(kStart, reset)),
+            (Decisions{ { FlowEvent::Closed, FlowReason::Reset } }));
+}
+
 TEST_F(AgentTest, OpensNothingBeforeItsHostReported)
 {
   const auto actions = Carry(kStart, Purpose::Open, FromCaller(1, true));
