Tell a flow's story from the logs of many processes

cornelshorectl trace CALLER FILE... prints the lines about a caller's flows in order, whatever the processes' clocks say, with bounds on how far the clocks differ (from each opening that a balancer and an agent both logged) and with what these processes believed meanwhile.

--- a/src/cornelshore/tool/commands.cpp
+++ b/src/cornelshore/tool/commands.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/tool/commands.hpp>
 
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -12,6 +13,7 @@
 #include <cornelshore/rpc/client.hpp>
 #include <cornelshore/settings/targets.hpp>
 #include <cornelshore/tool/render.hpp>
+#include <cornelshore/trace/journal.hpp>
 
 namespace cornelshore::tool {
 
@@ -329,6 +331,53 @@
   return code;
 }
 
+/** Reads a log file into the journal; `-` is standard input. */
+absl::Status
+ReadLog(const std::string& aFile, trace::Journal& aJournal)
+{
+  std::ifstream file;
+  if (aFile != "-") {
+    file.open(aFile);
+    if (!file) {
+      return absl::NotFoundError(absl::StrCat(aFile, ": cannot be read"));
+    }
+  }
+  auto& stream = aFile == "-" ? std::cin : file;
+  for (std::string line; std::getline(stream, line);) {
+    aJournal.Add(line);
+  }
+  return absl::OkStatus();
+}
+
+ExitCode
+RunTrace(const Options& aOptions)
+{
+  const auto& words = aOptions.words_;
+  constexpr std::size_t kLeastWords = 3;
+  if (words.size() < kLeastWords || !ParseAddress(words[1]).ok()) {
+    return UsageError(aOptions, "trace takes CALLER (IP:PORT) and log FILEs");
+  }
+  trace::Journal journal;
+  for (std::size_t index = 2; index < words.size(); ++index) {
+    if (const auto status = ReadLog(words[index], journal); !status.ok()) {
+      return Fail(ExitCode::Usage, std::string(status.message()));
+    }
+  }
+  const auto story = journal.StoryOf(words[1]);
+  if (story.lines_.empty()) {
+    return Fail(ExitCode::Refused,
+                absl::StrCat("no line of ",
+                             words[1],
+                             " among ",
+                             journal.Lines(),
+                             " lines (",
+                             journal.Foreign(),
+                             " others passed over)"));
+  }
+  std::cout << ToText(story);
+  return ExitCode::Done;
+}
+
 } // namespace
 
 ExitCode
@@ -338,7 +387,7 @@
     { "apply", RunApply }, { "show", RunShow },   { "history", RunHistory },
     { "hosts", RunHosts }, { "flows", RunFlows }, { "state", RunState },
     { "drain", RunDrain }, { "send", RunSend },   { "check", RunCheck },
-    { "group", RunGroup },
+    { "group", RunGroup }, { "trace", RunTrace },
   };
   if (aOptions.words_.empty()) {
     return Fail(ExitCode::Usage, HelpOf(""));
--- a/src/cornelshore/tool/options.cpp
+++ b/src/cornelshore/tool/options.cpp
@@ -22,7 +22,7 @@
   std::string_view text_;
 };
 
-constexpr std::array<CommandHelp, 10> kCommands{ {
+constexpr std::array<CommandHelp, 11> kCommands{ {
   { "apply",
     "apply FILE --to CONTROL[,CONTROL...] [--version N] [--change-id ID]\n"
     "  Proposes the targets in FILE (TOML). --version is the version the "
@@ -65,12 +65,19 @@
   { "check",
     "check FILE...\n"
     "  Checks files of targets and says what is wrong with them.\n" },
+  { "trace",
+    "trace CALLER FILE...\n"
+    "  Tells the story of the flows of a caller's IP:PORT from the logs of "
+    "any\n"
+    "  number of processes, in order, by the clock of the first balancer; `-`\n"
+    "  is standard input. Lines marked ~ are what those processes "
+    "believed.\n" },
 } };
 
 constexpr std::string_view kGeneralHelp =
   "usage: cornelshorectl COMMAND [options]\n\n"
   "commands: apply, show, history, hosts, flows, state, drain, send, group,\n"
-  "  check\n"
+  "  check, trace\n"
   "options for all: --to ADDRESS[,ADDRESS...] (or CORNELSHORE_TO), --json,\n"
   "  --timeout-ms N, --certificate F --private-key F --authority F (TLS)\n"
   "exit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 not run, 5 "
--- /dev/null
+++ b/src/cornelshore/trace/fwd.hpp
@@ -0,0 +1,12 @@
+#ifndef CORNELSHORE_TRACE_FWD_HPP
+#define CORNELSHORE_TRACE_FWD_HPP
+
+namespace cornelshore::trace {
+
+class Clocks;
+class Journal;
+struct Line;
+
+} // namespace cornelshore::trace
+
+#endif
