Bound what an overload costs a balancer, send on the deciding thread

Cause: on grown Galan the balancers' 4.6 Mbit/s filled with the system's own retries (trial with counters by kind: 7,564 queries and 1.6 MB in one second of one balancer at 14 s, 100 kB/s of callers' packets): unanswered openings went on each 100 ms, up to 12 times, and queries were repeated to hosts that could not answer over the full links. And a packet waited behind up to 4 MB of older ones. Ruled out: gossip (2 to 6 kB/s) and load reports (80 a second).

Change: unanswered openings go on after 100, 200, 400 ms, and at most one in five does (plus 50); two queries are under way at once and end after 0.7 s; packets that waited longer than 150 ms (openings) or 400 ms for the deciding thread are dropped and counted. Relay processes send between two decisions instead of through a thread of their own.

--- a/src/cornelshore/daemon/decider.hpp
+++ b/src/cornelshore/daemon/decider.hpp
@@ -99,6 +99,7 @@
       if (role_->NextTimer() <= now) {
         Feed(role::Tick{});
       }
+      runtime_.SendDecided();
       PublishWhenDue(now);
       if (worked == 0 && !ended_) {
         const auto left = role_->NextTimer() - Now();
--- a/src/cornelshore/daemon/relay_agent_process.cpp
+++ b/src/cornelshore/daemon/relay_agent_process.cpp
@@ -206,7 +206,8 @@
   });
   aRuntime.Start(
     [&](role::NodeMessage aMessage) { received.Push(std::move(aMessage)); },
-    [&] { received.Push(role::StopRequested{}); });
+    [&] { received.Push(role::StopRequested{}); },
+    SendBy::DecidingThread);
   decider->Run();
   port.Stop();
   aRuntime.Stop();
--- a/src/cornelshore/daemon/relay_balancer_process.cpp
+++ b/src/cornelshore/daemon/relay_balancer_process.cpp
@@ -102,11 +102,12 @@
     }
   }
   (*packets)->StartReceiving([&](const Address&, std::string_view aBytes) {
-    received.Push(role::CallerPacket{ std::string(aBytes) });
+    received.Push(role::CallerPacket{ std::string(aBytes), Now() });
   });
   aRuntime.Start(
     [&](role::NodeMessage aMessage) { received.Push(std::move(aMessage)); },
-    [&] { received.Push(role::StopRequested{}); });
+    [&] { received.Push(role::StopRequested{}); },
+    SendBy::DecidingThread);
   decider->Run();
   port.Stop();
   aRuntime.Stop();
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -154,8 +154,19 @@
 }
 
 void
-Runtime::Start(OnMessage aOnMessage, std::function<void()> aOnStop)
+Runtime::SendDecided()
 {
+  if (sendBy_ == SendBy::DecidingThread) {
+    sender_->Poll();
+  }
+}
+
+void
+Runtime::Start(OnMessage aOnMessage,
+               std::function<void()> aOnStop,
+               SendBy aSendBy)
+{
+  sendBy_ = aSendBy;
   onMessage_ = std::move(aOnMessage);
   onStop_ = std::move(aOnStop);
   socket_->StartReceiving(
@@ -163,7 +174,9 @@
       Receive(aFrom, aBytes);
     });
   WaitForSignal();
-  sender_->Start();
+  if (sendBy_ == SendBy::OwnThread) {
+    sender_->Start();
+  }
   thread_ = std::thread([this] {
     const auto guard = boost::asio::make_work_guard(context_);
     context_.run();
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -28,6 +28,13 @@
 
 namespace cornelshore::daemon {
 
+/** @brief Which thread sends. */
+enum class SendBy : std::uint8_t
+{
+  OwnThread,      ///< The `Sender`'s.
+  DecidingThread, ///< Between two events; see `Runtime::SendDecided`.
+};
+
 /**
  * @brief What every role's process has: sockets, keys, threads, metrics.
  *
@@ -53,8 +60,14 @@
   Runtime(const Runtime&) = delete;
   Runtime& operator=(const Runtime&) = delete;
 
-  /** @brief Starts the receiving and the sending thread. */
-  void Start(OnMessage aOnMessage, std::function<void()> aOnStop);
+  /** @brief Starts the receiving thread and, if there is one, the sending
+   * thread. */
+  void Start(OnMessage aOnMessage,
+             std::function<void()> aOnStop,
+             SendBy aSendBy = SendBy::OwnThread);
+
+  /** @brief Sends what was decided, unless a thread of its own does. */
+  void SendDecided();
 
   /** @brief Ends both threads; what waits to be sent is sent first. */
   void Stop();
@@ -99,6 +112,7 @@
   std::unique_ptr<net::PeerStreams> streams_;
   std::unique_ptr<wire::Opener> opener_;
   std::unique_ptr<daemon::Sender> sender_;
+  SendBy sendBy_{ SendBy::OwnThread };
   std::unique_ptr<metrics::Publisher> metrics_;
   OnMessage onMessage_;
   std::function<void()> onStop_;
--- a/src/cornelshore/daemon/sender.cpp
+++ b/src/cornelshore/daemon/sender.cpp
@@ -56,6 +56,16 @@
   signal_.Wake();
   if (thread_.joinable()) {
     thread_.join();
+  } else {
+    Poll();
+  }
+}
+
+void
+Sender::Poll()
+{
+  TakeNewKeys();
+  while (SendWaiting() != 0) {
   }
 }
 
@@ -85,11 +95,7 @@
            });
   };
   for (;;) {
-    if (const auto keys = std::atomic_exchange(
-          &newKeys_, std::shared_ptr<const wire::KeyRing>())) {
-      datagrams_.Rotate(*keys);
-      frames_.Rotate(*keys);
-    }
+    TakeNewKeys();
     if (SendWaiting() != 0) {
       continue;
     }
@@ -100,6 +106,16 @@
   }
 }
 
+void
+Sender::TakeNewKeys()
+{
+  if (const auto keys = std::atomic_exchange(
+        &newKeys_, std::shared_ptr<const wire::KeyRing>())) {
+    datagrams_.Rotate(*keys);
+    frames_.Rotate(*keys);
+  }
+}
+
 std::size_t
 Sender::SendWaiting()
 {
--- a/src/cornelshore/daemon/sender.hpp
+++ b/src/cornelshore/daemon/sender.hpp
@@ -36,7 +36,11 @@
 using SendRing = net::Ring<Outgoing>;
 
 /**
- * @brief The sending thread: encodes, seals and sends in batches.
+ * @brief Encodes, seals and sends in batches.
+ *
+ * By a thread of its own, or by the deciding thread between two events: where
+ * a core's share is small, each hand-over to another thread costs more than
+ * the sending.
  *
  * Messages of the control group go by streams, all else by datagrams.
  */
@@ -67,7 +71,12 @@
   /** @brief Makes a ring for one producer; only before `Start()`. */
   [[nodiscard]] SendRing& AddRing();
 
+  /** @brief Starts the sending thread; without it, `Poll` sends. */
   void Start();
+
+  /** @brief Sends what waits; on one thread only, and not after `Start`. */
+  void Poll();
+
   /** @brief Sends what waits, then ends. */
   void Stop();
 
@@ -78,6 +87,7 @@
 
 private:
   void Run();
+  void TakeNewKeys();
   std::size_t SendWaiting();
   void Take(Outgoing& aOutgoing);
   void Flush();
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -10,6 +10,10 @@
 /** How often old flows are looked for. */
 constexpr Duration kSweepEvery = std::chrono::seconds{ 2 };
 
+/** Doublings of the time that an opening waits for its answer; its caller gives
+ * up within them. */
+constexpr std::uint32_t kMostDoublings = 4;
+
 /** Offers after which a busy host is asked to take the flow all the same. */
 constexpr std::uint32_t kOffersBeforeInsisting = 2;
 
@@ -20,7 +24,24 @@
   , codec_(std::move(aCodec))
   , hosts_(aSettings.hosts_, aSettings.seed_)
   , far_(aSettings.farSearch_)
+  , retries_(aSettings.retryShare_, aSettings.retryBurst_)
+{
+}
+
+bool
+Balancer::Sheds(TimePoint aNow, TimePoint aReceivedAt, std::string_view aPacket)
 {
+  const auto waited = aNow - aReceivedAt;
+  if (waited <= settings_.openingPatience_) {
+    return false;
+  }
+  const auto segment = codec_.parse_(aPacket);
+  const auto sheds =
+    waited > settings_.packetPatience_ || (segment && segment->opening_);
+  if (sheds) {
+    Note(BalancerCount::Shed);
+  }
+  return sheds;
 }
 
 void
@@ -93,7 +114,8 @@
     return;
   }
   if (aSegment.opening_ && aFlow.phase_ == Phase::Opening) {
-    if (aFlow.offers_ < settings_.mostOffers_) {
+    const auto awaits = aFlow.due_ > aNow;
+    if (!awaits && aFlow.offers_ < settings_.mostOffers_) {
       Offer(aNow, aKey, aFlow, aOut);
     }
     return;
@@ -113,6 +135,7 @@
   flow.since_ = flow.lastPacket_ = aNow;
   flow.packets_.push_back(std::move(aPacket));
   Note(BalancerCount::Opened);
+  retries_.First();
   if (!hosts_.Pick(aNow, flow.service_, aKey, flow.tried_)) {
     Note(BalancerCount::NoHost);
     if (!inStepAt_) {
@@ -199,7 +222,8 @@
        aFlow.service_,
        aFlow.packets_.front(),
        aOut);
-  WakeAt(aNow + settings_.openTimeout_, aKey, aFlow);
+  WakeAt(
+    aNow + settings_.openTimeout_ * (1U << aFlow.unanswered_), aKey, aFlow);
 }
 
 void
@@ -341,9 +365,12 @@
   } else if (aFlow.phase_ == Phase::Opening) {
     Tell(aNow, FlowEvent::Unanswered, aKey, aFlow, aOut);
     hosts_.Suspect(aNow, aFlow.host_);
-    if (aFlow.offers_ < settings_.mostOffers_) {
-      Offer(aNow, aKey, aFlow, aOut);
+    aFlow.unanswered_ = std::min(aFlow.unanswered_ + 1, kMostDoublings);
+    if (aFlow.offers_ >= settings_.mostOffers_ || !retries_.Take()) {
+      Note(BalancerCount::Unretried);
+      return;
     }
+    Offer(aNow, aKey, aFlow, aOut);
   }
 }
 
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include <cornelshore/relay/message.hpp>
 #include <cornelshore/relay/route_table.hpp>
 #include <cornelshore/relay/segment.hpp>
+#include <cornelshore/request/retry_budget.hpp>
 
 namespace cornelshore::relay {
 
@@ -75,10 +77,12 @@
   NoRoute,   ///< Dropped or reset: the address has no route.
   NoHost,    ///< Openings reset, or dropped while not in step: no host.
   Malformed, ///< No packet of a flow.
+  Shed,      ///< Dropped: waited too long for the deciding thread.
+  Unretried, ///< Unanswered openings left to their callers' copies.
 };
 
 /** @brief Names of `BalancerCount`. */
-inline constexpr std::array<EnumName<BalancerCount>, 8> kBalancerCountNames{ {
+inline constexpr std::array<EnumName<BalancerCount>, 10> kBalancerCountNames{ {
   { BalancerCount::Direct, "direct" },
   { BalancerCount::Opened, "opened" },
   { BalancerCount::Retried, "retried" },
@@ -87,6 +91,8 @@
   { BalancerCount::NoRoute, "no_route" },
   { BalancerCount::NoHost, "no_host" },
   { BalancerCount::Malformed, "malformed" },
+  { BalancerCount::Shed, "shed" },
+  { BalancerCount::Unretried, "unretried" },
 } };
 
 /** @brief Times and weights of a balancer. */
@@ -95,9 +101,20 @@
   HostTableSettings hosts_;
   FarSearchSettings farSearch_;
   std::uint64_t seed_{};
-  /** An opening without an answer goes on to another host; some round trips
-   * between data centres and a busy agent's delay. */
+  /** An opening without an answer goes on to another host, after twice the time
+   * at each further one; some round trips between data centres and a busy
+   * agent's delay. */
   Duration openTimeout_{ std::chrono::milliseconds{ 100 } };
+  /** Openings that go on unanswered, in 1/1000 of all, and how many more of
+   * them may be saved up for a host's death; the rest wait for the callers'
+   * copies. Without a bound an overload feeds itself. */
+  std::uint32_t retryShare_{ 200 };
+  std::uint32_t retryBurst_{ 50 };
+  /** A packet that waited longer for the deciding thread is dropped: an opening
+   * before its first copy comes, others before their second. What is served
+   * late costs as much as what is served in time. */
+  Duration openingPatience_{ std::chrono::milliseconds{ 150 } };
+  Duration packetPatience_{ std::chrono::milliseconds{ 400 } };
   /** Offers of one opening; callers give up after 1.4 s. */
   std::uint32_t mostOffers_{ 12 };
   /** A flow that every host denies is reset when it was looked for so long: a
@@ -133,6 +150,11 @@
   /** @brief A caller's packet came in. */
   void OnPacket(TimePoint aNow, std::string aPacket, Actions& aOut);
 
+  /** @brief Whether to drop a packet that waited since `aReceivedAt`. */
+  [[nodiscard]] bool Sheds(TimePoint aNow,
+                           TimePoint aReceivedAt,
+                           std::string_view aPacket);
+
   /** @brief A host's agent answered. */
   void OnAnswer(TimePoint aNow, HostId aHost, Answer aAnswer, Actions& aOut);
 
@@ -192,6 +214,7 @@
     std::vector<std::string> packets_;
     std::vector<HostId> tried_;
     std::uint32_t offers_{};
+    std::uint32_t unanswered_{}; ///< Offers without an answer.
     TimePoint due_;
     TimePoint searchingSince_;
     TimePoint searchedAt_;      ///< Hosts known since then were not asked.
@@ -293,6 +316,7 @@
   RouteTable routes_;
   HostTable hosts_;
   FarSearch far_;
+  request::RetryBudget retries_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, HeldOpening> held_;
   bool resumes_{};
--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -13,7 +13,8 @@
 void
 FarSearch::Add(TimePoint aNow, const FlowKey& aKey, std::uint32_t aAcknowledged)
 {
-  if (!where_.emplace(aKey, 0).second) {
+  if (queue_.size() >= settings_.mostQueued_ ||
+      !where_.emplace(aKey, 0).second) {
     return;
   }
   queue_.push_back({ aKey, aAcknowledged });
@@ -64,8 +65,7 @@
   if (aNow < queueDue_) {
     return;
   }
-  queueDue_ = TimePoint::max();
-  while (!queue_.empty()) {
+  while (!queue_.empty() && open_.size() < settings_.mostOpen_) {
     const auto id = ++lastId_;
     auto& open = open_[id];
     open.since_ = aNow;
@@ -75,6 +75,7 @@
       queue_.pop_front();
     }
   }
+  queueDue_ = queue_.empty() ? TimePoint::max() : aNow + settings_.gather_;
 }
 
 void
--- a/src/cornelshore/relay/far_search.hpp
+++ b/src/cornelshore/relay/far_search.hpp
@@ -19,11 +19,16 @@
 {
   /** Flows that are looked for within this time share a query. */
   Duration gather_{ std::chrono::milliseconds{ 10 } };
+  /** Queries under way at once: 1,000 flows a second at 40 ms each, while a
+   * query to 62 hosts takes a hundredth of a second of a thin link. */
+  std::size_t mostOpen_{ 2 };
   /** A host that did not answer is asked again; some round trips and a busy
    * agent's delay. */
   Duration again_{ std::chrono::milliseconds{ 300 } };
   /** A query ends without an outcome; callers repeat their packets. */
-  Duration giveUp_{ std::chrono::milliseconds{ 1500 } };
+  Duration giveUp_{ std::chrono::milliseconds{ 700 } };
+  /** Flows that wait for a query at most; the others' callers repeat. */
+  std::size_t mostQueued_{ 2048 };
   /** A host unheard for so long holds no flow any more: none lives longer. */
   Duration hostLife_{ std::chrono::seconds{ 70 } };
 };
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -181,6 +181,9 @@
 
   void Handle(TimePoint aNow, CallerPacket& aEvent, Actions& aOut)
   {
+    if (flows_.Sheds(aNow, aEvent.receivedAt_, aEvent.packet_)) {
+      return;
+    }
     relay::Balancer::Actions actions;
     flows_.OnPacket(aNow, std::move(aEvent.packet_), actions);
     Carry(aNow, std::move(actions), aOut);
--- a/src/cornelshore/role/relay_balancer.hpp
+++ b/src/cornelshore/role/relay_balancer.hpp
@@ -22,6 +22,7 @@
 struct CallerPacket
 {
   std::string packet_;
+  TimePoint receivedAt_; ///< It may have waited for the deciding thread.
 };
 
 /** @brief What happens to a balancer of flows of segments. */
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -607,6 +607,52 @@
   EXPECT_TRUE(EventsIn(Packet(kStart, packet)).empty());
 }
 
+TEST_F(BalancerTest, ShedsWhatWaitedTooLongOpeningsFirst)
+{
+  const auto opening = PacketOf(FromCaller(1, kBoardAddress, true));
+  const auto other = PacketOf(FromCaller(1, kBoardAddress, false));
+  const auto after = [](int aMillis) {
+    return kStart + milliseconds{ aMillis };
+  };
+  EXPECT_FALSE(balancer_.Sheds(after(150), kStart, opening));
+  EXPECT_TRUE(balancer_.Sheds(after(151), kStart, opening));
+  EXPECT_FALSE(balancer_.Sheds(after(400), kStart, other));
+  EXPECT_TRUE(balancer_.Sheds(after(401), kStart, other));
+  EXPECT_EQ(balancer_.Count(BalancerCount::Shed), 2U);
+}
+
+TEST_F(BalancerTest, LeavesUnansweredOpeningsToTheirCallersOnceItsBudgetIsSpent)
+{
+  constexpr std::uint16_t kOpenings = 500;
+  std::size_t offers = 0;
+  for (std::uint16_t port = 1; port <= kOpenings; ++port) {
+    offers +=
+      HostsOf(Packet(kStart, FromCaller(port, kBoardAddress, true))).size();
+  }
+  EXPECT_EQ(offers, kOpenings);
+  for (int step = 1; step <= 14; ++step) {
+    const auto now = kStart + step * milliseconds{ 100 };
+    TellLoads(now);
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+    offers += static_cast<std::size_t>(
+      std::count_if(actions.begin(), actions.end(), [](const auto& aAction) {
+        return std::holds_alternative<ToAgent>(aAction);
+      }));
+  }
+  EXPECT_GT(offers, kOpenings);
+  EXPECT_LE(offers, kOpenings + kOpenings / 5 + 50U);
+  EXPECT_GT(balancer_.Count(BalancerCount::Unretried), 0U);
+}
+
+TEST_F(BalancerTest, OffersACopyOfAnOpeningOnlyOnceTheLastOfferIsOver)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  Packet(kStart, opening);
+  EXPECT_TRUE(HostsOf(Packet(kStart + milliseconds{ 50 }, opening)).empty());
+  EXPECT_EQ(HostsOf(Packet(kStart + milliseconds{ 200 }, opening)).size(), 1U);
+}
+
 TEST_F(BalancerTest, CountsMalformedPackets)
 {
   Balancer::Actions actions;
--- /dev/null
+++ b/test/cornelshore/relay/far_search.cpp
@@ -0,0 +1,154 @@
+#include <cornelshore/relay/far_search.hpp>
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace cornelshore::relay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+constexpr auto kGather = milliseconds{ 10 };
+
+FlowKey
+KeyOf(std::uint16_t aPort)
+{
+  return { MakeIpv4(0x64400001U, aPort),
+           MakeIpv4(0xC6120001U, 443),
+           Transport::Tcp };
+}
+
+HostRecord
+RecordOf(std::uint64_t aHost)
+{
+  HostRecord record;
+  record.id_ = HostId{ aHost };
+  record.incarnation_ = Incarnation{ 1 };
+  record.agent_ = MakeIpv4(0x0A000000U + static_cast<std::uint32_t>(aHost), 7);
+  record.state_ = HostState::Ready;
+  return record;
+}
+
+class FarSearchTest : public testing::Test
+{
+protected:
+  FarSearchTest()
+    : hosts_(HostTableSettings{}, 1)
+    , search_(FarSearchSettings{})
+  {
+    for (std::uint64_t host = 1; host <= 3; ++host) {
+      hosts_.Update(kStart, { RecordOf(host) });
+      hosts_.OnLoad(kStart, HostId{ host }, { 0, 0, 4, true, false });
+    }
+  }
+
+  std::set<std::uint32_t> Asked(TimePoint aNow)
+  {
+    std::set<std::uint32_t> agents;
+    for (auto& outgoing : search_.Take(aNow, hosts_)) {
+      agents.insert(outgoing.agent_.ip_[15]);
+      query_ = std::move(outgoing.query_);
+    }
+    return agents;
+  }
+
+  FarSearch::Findings Answer(std::uint64_t aHost, Holding aHolding)
+  {
+    QueryAnswer answer;
+    answer.id_ = query_.id_;
+    answer.holdings_.assign(query_.items_.size(), aHolding);
+    return search_.OnAnswer(HostId{ aHost }, answer);
+  }
+
+  HostTable hosts_;
+  FarSearch search_;
+  Query query_;
+};
+
+using Agents = std::set<std::uint32_t>;
+
+TEST_F(FarSearchTest, DeniesAFlowOnceEveryHostDid)
+{
+  search_.Add(kStart, KeyOf(1), 7);
+  EXPECT_EQ(search_.Next(), kStart + kGather);
+  EXPECT_TRUE(Asked(kStart).empty());
+  EXPECT_EQ(Asked(kStart + kGather), (Agents{ 1, 2, 3 }));
+  EXPECT_TRUE(Answer(1, Holding::No).denied_.empty());
+  EXPECT_TRUE(Answer(1, Holding::No).denied_.empty());
+  EXPECT_TRUE(Answer(2, Holding::No).denied_.empty());
+  EXPECT_EQ(Answer(3, Holding::No).denied_, std::vector{ KeyOf(1) });
+  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
+}
+
+TEST_F(FarSearchTest, NeverDeniesAFlowThatOneHostHoldsOrLooksAt)
+{
+  search_.Add(kStart, KeyOf(1), 0);
+  static_cast<void>(Asked(kStart + kGather));
+  EXPECT_EQ(Answer(1, Holding::Unsure).unsure_, std::vector{ KeyOf(1) });
+  EXPECT_TRUE(Answer(2, Holding::No).denied_.empty());
+  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
+  EXPECT_FALSE(search_.OnDenied(HostId{ 2 }, KeyOf(1)));
+  EXPECT_TRUE(search_.OnDenied(HostId{ 1 }, KeyOf(1)));
+
+  search_.Add(kStart + seconds{ 1 }, KeyOf(2), 0);
+  static_cast<void>(Asked(kStart + seconds{ 1 } + kGather));
+  EXPECT_EQ(Answer(1, Holding::Yes).held_, std::vector{ KeyOf(2) });
+  EXPECT_TRUE(Answer(2, Holding::No).denied_.empty());
+  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
+}
+
+TEST_F(FarSearchTest, AsksASilentHostAgainAndThenLeavesItToTheNextPacket)
+{
+  search_.Add(kStart, KeyOf(1), 0);
+  auto now = kStart + kGather;
+  static_cast<void>(Asked(now));
+  Answer(1, Holding::No);
+  Answer(2, Holding::No);
+  now += milliseconds{ 300 };
+  EXPECT_EQ(Asked(now), Agents{ 3 });
+  search_.Add(now, KeyOf(1), 0);
+  now += milliseconds{ 500 };
+  EXPECT_TRUE(Asked(now).empty());
+  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
+  search_.Add(now, KeyOf(1), 0);
+  EXPECT_EQ(Asked(now + kGather), (Agents{ 1, 2, 3 }));
+}
+
+TEST_F(FarSearchTest, BoundsTheQueriesUnderWay)
+{
+  for (std::uint16_t port = 0; port < 100; ++port) {
+    search_.Add(kStart, KeyOf(port), 0);
+  }
+  auto now = kStart + kGather;
+  EXPECT_EQ(search_.Take(now, hosts_).size(), 2 * 3U);
+  EXPECT_TRUE(search_.Take(now + kGather, hosts_).empty());
+  std::set<std::uint16_t> asked;
+  for (int step = 0; step < 400; ++step) {
+    now += kGather;
+    for (const auto& outgoing : search_.Take(now, hosts_)) {
+      for (const auto& item : outgoing.query_.items_) {
+        asked.insert(item.key_.caller_.port_);
+      }
+    }
+  }
+  EXPECT_EQ(asked.size(), 100U);
+  EXPECT_EQ(search_.Next(), TimePoint::max());
+}
+
+TEST_F(FarSearchTest, LeavesOutHostsThatAreGoneOrLongSilent)
+{
+  auto gone = RecordOf(1);
+  gone.state_ = HostState::Gone;
+  hosts_.Update(kStart, { gone });
+  const auto now = kStart + seconds{ 80 };
+  hosts_.OnLoad(now, HostId{ 2 }, { 0, 0, 4, true, false });
+  search_.Add(now, KeyOf(1), 0);
+  EXPECT_EQ(Asked(now + kGather), Agents{ 2 });
+  EXPECT_EQ(Answer(2, Holding::No).denied_, std::vector{ KeyOf(1) });
+}
+
+} // namespace
+} // namespace cornelshore::relay
