End processes without waiting for the metrics server

Cause: since metrics are served on the platform, a planned stop of a balancer lasted up to 3.55 s instead of 1.74: the metrics server polls its threads for up to two seconds when it ends. Restarts in turn overlapped, fewer than half of a data centre's balancers were ready, and the fabric sent packets to ended ones. Ruled out: late packets (none came to the stopping balancers after 0.8 s) and searches (each flow found within 5 ms).

Change: the runtime leaves the server's threads to the end of the process, which destroys nothing static any more.

--- a/src/cornelshore/daemon/main.cpp
+++ b/src/cornelshore/daemon/main.cpp
@@ -139,5 +139,8 @@
 main(int aCount, char** aArguments)
 {
   const auto line = Parse(aCount, const_cast<const char**>(aArguments));
-  return static_cast<int>(line.valid_ ? Run(line) : Exit::Usage);
+  const auto exit = line.valid_ ? Run(line) : Exit::Usage;
+  std::cout.flush();
+  // Threads of the metrics server may still run: nothing static is destroyed.
+  std::quick_exit(static_cast<int>(exit));
 }
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -107,6 +107,9 @@
 Runtime::~Runtime()
 {
   Stop();
+  // The metrics server takes up to two seconds to end its threads. The process
+  // ends without them: a planned restart must not last longer for it.
+  static_cast<void>(metrics_.release());
 }
 
 absl::StatusOr<std::unique_ptr<Runtime>>
