Bound queries by messages a second, and ask silent hosts alone once others denied

Change: queries have 100 messages a second and 400 saved up; the hosts near a flow are asked twice, over 300 ms, before all are; when a search ends with some hosts silent, the flow's packets go to these alone. Tests for each.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -360,7 +360,7 @@
     if (IsLost(aNow, aFlow)) {
       ResetLost(aKey, aOut);
     } else if (!aFlow.everywhere_) {
-      SearchEverywhere(aNow, aKey, aFlow);
+      GoOnNearby(aNow, aKey, aFlow, aOut);
     }
   } else if (aFlow.phase_ == Phase::Opening) {
     Tell(aNow, FlowEvent::Unanswered, aKey, aFlow, aOut);
@@ -408,9 +408,13 @@
     aOut.emplace_back(WatchAgent{ agent });
   }
   if (far_.Next() <= aNow) {
-    for (auto& query : far_.Take(aNow, hosts_)) {
+    auto due = far_.Take(aNow, hosts_);
+    for (auto& query : due.queries_) {
       aOut.emplace_back(std::move(query));
     }
+    for (auto& unresolved : due.unresolved_) {
+      WaitForSilent(unresolved);
+    }
   }
   nextTimer_ = std::min({ sweepAt_, hosts_.NextWatch(), far_.Next() });
   for (const auto& [due, key] : due_) {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -219,10 +219,13 @@
     std::uint32_t unanswered_{}; ///< Offers without an answer.
     TimePoint due_;
     TimePoint searchingSince_;
-    TimePoint searchedAt_;      ///< Hosts known since then were not asked.
-    std::vector<HostId> asked_; ///< Hosts near it that have not denied it.
-    bool everywhere_{};         ///< All hosts are asked.
-    bool denied_{};             ///< All hosts denied it.
+    TimePoint searchedAt_; ///< Hosts known since then were not asked.
+    /** Hosts near it that have not denied it, or silent ones of all. */
+    std::vector<HostId> asked_;
+    bool askedTwice_{};     ///< The hosts near it.
+    bool waitsForSilent_{}; ///< All but silent hosts denied it.
+    bool everywhere_{};     ///< All hosts are asked.
+    bool denied_{};         ///< All hosts denied it.
   };
 
   /** An opening that came before it could be offered. */
@@ -274,6 +277,13 @@
   /** @brief Asks all hosts, once those near the flow denied it. */
   void SearchEverywhere(TimePoint aNow, const FlowKey& aKey, Flow& aFlow);
   void AskEverywhere(TimePoint aNow, const FlowKey& aKey, const Flow& aFlow);
+  /** @brief A host near the flow is silent. */
+  void GoOnNearby(TimePoint aNow,
+                  const FlowKey& aKey,
+                  Flow& aFlow,
+                  Actions& aOut);
+  /** @brief Goes on asking the hosts alone that did not answer. */
+  void WaitForSilent(const FarSearch::Unresolved& aUnresolved);
   void ResumeSearch(TimePoint aNow,
                     const FlowKey& aKey,
                     Flow& aFlow,
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -11,6 +11,11 @@
  * since the flow opened. */
 constexpr std::size_t kMoreNear = 1;
 
+/** The hosts near a flow are asked twice before all are: over a full link a
+ * query to all would make it worse. The second time they have so many times the
+ * time of an opening. */
+constexpr int kPatienceNearby = 2;
+
 } // namespace
 
 void
@@ -24,6 +29,7 @@
   aFlow.phase_ = Phase::Searching;
   aFlow.since_ = aFlow.searchingSince_ = aFlow.searchedAt_ = aNow;
   aFlow.everywhere_ = aFlow.denied_ = false;
+  aFlow.askedTwice_ = aFlow.waitsForSilent_ = false;
   aFlow.asked_.clear();
   Tell(aNow, FlowEvent::Searched, aKey, aFlow, aOut);
   for (const auto host : hosts_.Near(aFlow.service_, aKey, kMoreNear)) {
@@ -69,6 +75,38 @@
   }
 }
 
+void
+Balancer::GoOnNearby(TimePoint aNow,
+                     const FlowKey& aKey,
+                     Flow& aFlow,
+                     Actions& aOut)
+{
+  if (aFlow.waitsForSilent_) {
+    return;
+  }
+  if (std::exchange(aFlow.askedTwice_, true)) {
+    SearchEverywhere(aNow, aKey, aFlow);
+    return;
+  }
+  for (const auto host : aFlow.asked_) {
+    Send(host, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
+  }
+  WakeAt(aNow + settings_.openTimeout_ * kPatienceNearby, aKey, aFlow);
+}
+
+void
+Balancer::WaitForSilent(const FarSearch::Unresolved& aUnresolved)
+{
+  const auto found = flows_.find(aUnresolved.key_);
+  if (found == flows_.end() || found->second.phase_ != Phase::Searching) {
+    return;
+  }
+  auto& flow = found->second;
+  flow.everywhere_ = false;
+  flow.waitsForSilent_ = true;
+  flow.asked_ = aUnresolved.silent_;
+}
+
 void
 Balancer::SearchEverywhere(TimePoint aNow, const FlowKey& aKey, Flow& aFlow)
 {
@@ -76,6 +114,7 @@
     return;
   }
   aFlow.everywhere_ = true;
+  aFlow.waitsForSilent_ = false;
   aFlow.searchingSince_ = aNow;
   AskEverywhere(aNow, aKey, aFlow);
   WakeAt(aNow + settings_.searchLeast_, aKey, aFlow);
--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -7,9 +7,19 @@
 
 FarSearch::FarSearch(FarSearchSettings aSettings)
   : settings_(aSettings)
+  , budget_(aSettings.burst_)
 {
 }
 
+void
+FarSearch::Refill(TimePoint aNow)
+{
+  const std::chrono::duration<double> passed = aNow - refilledAt_;
+  budget_ =
+    std::min(settings_.burst_, budget_ + settings_.perSecond_ * passed.count());
+  refilledAt_ = aNow;
+}
+
 void
 FarSearch::Add(TimePoint aNow, const FlowKey& aKey, std::uint32_t aAcknowledged)
 {
@@ -65,7 +75,7 @@
   if (aNow < queueDue_) {
     return;
   }
-  while (!queue_.empty() && open_.size() < settings_.mostOpen_) {
+  while (!queue_.empty() && open_.size() < settings_.mostOpen_ && budget_ > 0) {
     const auto id = ++lastId_;
     auto& open = open_[id];
     open.since_ = aNow;
@@ -83,7 +93,7 @@
                   std::uint32_t aId,
                   Open& aOpen,
                   const HostTable& aHosts,
-                  std::vector<Outgoing>& aOut) const
+                  std::vector<Outgoing>& aOut)
 {
   Query query;
   query.id_ = aId;
@@ -101,35 +111,50 @@
         aNow - heardAt < settings_.hostLife_) {
       aOpen.awaited_.push_back(id);
       aOut.push_back({ host.record_.agent_, query });
+      budget_ -= 1;
     }
   }
 }
 
-std::vector<FarSearch::Outgoing>
+void
+FarSearch::GiveUp(Open& aOpen, std::vector<Unresolved>& aOut)
+{
+  for (const auto& item : aOpen.items_) {
+    if (item.settled_) {
+      continue;
+    }
+    auto silent = aOpen.awaited_;
+    silent.insert(silent.end(), item.unsure_.begin(), item.unsure_.end());
+    aOut.push_back({ item.query_.key_, std::move(silent) });
+    where_.erase(item.query_.key_);
+  }
+}
+
+FarSearch::Due
 FarSearch::Take(TimePoint aNow, const HostTable& aHosts)
 {
-  std::vector<Outgoing> out;
-  StartQueries(aNow);
-  next_ = queueDue_;
+  Due due;
+  Refill(aNow);
   for (auto row = open_.begin(); row != open_.end();) {
     const auto current = row++;
-    auto& [id, open] = *current;
-    if (aNow - open.since_ >= settings_.giveUp_) {
-      for (const auto& item : open.items_) {
-        if (!item.settled_) {
-          where_.erase(item.query_.key_);
-        }
-      }
+    if (aNow - current->second.since_ >= settings_.giveUp_) {
+      GiveUp(current->second, due.unresolved_);
       open_.erase(current);
-      continue;
     }
-    if (open.sentAt_ == TimePoint{} ||
-        aNow - open.sentAt_ >= settings_.again_) {
-      AskAll(aNow, id, open, aHosts, out);
+  }
+  StartQueries(aNow);
+  next_ = queueDue_;
+  for (auto& [id, open] : open_) {
+    const auto first = open.sentAt_ == TimePoint{};
+    const auto again = aNow - open.sentAt_ >= settings_.again_ && budget_ > 0;
+    if (first || again) {
+      AskAll(aNow, id, open, aHosts, due.queries_);
     }
-    next_ = std::min(next_, open.sentAt_ + settings_.again_);
+    const auto goesOn =
+      std::max(open.sentAt_ + settings_.again_, aNow + settings_.gather_);
+    next_ = std::min({ next_, goesOn, open.since_ + settings_.giveUp_ });
   }
-  return out;
+  return due;
 }
 
 void
--- a/src/cornelshore/relay/far_search.hpp
+++ b/src/cornelshore/relay/far_search.hpp
@@ -22,6 +22,11 @@
   /** Queries under way at once: 1,000 flows a second at 40 ms each, while a
    * query to 62 hosts takes a hundredth of a second of a thin link. */
   std::size_t mostOpen_{ 2 };
+  /** Messages that may be saved up, and that come to them in a second: 100
+   * flows that are lost at once are settled at once among 62 hosts, and no
+   * storm of queries takes more than 90 kB/s of a link. */
+  double burst_{ 400 };
+  double perSecond_{ 100 };
   /** A host that did not answer is asked again; some round trips and a busy
    * agent's delay. */
   Duration again_{ std::chrono::milliseconds{ 300 } };
@@ -49,6 +54,20 @@
     Query query_;
   };
 
+  /** @brief A flow that all hosts denied but those that did not answer. */
+  struct Unresolved
+  {
+    FlowKey key_;
+    std::vector<HostId> silent_;
+  };
+
+  /** @brief What is due. */
+  struct Due
+  {
+    std::vector<Outgoing> queries_;
+    std::vector<Unresolved> unresolved_; ///< Their search has ended.
+  };
+
   /** @brief What an answer settled. */
   struct Findings
   {
@@ -65,9 +84,8 @@
   /** @brief Ends the search for a flow. */
   void Forget(const FlowKey& aKey);
 
-  /** @brief Queries that are due. */
-  [[nodiscard]] std::vector<Outgoing> Take(TimePoint aNow,
-                                           const HostTable& aHosts);
+  /** @brief Queries that are due, and searches that end without an outcome. */
+  [[nodiscard]] Due Take(TimePoint aNow, const HostTable& aHosts);
 
   /** @brief When `Take` is due. */
   [[nodiscard]] TimePoint Next() const noexcept { return next_; }
@@ -96,11 +114,13 @@
   };
 
   void StartQueries(TimePoint aNow);
+  void Refill(TimePoint aNow);
+  void GiveUp(Open& aOpen, std::vector<Unresolved>& aOut);
   void AskAll(TimePoint aNow,
               std::uint32_t aId,
               Open& aOpen,
               const HostTable& aHosts,
-              std::vector<Outgoing>& aOut) const;
+              std::vector<Outgoing>& aOut);
   /** @brief Settles the items that every host denied. */
   static void Conclude(Open& aOpen, std::vector<FlowKey>& aDenied);
   void Settle(const FlowKey& aKey);
@@ -113,6 +133,8 @@
   /** Query that each flow is part of; 0: in the queue. */
   absl::flat_hash_map<FlowKey, std::uint32_t> where_;
   std::uint32_t lastId_{};
+  double budget_; ///< Messages; a query is begun while it is above 0.
+  TimePoint refilledAt_{};
   TimePoint next_{ TimePoint::max() };
 };
 
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -328,6 +328,48 @@
   EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 2 });
 }
 
+TEST_F(BalancerTest, AsksTheHostsNearAFlowTwiceBeforeAllHosts)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  Balancer::Actions start;
+  balancer_.Tick(kStart, start);
+  Packet(kStart, packet);
+  for (const std::uint64_t host : { 1U, 2U }) {
+    Answer(kStart, host, packet, Verdict::Unknown);
+  }
+  auto now = kStart + milliseconds{ 100 };
+  Balancer::Actions actions;
+  balancer_.Tick(now, actions);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 3 });
+  now += milliseconds{ 200 };
+  actions.clear();
+  balancer_.Tick(now, actions);
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions), (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
+}
+
+TEST_F(BalancerTest, AsksNobodyAgainButTheHostsThatWereSilent)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now, host, query, Holding::No);
+  }
+  for (int step = 0; step < 8; ++step) {
+    now += milliseconds{ 100 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+  }
+  TellLoads(now);
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(SentBy(Answer(now, 12, packet, Verdict::Unknown)), 0U);
+  Balancer::Actions actions;
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions), (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
+}
+
 TEST_F(BalancerTest, ManyFlowsShareOneQuery)
 {
   for (std::uint16_t port = 1; port <= 15; ++port) {
--- a/test/cornelshore/relay/far_search.cpp
+++ b/test/cornelshore/relay/far_search.cpp
@@ -48,7 +48,9 @@
   std::set<std::uint32_t> Asked(TimePoint aNow)
   {
     std::set<std::uint32_t> agents;
-    for (auto& outgoing : search_.Take(aNow, hosts_)) {
+    auto due = search_.Take(aNow, hosts_);
+    unresolved_ = std::move(due.unresolved_);
+    for (auto& outgoing : due.queries_) {
       agents.insert(outgoing.agent_.ip_[15]);
       query_ = std::move(outgoing.query_);
     }
@@ -66,6 +68,7 @@
   HostTable hosts_;
   FarSearch search_;
   Query query_;
+  std::vector<FarSearch::Unresolved> unresolved_;
 };
 
 using Agents = std::set<std::uint32_t>;
@@ -112,6 +115,9 @@
   search_.Add(now, KeyOf(1), 0);
   now += milliseconds{ 500 };
   EXPECT_TRUE(Asked(now).empty());
+  ASSERT_EQ(unresolved_.size(), 1U);
+  EXPECT_EQ(unresolved_.front().key_, KeyOf(1));
+  EXPECT_EQ(unresolved_.front().silent_, std::vector{ HostId{ 3 } });
   EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
   search_.Add(now, KeyOf(1), 0);
   EXPECT_EQ(Asked(now + kGather), (Agents{ 1, 2, 3 }));
@@ -123,12 +129,12 @@
     search_.Add(kStart, KeyOf(port), 0);
   }
   auto now = kStart + kGather;
-  EXPECT_EQ(search_.Take(now, hosts_).size(), 2 * 3U);
-  EXPECT_TRUE(search_.Take(now + kGather, hosts_).empty());
+  EXPECT_EQ(search_.Take(now, hosts_).queries_.size(), 2 * 3U);
+  EXPECT_TRUE(search_.Take(now + kGather, hosts_).queries_.empty());
   std::set<std::uint16_t> asked;
   for (int step = 0; step < 400; ++step) {
     now += kGather;
-    for (const auto& outgoing : search_.Take(now, hosts_)) {
+    for (const auto& outgoing : search_.Take(now, hosts_).queries_) {
       for (const auto& item : outgoing.query_.items_) {
         asked.insert(item.key_.caller_.port_);
       }
@@ -138,6 +144,23 @@
   EXPECT_EQ(search_.Next(), TimePoint::max());
 }
 
+TEST_F(FarSearchTest, BoundsItsMessagesASecond)
+{
+  std::size_t messages = 0;
+  for (std::uint16_t port = 0; port < 20'000; ++port) {
+    const auto now = kStart + milliseconds{ port };
+    search_.Add(now, KeyOf(port), 0);
+    auto due = search_.Take(now, hosts_);
+    messages += due.queries_.size();
+    for (auto& outgoing : due.queries_) {
+      query_ = std::move(outgoing.query_);
+      Answer(outgoing.agent_.ip_[15], Holding::No);
+    }
+  }
+  EXPECT_GE(messages, 400U + 1'900U);
+  EXPECT_LE(messages, 400U + 2'000U + 2 * 3U);
+}
+
 TEST_F(FarSearchTest, LeavesOutHostsThatAreGoneOrLongSilent)
 {
   auto gone = RecordOf(1);
