Wait for no silent host that is gone, when looking for a flow

A flow that all hosts but a silent one denied goes on asking that one. When the host was gone at last, nobody was left to deny it and the flow was never reset; its caller ran into its deadline. Found on reading through. Now hosts that are gone are left out, and the others are asked once more. The test fails before.

--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -66,7 +66,13 @@
     ResetLost(aKey, aOut);
     return;
   }
-  if (!aFlow.everywhere_) {
+  std::erase_if(aFlow.asked_, [&](HostId aHost) {
+    const auto* host = hosts_.Find(aHost);
+    return host == nullptr || host->record_.state_ == HostState::Gone;
+  });
+  if (!aFlow.everywhere_ && aFlow.asked_.empty()) {
+    SearchEverywhere(aNow, aKey, aFlow);
+  } else if (!aFlow.everywhere_) {
     for (const auto host : aFlow.asked_) {
       Send(host, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
     }
--- a/test/cornelshore/relay/balancer.cpp
+++ b/test/cornelshore/relay/balancer.cpp
@@ -370,6 +370,35 @@
   EXPECT_EQ(QueriedIn(actions), (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
 }
 
+TEST_F(BalancerTest, WaitsForNoSilentHostThatIsGone)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto query = DeniedNearby(kStart, packet);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now, host, query, Holding::No);
+  }
+  for (int step = 0; step < 8; ++step) {
+    now += milliseconds{ 100 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+  }
+  auto gone = RecordOf(12, kSheets);
+  gone.state_ = HostState::Gone;
+  gone.sequence_ = 2;
+  balancer_.UpdateHosts(now, { gone });
+  balancer_.NoteInStep(now);
+  EXPECT_EQ(SentBy(Packet(now, packet)), 0U);
+  Balancer::Actions actions;
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions, &query),
+            (std::set<std::uint64_t>{ 1, 2, 3, 11 }));
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now + kGather, host, query, Holding::No);
+  }
+  EXPECT_EQ(ResetsIn(Packet(now + milliseconds{ 100 }, packet)), 1U);
+}
+
 TEST_F(BalancerTest, ManyFlowsShareOneQuery)
 {
   for (std::uint16_t port = 1; port <= 15; ++port) {
