--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -463,5 +463,28 @@
   }
 }
 
+TEST(Node, GoesBackToNormalRoundsWhenItDoesNotGetInStep)
+{
+  Fleet fleet(17);
+  Fill(fleet, 3, 5, 0);
+  for (auto& member : fleet.Members()) {
+    member.settings_.joiningRound_ = std::chrono::milliseconds(100);
+  }
+  fleet.RunFor(std::chrono::seconds(5));
+  constexpr std::size_t kCutOff = 6;
+  fleet.fate_ = [](std::size_t, std::size_t aTo) {
+    return Fleet::Fate{ aTo == kCutOff ? 0U : 1U,
+                        std::chrono::milliseconds(1) };
+  };
+  fleet.Restart(kCutOff);
+  fleet.RunFor(std::chrono::seconds(5));
+  EXPECT_FALSE(fleet.At(kCutOff).ConfirmedAt());
+  const auto before = fleet.Members()[kCutOff].sent_;
+  fleet.RunFor(std::chrono::seconds(10));
+  constexpr std::uint64_t kRounds = 10;
+  constexpr std::uint64_t kMostARound = 3 * 250;
+  EXPECT_LE(fleet.Members()[kCutOff].sent_ - before, kRounds * kMostARound);
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
