Go on with joining rounds until a configuration is in force

Ruled out: the byte budget (nothing held back on a fleet of the same size) and consensus (control had it in force).

--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -15,8 +15,9 @@
 constexpr std::size_t kRumorsARound = 12;
 constexpr std::size_t kSeedsARound = 3;
 constexpr std::size_t kJoiningPartners = 3;
-/** Joining rounds after a start. Where a whole fleet starts and its links are
- * full, more of them take the bytes that their answers need. */
+/** Joining rounds after a start for the sake of being in step with enough
+ * others. Where a whole fleet starts and its links are full, more of them take
+ * the bytes that their answers need. */
 constexpr std::uint64_t kMostJoiningRounds = 20;
 constexpr std::uint64_t kConfigRounds = 5;
 constexpr std::size_t kMostRecent = 16;
@@ -100,7 +101,8 @@
 bool
 Node::State::IsBehind() const noexcept
 {
-  return round_ < kMostJoiningRounds && (!released_ || !ConfirmedAt());
+  return !released_ || !joined_ ||
+         (round_ < kMostJoiningRounds && !ConfirmedAt());
 }
 
 ServiceId
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -45,8 +45,8 @@
   [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const;
   [[nodiscard]] ConfigVersion InForce() const noexcept;
   [[nodiscard]] std::optional<TimePoint> ConfirmedAt() const noexcept;
-  /** @brief Whether it has just started and lacks a configuration or was not
-   * yet in step. */
+  /** @brief Whether it lacks a configuration, or has just started and was not
+   * yet in step with enough others. */
   [[nodiscard]] bool IsBehind() const noexcept;
 
   NodeSettings settings_;
