--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -23,11 +23,8 @@
 constexpr std::uint64_t kSampleOneIn = 8;
 constexpr std::size_t kRumorsAnAnswer = 6;
 /** Two that have just started hold the same little: in a fleet that runs they
- * do not count for each other, and one that starts as a whole waits so long:
- * each joining round asks three others, so that one of five meets a process
- * that ran before even when most have restarted. */
+ * do not count for each other, and one that starts as a whole waits so long. */
 constexpr int kSettlingRounds = 2;
-constexpr int kSettlingJoiningRounds = 5;
 constexpr Duration kWantAgainAfter = std::chrono::milliseconds(300);
 
 } // namespace
@@ -271,10 +268,8 @@
     return;
   }
   const auto newcomer = header.inStepAge_ >= kNeverInStep;
-  const auto settles =
-    std::min<Duration>(settings_.round_ * kSettlingRounds,
-                       settings_.joiningRound_ * kSettlingJoiningRounds);
-  const auto settling = startedAt_ && aNow - *startedAt_ < settles;
+  const auto settling =
+    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
   if (newcomer && settling && !IsAgent()) {
     return;
   }
