Go on asking seeds that are no peer yet

Cause: of ten processes that start together, control processes found each other by their seeds and balancers found each other by theirs. Each half then had peers, and a process asked seeds only while it knew nobody, so the halves never met: control accepted a configuration that no balancer and no agent ever heard of. It takes a first round whose messages find the other half's sockets not yet bound, hence only beside load.

Found by the state dumps of a failed start: three peers at every control process and three at every balancer instead of six; nothing held back, in step within their half, no configuration at balancers.

Ruled out: the byte budget (sends_held_back 0 everywhere, 13 to 55 KB sent), confirmations (control: confirmed, verified), the settling time, ports taken by others.

Change: a process with peers asks one seed at whose address no peer lives every fifth round, every round while no configuration is in force. Once all seeds are peers nothing is sent. Seeds are asked from another one on at each process.

Before: Node.HalvesThatStartedWithoutHearingEachOtherMeet and Node.HalvesThatBothRunMeet fail. Node.AsksNoSeedsOnceAllAreItsPeers fails when seeds that are peers are asked.

--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -14,6 +14,11 @@
 constexpr std::uint32_t kMendedCopies = 2;
 constexpr std::size_t kRumorsARound = 12;
 constexpr std::size_t kSeedsARound = 3;
+/** Halves of a fleet that started without hearing each other all have peers, so
+ * a seed that is no peer is asked now and then, too. Every fifth round heals
+ * halves within seconds and costs 30 B/s while a seed is away. A process that
+ * waits for a configuration asks every round. */
+constexpr std::uint64_t kStraySeedEvery = 5;
 constexpr std::size_t kJoiningPartners = 3;
 /** Joining rounds after a start for the sake of being in step with enough
  * others. Where a whole fleet starts and its links are full, more of them take
@@ -46,6 +51,7 @@
   , confirmation_(aSettings.confirmationLife_)
   , partners_(aSettings.self_, aSettings.dataCentre_, aSettings.seed_)
   , budget_(aSettings.bytesPerSecond_, aSettings.burstBytes_)
+  , nextSeed_(aSettings.self_.value_)
 {
 }
 
@@ -292,23 +298,41 @@
   if (IsAgent() && newestHeard_ > config_.Version()) {
     AskFellow(aNow);
   }
+  AskSeeds(aNow);
+}
+
+void
+Node::State::AskSeeds(TimePoint aNow)
+{
   const bool alone = IsAgent() ? partners_.PickForAgent(ledger_).empty()
                                : ledger_.LivePeers().size() <= 1;
-  if (!alone || seeds_.empty()) {
+  const bool due = !released_ || round_ % kStraySeedEvery == 0;
+  if (seeds_.empty() || (!alone && (IsAgent() || !due))) {
     return;
   }
-  for (std::size_t seed = 0; seed < std::min(kSeedsARound, seeds_.size());
-       ++seed) {
+  const auto unmet = alone ? seeds_ : UnmetSeeds();
+  const auto most = std::min(alone ? kSeedsARound : 1, unmet.size());
+  for (std::size_t seed = 0; seed < most; ++seed) {
     Packer packer(HeaderFor(aNow, {}, MessageKind::Round));
     AddSubject(aNow, settings_.self_, packer);
     SendTo(aNow,
            {},
-           seeds_[(round_ * kSeedsARound + seed) % seeds_.size()],
+           unmet[nextSeed_++ % unmet.size()],
            std::move(packer).Finish(),
            Priority::Normal);
   }
 }
 
+std::vector<Address>
+Node::State::UnmetSeeds() const
+{
+  auto unmet = seeds_;
+  for (const auto peer : ledger_.LivePeers()) {
+    std::erase(unmet, ledger_.LivePeer(peer)->address_);
+  }
+  return unmet;
+}
+
 void
 Node::State::RoundWith(TimePoint aNow, NodeId aPeer)
 {
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -59,6 +59,7 @@
   Transfers transfers_;
   ByteBudget budget_;
   std::vector<Address> seeds_;
+  std::uint64_t nextSeed_; ///< Begins elsewhere at each process.
   TimePoint now_;
   TimePoint nextRound_;
   std::optional<TimePoint> spreadAt_; ///< When waiting news is pushed.
@@ -87,6 +88,9 @@
   void AddNewestDelta(Packer& aPacker) const;
   void Round(TimePoint aNow);
   void RoundWith(TimePoint aNow, NodeId aPeer);
+  void AskSeeds(TimePoint aNow);
+  /** @brief Seeds at whose address no live peer is known. */
+  [[nodiscard]] std::vector<Address> UnmetSeeds() const;
   void AskFellow(TimePoint aNow);
   [[nodiscard]] bool LeavesToFellows();
   void Renew(TimePoint aNow);
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -260,6 +260,73 @@
   }
 }
 
+/** Control and balancers start without hearing each other for a while. */
+void
+StartInHalves(Fleet& aFleet, Duration aCutFor)
+{
+  constexpr std::size_t kControl = 3;
+  aFleet.fate_ = [](std::size_t aFrom, std::size_t aTo) {
+    const bool apart = (aFrom < kControl) != (aTo < kControl);
+    return Fleet::Fate{ apart ? 0U : 1U, std::chrono::milliseconds(1) };
+  };
+  aFleet.seeds_ = 2 * kControl;
+  Fill(aFleet, kControl, 3, 4);
+  aFleet.RunFor(aCutFor);
+  EXPECT_EQ(aFleet.At(0).Peers().size(), kControl);
+  EXPECT_EQ(aFleet.At(kControl).Peers().size(), kControl);
+  aFleet.fate_ = [](std::size_t, std::size_t) { return Fleet::Fate{}; };
+}
+
+TEST(Node, HalvesThatStartedWithoutHearingEachOtherMeet)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    StartInHalves(fleet, std::chrono::seconds(5));
+    fleet.Feed(0, ConfigAccepted{ { 1 }, "routes" });
+    fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+    constexpr auto kInForceWithin = std::chrono::seconds(8);
+    fleet.RunFor(kInForceWithin);
+    for (auto& member : fleet.Members()) {
+      EXPECT_EQ(member.node_.Config().value_, 1U)
+        << "seed " << seed << " node " << member.settings_.self_.value_;
+    }
+  }
+}
+
+TEST(Node, HalvesThatBothRunMeet)
+{
+  Fleet fleet(23);
+  StartInHalves(fleet, std::chrono::seconds(5));
+  fleet.Feed(0, ConfigAccepted{ { 1 }, "routes" });
+  fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+  fleet.Feed(3, ConfigAccepted{ { 1 }, "routes" });
+  fleet.RunFor(std::chrono::seconds(30));
+  for (std::size_t index = 0; index < 6; ++index) {
+    EXPECT_EQ(fleet.At(index).Peers().size(), 6U) << index;
+  }
+}
+
+TEST(Node, AsksNoSeedsOnceAllAreItsPeers)
+{
+  Fleet fleet(29);
+  Fill(fleet, 3, 4, 0);
+  fleet.Feed(0, ConfigAccepted{ { 1 }, "routes" });
+  fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+  fleet.RunFor(std::chrono::seconds(20));
+  std::uint64_t rounds = 0;
+  std::uint64_t toSeeds = 0;
+  for (int second = 1; second <= 60; ++second) {
+    const auto now = fleet.Now() + std::chrono::seconds(second);
+    for (const auto& action : fleet.At(3).On(now, Tick{})) {
+      const auto* send = std::get_if<Send>(&action);
+      rounds += send != nullptr ? 1U : 0U;
+      toSeeds += send != nullptr && send->to_ == NodeId{} ? 1U : 0U;
+    }
+  }
+  EXPECT_GT(rounds, 0U);
+  EXPECT_EQ(toSeeds, 0U);
+}
+
 TEST(Node, KnowsThatItsRecordsAreOldWhenItIsCutOff)
 {
   Fleet fleet(6);
