Wait for the emptied control process's new disk to vote

The test killed control-3 once control-3 listed three voters. One loss is all that a group of three tolerates; the check let the second come too soon.

It is replaced by a stricter one: all three processes list exactly three members, all voters, the disk that the emptied process reports among them. Its being known at all three says that it is committed, also when control-3 leads.

--- a/test/system/control.sh
+++ b/test/system/control.sh
@@ -66,8 +66,20 @@
 apply_one
 wait_until 60 "the emptied control process caught up" joined
 check_versions
-voters() { [ "$(ctl state "$(at "${1}1")" --json 2>/dev/null | grep -o '"role":"voter"' | wc -l)" -eq 3 ]; }
-wait_until 60 "it votes again" voters 3
+# While it is replaced, its old disk is listed as a voter beside the new one.
+votes_again() { # all three processes know three voters, its new disk among them
+  local own member offset members
+  own=$(ctl state "$(at 21)" --json 2>/dev/null | sed -n 's/.*"disk":"\([0-9a-f]*\)","fault".*/\1/p')
+  member='"disk":"[0-9a-f]*","node":"[0-9a-f]*","role":"[a-z_]*"'
+  [ -n "$own" ] || return 1
+  for offset in 11 21 31; do
+    members=$(ctl state "$(at "$offset")" --json 2>/dev/null | grep -o "$member") || return 1
+    [ "$(wc -l <<<"$members")" -eq 3 ] || return 1
+    [ "$(grep -c '"role":"voter"' <<<"$members")" -eq 3 ] || return 1
+    grep -q "\"disk\":\"$own\"" <<<"$members" || return 1
+  done
+}
+wait_until 60 "it votes again" votes_again
 end control-3 KILL || true
 apply_one
 check_versions
