Give the packets that look for flows a byte budget

A trial that counted a balancer's bytes by kind each second shows why: packets sent to hosts that may hold a flow ("search") rose from 0.33 MB/s in the first second to 4.1 MB/s in the tenth, 18,718 packets for 857 packets of callers, on a link of 0.58 MB/s. Load reports, answers and queries' answers in the other direction: none. A packet of a flow that waited for silent hosts went to each of them, and as the link was full all hosts were silent; then no load report came, no host was known to take flows, and openings were held.

Change: callers' packets that look for their host have 150 KB/s, 300 KB at once; a flow for which none is left is looked for by query, 20 flows a message. More than four silent hosts are asked by query again instead of by packet. What was sent to nobody is sent once the host is found. New outcome "unasked" among the balancer's packets.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -25,6 +25,7 @@
   , hosts_(aSettings.hosts_, aSettings.seed_)
   , far_(aSettings.farSearch_)
   , retries_(aSettings.retryShare_, aSettings.retryBurst_)
+  , searches_(aSettings.searchBytesPerSecond_, aSettings.searchBurst_)
 {
 }
 
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -13,6 +13,7 @@
 
 #include <cornelshore/core/host.hpp>
 #include <cornelshore/core/time.hpp>
+#include <cornelshore/dissemination/byte_budget.hpp>
 #include <cornelshore/relay/decision.hpp>
 #include <cornelshore/relay/far_search.hpp>
 #include <cornelshore/relay/host_table.hpp>
@@ -79,10 +80,11 @@
   Malformed, ///< No packet of a flow.
   Shed,      ///< Dropped: waited too long for the deciding thread.
   Unretried, ///< Unanswered openings left to their callers' copies.
+  Unasked,   ///< Searches left to queries or callers' copies: no bytes left.
 };
 
 /** @brief Names of `BalancerCount`. */
-inline constexpr std::array<EnumName<BalancerCount>, 10> kBalancerCountNames{ {
+inline constexpr std::array<EnumName<BalancerCount>, 11> kBalancerCountNames{ {
   { BalancerCount::Direct, "direct" },
   { BalancerCount::Opened, "opened" },
   { BalancerCount::Retried, "retried" },
@@ -93,6 +95,7 @@
   { BalancerCount::Malformed, "malformed" },
   { BalancerCount::Shed, "shed" },
   { BalancerCount::Unretried, "unretried" },
+  { BalancerCount::Unasked, "unasked" },
 } };
 
 /** @brief Times and weights of a balancer. */
@@ -124,6 +127,12 @@
    * queries to so many take a second of a link of 20 Mbit/s. In larger fleets
    * such a flow stays silent until its caller gives up. */
   std::size_t mostSearched_{ 2048 };
+  /** Bytes of callers' packets sent to hosts that may hold their flows: a
+   * quarter of the thinnest link in use, of 4.6 Mbit/s, and two seconds' worth
+   * at once after a restart. A search that is not bounded fills the link, loses
+   * its own answers and goes on. */
+  std::uint32_t searchBytesPerSecond_{ 150'000 };
+  std::uint32_t searchBurst_{ 300'000 };
   /** Packets kept of a flow that is being looked for; a caller has 16 under
    * way at most and repeats the others. */
   std::size_t mostWaiting_{ 4 };
@@ -226,6 +235,7 @@
     bool waitsForSilent_{}; ///< All but silent hosts denied it.
     bool everywhere_{};     ///< All hosts are asked.
     bool denied_{};         ///< All hosts denied it.
+    bool unsent_{};         ///< A packet was sent to nobody yet.
   };
 
   /** An opening that came before it could be offered. */
@@ -288,7 +298,11 @@
                     const FlowKey& aKey,
                     Flow& aFlow,
                     Actions& aOut);
-  void SendSearch(HostId aHost, Flow& aFlow, Actions& aOut);
+  /** @brief Sends the flow's last packet to them all; false: no bytes left. */
+  bool SendSearch(TimePoint aNow,
+                  const std::vector<HostId>& aHosts,
+                  Flow& aFlow,
+                  Actions& aOut);
   void NoteDenied(TimePoint aNow, const FlowKey& aKey, Flow& aFlow);
   void SendWaiting(Flow& aFlow, Actions& aOut);
   void ResetLost(const FlowKey& aKey, Actions& aOut);
@@ -329,6 +343,7 @@
   HostTable hosts_;
   FarSearch far_;
   request::RetryBudget retries_;
+  dissemination::ByteBudget searches_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, HeldOpening> held_;
   bool resumes_{};
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -16,6 +16,11 @@
  * time of an opening. */
 constexpr int kPatienceNearby = 2;
 
+/** Silent hosts up to so many get the flow's packets; more are asked by one
+ * query for many flows again, since each packet to all of them would fill a
+ * link. */
+constexpr std::size_t kFewSilent = 4;
+
 } // namespace
 
 void
@@ -29,26 +34,36 @@
   aFlow.phase_ = Phase::Searching;
   aFlow.since_ = aFlow.searchingSince_ = aFlow.searchedAt_ = aNow;
   aFlow.everywhere_ = aFlow.denied_ = false;
-  aFlow.askedTwice_ = aFlow.waitsForSilent_ = false;
-  aFlow.asked_.clear();
+  aFlow.askedTwice_ = aFlow.waitsForSilent_ = aFlow.unsent_ = false;
   Tell(aNow, FlowEvent::Searched, aKey, aFlow, aOut);
-  for (const auto host : hosts_.Near(aFlow.service_, aKey, kMoreNear)) {
-    if (host != aExcept) {
-      SendSearch(host, aFlow, aOut);
-    }
+  aFlow.asked_ = hosts_.Near(aFlow.service_, aKey, kMoreNear);
+  if (aExcept) {
+    std::erase(aFlow.asked_, *aExcept);
   }
-  if (aFlow.asked_.empty()) {
+  if (aFlow.asked_.empty() || !SendSearch(aNow, aFlow.asked_, aFlow, aOut)) {
     SearchEverywhere(aNow, aKey, aFlow);
   } else {
     WakeAt(aNow + settings_.openTimeout_, aKey, aFlow);
   }
 }
 
-void
-Balancer::SendSearch(HostId aHost, Flow& aFlow, Actions& aOut)
+bool
+Balancer::SendSearch(TimePoint aNow,
+                     const std::vector<HostId>& aHosts,
+                     Flow& aFlow,
+                     Actions& aOut)
 {
-  aFlow.asked_.push_back(aHost);
-  Send(aHost, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
+  const auto& packet = aFlow.packets_.back();
+  if (!searches_.TrySpend(
+        aNow, packet.size() * aHosts.size(), dissemination::Priority::Normal)) {
+    aFlow.unsent_ = true;
+    Note(BalancerCount::Unasked);
+    return false;
+  }
+  for (const auto host : aHosts) {
+    Send(host, Purpose::Search, kAnyService, packet, aOut);
+  }
+  return true;
 }
 
 void
@@ -70,12 +85,12 @@
     const auto* host = hosts_.Find(aHost);
     return host == nullptr || host->record_.state_ == HostState::Gone;
   });
-  if (!aFlow.everywhere_ && aFlow.asked_.empty()) {
+  const auto manySilent =
+    aFlow.waitsForSilent_ && aFlow.asked_.size() > kFewSilent;
+  if (!aFlow.everywhere_ && (aFlow.asked_.empty() || manySilent)) {
     SearchEverywhere(aNow, aKey, aFlow);
   } else if (!aFlow.everywhere_) {
-    for (const auto host : aFlow.asked_) {
-      Send(host, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
-    }
+    SendSearch(aNow, aFlow.asked_, aFlow, aOut);
   } else if (!aFlow.denied_) {
     AskEverywhere(aNow, aKey, aFlow);
   }
@@ -90,13 +105,11 @@
   if (aFlow.waitsForSilent_) {
     return;
   }
-  if (std::exchange(aFlow.askedTwice_, true)) {
+  if (std::exchange(aFlow.askedTwice_, true) ||
+      !SendSearch(aNow, aFlow.asked_, aFlow, aOut)) {
     SearchEverywhere(aNow, aKey, aFlow);
     return;
   }
-  for (const auto host : aFlow.asked_) {
-    Send(host, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
-  }
   WakeAt(aNow + settings_.openTimeout_ * kPatienceNearby, aKey, aFlow);
 }
 
@@ -218,7 +231,7 @@
     OnTaken(aNow, holds, aHost, aFlow, aOut);
   });
   eachFlow(findings.unsure_, [&](const FlowKey&, Flow& aFlow) {
-    Send(aHost, Purpose::Search, kAnyService, aFlow.packets_.back(), aOut);
+    SendSearch(aNow, { aHost }, aFlow, aOut);
   });
   eachFlow(findings.denied_, [&](const FlowKey& aKey, Flow& aFlow) {
     NoteDenied(aNow, aKey, aFlow);
@@ -228,7 +241,7 @@
 void
 Balancer::SendWaiting(Flow& aFlow, Actions& aOut)
 {
-  if (!aFlow.everywhere_) {
+  if (!aFlow.everywhere_ && !aFlow.unsent_) {
     return;
   }
   for (auto& packet : aFlow.packets_) {
@@ -271,11 +284,12 @@
     far_.Forget(aKey);
     AskEverywhere(aNow, aKey, aFlow);
   } else if (newHosts) {
-    for (const auto host : hosts_.Near(aFlow.service_, aKey, kMoreNear)) {
-      if (hosts_.Find(host)->knownAt_ >= aFlow.searchedAt_) {
-        SendSearch(host, aFlow, aOut);
-      }
-    }
+    auto near = hosts_.Near(aFlow.service_, aKey, kMoreNear);
+    std::erase_if(near, [&](HostId aHost) {
+      return hosts_.Find(aHost)->knownAt_ < aFlow.searchedAt_;
+    });
+    aFlow.asked_.insert(aFlow.asked_.end(), near.begin(), near.end());
+    SendSearch(aNow, near, aFlow, aOut);
   }
   aFlow.searchedAt_ = aNow + Duration{ 1 };
   if (aFlow.due_ <= aNow) {
