Let newcomers join within their bytes and count only what they know

Two faults of a process that joins, found one behind the other.

In step too early. A newcomer counted as in step when the comparison of leaves ended with at most two differing leaves, and also against other newcomers; the check for newcomers stood only where digests are equal. A differing leaf may be a host never heard of, and then "every host denies the flow" is wrong. Now: the same check in both places, and no difference counts until the joining rounds are over, then two do as before.

Never joined. With the default budget (2,000 B/s, burst 96 KiB) and joining rounds of 100 ms, a fleet of 65 that starts at once used up all bytes; answers of more than one message need a quarter of the burst, so nobody got its records or the configuration, for good, and the rounds went on. (The platform's settings have 40 KB/s and 1 MB.) Joining rounds now end while three fifths of the burst are left.

--- a/src/cornelshore/dissemination/byte_budget.hpp
+++ b/src/cornelshore/dissemination/byte_budget.hpp
@@ -43,6 +43,13 @@
     return true;
   }
 
+  /** @brief Whether at least so much of the burst is left, 0 to 1. */
+  [[nodiscard]] bool HasLeft(TimePoint aNow, double aShare) noexcept
+  {
+    Refill(aNow);
+    return tokens_ >= burst_ * aShare;
+  }
+
 private:
   [[nodiscard]] double FloorOf(Priority aPriority) const noexcept
   {
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -12,7 +12,9 @@
 constexpr std::size_t kMostNodesCompared = 16;
 constexpr std::size_t kMostLeavesCompared = 64;
 constexpr std::size_t kManyDifferences = 24;
-/** Differences with which a process counts as in step for the first time. */
+/** Differences with which a process counts as in step for the first time, once
+ * its joining rounds are over: in a large fleet there is always some change on
+ * its way. Before, a difference may be a host that it has never heard of. */
 constexpr std::size_t kFewDifferences = 2;
 constexpr std::size_t kWantedPieceBytes = 8400;
 constexpr std::size_t kFewPieces = 4;
@@ -200,7 +202,9 @@
   const bool atLeaves =
     aEvent.message_.hashes_.front().level_ + 1 == DigestTree::kLeafLevel;
   const auto most = atLeaves ? kMostLeavesCompared : kMostNodesCompared;
-  const auto few = joined_ ? kManyDifferences : kFewDifferences;
+  const auto few = joined_                        ? kManyDifferences
+                   : round_ >= kMostJoiningRounds ? kFewDifferences
+                                                  : 0;
   mending_ = differing.size() > (atLeaves ? few : most);
   if (aEvent.message_.hashes_.front().level_ == 0) {
     comparesPart_ = false;
@@ -221,7 +225,8 @@
       aPacker.Add(ledger_.Tree().ChildrenOf(child.level_, child.index_));
     }
   }
-  if (atLeaves && !mending_ && !comparesPart_) {
+  if (atLeaves && !mending_ && !comparesPart_ &&
+      KnowsEnough(aNow, aEvent.message_.header_)) {
     inStep_.Note(aEvent.from_, aNow);
     joined_ = true;
   }
@@ -256,6 +261,15 @@
   }
 }
 
+bool
+Node::State::KnowsEnough(TimePoint aNow, const Header& aTheirs) const
+{
+  const auto newcomer = aTheirs.inStepAge_ >= kNeverInStep;
+  const auto settling =
+    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
+  return !newcomer || !settling || IsAgent();
+}
+
 void
 Node::State::NoteInStep(TimePoint aNow, const Received& aEvent)
 {
@@ -264,13 +278,8 @@
     IsAgent() || header.role_ != membership::NodeRole::Agent;
   if (!fullyFollows || header.scope_ != ScopeWith(aEvent.from_) ||
       header.digest_ != DigestOf(header.scope_) ||
-      header.receiver_ != settings_.incarnation_) {
-    return;
-  }
-  const auto newcomer = header.inStepAge_ >= kNeverInStep;
-  const auto settling =
-    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
-  if (newcomer && settling && !IsAgent()) {
+      header.receiver_ != settings_.incarnation_ ||
+      !KnowsEnough(aNow, header)) {
     return;
   }
   inStep_.Note(aEvent.from_, IsAgent() ? aNow - header.inStepAge_ : aNow);
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -20,10 +20,9 @@
  * waits for a configuration asks every round. */
 constexpr std::uint64_t kStraySeedEvery = 5;
 constexpr std::size_t kJoiningPartners = 3;
-/** Joining rounds after a start for the sake of being in step with enough
- * others. Where a whole fleet starts and its links are full, more of them take
- * the bytes that their answers need. */
-constexpr std::uint64_t kMostJoiningRounds = 20;
+/** Share of the burst that joining rounds leave: what they ask for comes in
+ * answers that leave a quarter, and without them nobody would ever join. */
+constexpr double kLeftByJoining = 0.6;
 constexpr std::uint64_t kConfigRounds = 5;
 constexpr std::size_t kMostRecent = 16;
 constexpr std::uint64_t kAgentRoundEvery = 2;
@@ -254,9 +253,10 @@
   if (aNow < nextRound_) {
     return;
   }
+  hastens_ = IsBehind() && budget_.HasLeft(aNow, kLeftByJoining);
   nextRound_ =
-    aNow + (IsBehind() ? std::min(settings_.round_, settings_.joiningRound_)
-                       : settings_.round_);
+    aNow + (hastens_ ? std::min(settings_.round_, settings_.joiningRound_)
+                     : settings_.round_);
   ++round_;
   if (!IsAgent() && aNow >= renewAt_) {
     Renew(aNow);
@@ -273,7 +273,7 @@
 {
   std::vector<NodeId> peers;
   if (!IsAgent()) {
-    peers = partners_.Pick(ledger_, IsBehind() ? kJoiningPartners : 1);
+    peers = partners_.Pick(ledger_, hastens_ ? kJoiningPartners : 1);
   } else {
     peers = partners_.PickForAgent(ledger_);
     const bool awaited =
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -23,6 +23,11 @@
 /** Age of the records of a process that was never in step. */
 inline constexpr Duration kNeverInStep = std::chrono::hours(24);
 
+/** Joining rounds after a start for the sake of being in step with enough
+ * others. Where a whole fleet starts and its links are full, more of them take
+ * the bytes that their answers need. */
+inline constexpr std::uint64_t kMostJoiningRounds = 20;
+
 /** @brief The parts of a node and what joins them. */
 struct Node::State
 {
@@ -109,6 +114,8 @@
   void AddPieces(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void AddRecent(TimePoint aNow, ServiceId aScope, Packer& aPacker) const;
   void AddSample(TimePoint aNow, bool aStrange, Packer& aPacker);
+  /** @brief Whether to be in step with them says that all is known here. */
+  [[nodiscard]] bool KnowsEnough(TimePoint aNow, const Header& aTheirs) const;
   void NoteInStep(TimePoint aNow, const Received& aEvent);
 
   std::uint64_t selfSequence_{};
@@ -120,6 +127,7 @@
   bool mending_{};      ///< The last comparison found much to mend.
   bool released_{};     ///< The held configuration is in force.
   std::uint64_t round_{};
+  bool hastens_{}; ///< Takes joining rounds.
   TimePoint renewAt_;
   TimePoint wantedAt_;
   NodeId wantedFrom_;
--- a/test/cornelshore/dissemination/node.cpp
+++ b/test/cornelshore/dissemination/node.cpp
@@ -458,6 +458,77 @@
   }
 }
 
+TEST(Node, AFleetThatStartsAtOnceJoinsWithinItsBytes)
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Fleet fleet(seed);
+    Fill(fleet, 5, 20, 40);
+    for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+      auto& member = fleet.Members()[index];
+      member.settings_.joiningRound_ = std::chrono::milliseconds(100);
+      fleet.Restart(index);
+      if (index >= 25) {
+        fleet.Feed(index,
+                   HostAnnounced{ RecordOf(member, 1, HostState::Ready) });
+      }
+    }
+    fleet.RunFor(std::chrono::seconds(30));
+    for (std::size_t control = 0; control < 5; ++control) {
+      fleet.Feed(control, ConfigAccepted{ { 1 }, std::string(6000, 'r') });
+    }
+    fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+    fleet.RunFor(std::chrono::seconds(8));
+    for (auto& member : fleet.Members()) {
+      EXPECT_EQ(member.node_.Config().value_, 1U)
+        << "seed " << seed << " node " << member.settings_.self_.value_;
+    }
+    for (std::size_t node = 0; node < 25; ++node) {
+      EXPECT_EQ(fleet.At(node).Hosts().All().size(), 40U) << "seed " << seed;
+      EXPECT_TRUE(fleet.At(node).ConfirmedAt()) << "seed " << seed;
+    }
+  }
+}
+
+TEST(Node, NewcomersThatStartTogetherDoNotTakeEachOthersLittleForAll)
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Fleet fleet(seed);
+    Fill(fleet, 5, 20, 40);
+    for (auto& member : fleet.Members()) {
+      member.settings_.joiningRound_ = std::chrono::milliseconds(100);
+      member.settings_.bytesPerSecond_ = 40'000;
+      member.settings_.burstBytes_ = 1'000'000;
+    }
+    for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+      fleet.Restart(index);
+    }
+    for (std::size_t agent = 25; agent < 65; ++agent) {
+      fleet.Feed(
+        agent,
+        HostAnnounced{ RecordOf(fleet.Members()[agent], 1, HostState::Ready) });
+    }
+    fleet.Feed(0, ConfigAccepted{ { 1 }, "routes" });
+    fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+    fleet.RunFor(std::chrono::seconds(20));
+    const std::vector<std::size_t> newcomers{ 20, 21, 22, 23, 24 };
+    for (const auto newcomer : newcomers) {
+      fleet.Restart(newcomer);
+    }
+    std::size_t early = 0;
+    fleet.RunUntil(fleet.Now() + std::chrono::seconds(10), [&] {
+      for (const auto newcomer : newcomers) {
+        auto& node = fleet.At(newcomer);
+        early += node.ConfirmedAt() && node.Hosts().All().size() < 40 ? 1U : 0U;
+      }
+      return early != 0;
+    });
+    EXPECT_EQ(early, 0U) << "seed " << seed;
+    for (const auto newcomer : newcomers) {
+      EXPECT_TRUE(fleet.At(newcomer).ConfirmedAt()) << "seed " << seed;
+    }
+  }
+}
+
 TEST(Node, TakesAGreaterIncarnationThanAnEarlierRunWhoseClockWasAhead)
 {
   Fleet fleet(9);
