--- a/test/cornelshore/relay/balancer_search.cpp
+++ b/test/cornelshore/relay/balancer_search.cpp
@@ -1,19 +1,238 @@
-#include <cornelshore/relay/balancer.hpp>
+#include <cornelshore/relay/balancer_fixture.hpp>
 
-#include <gtest/gtest.h>
-
-#include <cornelshore/relay/codec.hpp>
+#include <vector>
 
 namespace cornelshore::relay {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
 constexpr std::uint64_t kHosts = 50;
-const ServiceId kBoards = ServiceIdOf("boards");
-const Address kBoardAddress = MakeIpv4(0xC6120001U, 443);
+
+TEST_F(BalancerTest, AsksEveryHostForAFlowThatItDoesNotKnow)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  EXPECT_EQ(HostsOf(Packet(kStart, packet)),
+            (std::set<std::uint64_t>{ 1, 2, 3 }));
+  Answer(kStart, 2, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(kStart, packet)), std::set<std::uint64_t>{ 2 });
+}
+
+TEST_F(BalancerTest, CarriesOpenFlowsOnBeforeItKnowsAConfiguration)
+{
+  Balancer restarted(SettingsOf(), PlainCodec());
+  restarted.UpdateHosts(kStart, { RecordOf(1, kBoards) });
+  restarted.UpdateHosts(kStart, { RecordOf(11, kSheets) });
+  Balancer::Actions actions;
+  restarted.OnPacket(
+    kStart, PacketOf(FromCaller(1, kBoardAddress, false)), actions);
+  restarted.Tick(kStart + kGather, actions);
+  Query query;
+  EXPECT_EQ(QueriedIn(actions, &query), (std::set<std::uint64_t>{ 1, 11 }));
+  actions.clear();
+  restarted.OnAnswer(
+    kStart + kGather, HostId{ 11 }, { query.id_, { Holding::Yes } }, actions);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 11 });
+  actions.clear();
+  restarted.OnPacket(
+    kStart, PacketOf(FromCaller(2, kBoardAddress, true)), actions);
+  EXPECT_EQ(SentBy(actions), 0U);
+}
+
+TEST_F(BalancerTest, FindsAFlowAtAHostOfAServiceThatItsRouteLedToBefore)
+{
+  balancer_.UpdateRoutes(ConfigurationOf(2, kSheets));
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  ASSERT_EQ(query.items_.size(), 1U);
+  EXPECT_EQ(query.items_.front().key_, KeyFromCaller(packet));
+  const auto now = kStart + kGather;
+  EXPECT_EQ(SentBy(Reply(now, 1, query, Holding::No)), 0U);
+  const auto actions = Reply(now, 2, query, Holding::Yes);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 2 });
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 2 });
+}
+
+TEST_F(BalancerTest, AsksTheHostsNearAFlowTwiceBeforeAllHosts)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  Balancer::Actions start;
+  balancer_.Tick(kStart, start);
+  Packet(kStart, packet);
+  for (const std::uint64_t host : { 1U, 2U }) {
+    Answer(kStart, host, packet, Verdict::Unknown);
+  }
+  auto now = kStart + milliseconds{ 100 };
+  Balancer::Actions actions;
+  balancer_.Tick(now, actions);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 3 });
+  now += milliseconds{ 200 };
+  actions.clear();
+  balancer_.Tick(now, actions);
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions), (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
+}
+
+TEST_F(BalancerTest, AsksNobodyAgainButTheHostsThatWereSilent)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now, host, query, Holding::No);
+  }
+  for (int step = 0; step < 8; ++step) {
+    now += milliseconds{ 100 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+  }
+  TellLoads(now);
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(SentBy(Answer(now, 12, packet, Verdict::Unknown)), 0U);
+  Balancer::Actions actions;
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions), (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
+}
+
+TEST_F(BalancerTest, WaitsForNoSilentHostThatIsGone)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto query = DeniedNearby(kStart, packet);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now, host, query, Holding::No);
+  }
+  for (int step = 0; step < 8; ++step) {
+    now += milliseconds{ 100 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+  }
+  auto gone = RecordOf(12, kSheets);
+  gone.state_ = HostState::Gone;
+  gone.sequence_ = 2;
+  balancer_.UpdateHosts(now, { gone });
+  balancer_.NoteInStep(now);
+  EXPECT_EQ(SentBy(Packet(now, packet)), 0U);
+  Balancer::Actions actions;
+  balancer_.Tick(now + kGather, actions);
+  EXPECT_EQ(QueriedIn(actions, &query),
+            (std::set<std::uint64_t>{ 1, 2, 3, 11 }));
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now + kGather, host, query, Holding::No);
+  }
+  EXPECT_EQ(ResetsIn(Packet(now + milliseconds{ 100 }, packet)), 1U);
+}
+
+TEST_F(BalancerTest, ManyFlowsShareOneQuery)
+{
+  for (std::uint16_t port = 1; port <= 15; ++port) {
+    const auto packet = FromCaller(port, kBoardAddress, false);
+    for (const auto host : HostsOf(Packet(kStart, packet))) {
+      Answer(kStart, host, packet, Verdict::Unknown);
+    }
+  }
+  Balancer::Actions actions;
+  balancer_.Tick(kStart + kGather, actions);
+  Query query;
+  QueriedIn(actions, &query);
+  EXPECT_EQ(query.items_.size(), 15U);
+  EXPECT_EQ(SentBy(actions), 5U + WatchedIn(actions).size());
+}
+
+TEST_F(BalancerTest, LetsAHostThatIsUnsureSeeThePacket)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  const auto now = kStart + kGather;
+  const auto actions = Reply(now, 12, query, Holding::Unsure);
+  ASSERT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(OfferIn(actions).carried_.purpose_, Purpose::Search);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    Reply(now, host, query, Holding::No);
+  }
+  const auto due = kStart + milliseconds{ 200 };
+  EXPECT_EQ(ResetsIn(Packet(due, packet)), 0U);
+  Answer(due, 12, packet, Verdict::Unknown);
+  EXPECT_EQ(ResetsIn(Packet(due, packet)), 1U);
+}
+
+TEST_F(BalancerTest, ResetsAFlowOnceEveryHostDeniedItAndThoseNearItTwice)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  const auto due = kStart + milliseconds{ 100 };
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
+    EXPECT_EQ(SentBy(Reply(kStart + kGather, host, query, Holding::No)), 0U);
+  }
+  Balancer::Actions actions;
+  balancer_.Tick(due, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  EXPECT_EQ(ResetsIn(Packet(due, packet)), 0U);
+  Reply(due, 12, query, Holding::No);
+  EXPECT_EQ(ResetsIn(Packet(due, packet)), 1U);
+}
+
+TEST_F(BalancerTest, ResetsALostFlowWithoutWaitingForItsNextPacket)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto query = DeniedNearby(kStart, packet);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+    Reply(kStart + kGather, host, query, Holding::No);
+  }
+  Balancer::Actions actions;
+  balancer_.Tick(kStart + milliseconds{ 50 }, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  balancer_.Tick(kStart + milliseconds{ 100 }, actions);
+  EXPECT_EQ(ResetsIn(actions), 1U);
+}
+
+TEST_F(BalancerTest, ResetsNoFlowWhileOneHostIsSilent)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart;
+  for (int round = 0; round < 20; ++round) {
+    auto actions = Packet(now, packet);
+    EXPECT_EQ(ResetsIn(actions), 0U);
+    for (const auto host : HostsOf(actions)) {
+      if (host != 3) {
+        Answer(now, host, packet, Verdict::Unknown);
+      }
+    }
+    for (int step = 0; step < 10; ++step) {
+      now += milliseconds{ 20 };
+      balancer_.NoteInStep(now);
+      actions.clear();
+      balancer_.Tick(now, actions);
+      EXPECT_EQ(ResetsIn(actions), 0U);
+      Query query;
+      for (const auto host : QueriedIn(actions, &query)) {
+        if (host != 3) {
+          EXPECT_EQ(ResetsIn(Reply(now, host, query, Holding::No)), 0U);
+        }
+      }
+    }
+  }
+}
+
+TEST_F(BalancerTest, ResetsNoFlowWhileItsRecordsAreOutOfStep)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart + std::chrono::seconds{ 5 };
+  const auto query = DeniedNearby(now, packet);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+    Reply(now + kGather, host, query, Holding::No);
+  }
+  for (int round = 0; round < 20; ++round) {
+    now += milliseconds{ 200 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+    EXPECT_EQ(ResetsIn(actions), 0U);
+    EXPECT_EQ(ResetsIn(Packet(now, packet)), 0U);
+  }
+  balancer_.NoteInStep(now);
+  EXPECT_EQ(ResetsIn(Packet(now, packet)), 1U);
+}
 
 /** What a balancer sent to look for flows. */
 struct Asked
@@ -48,25 +267,9 @@
     : settings_(SettingsOf())
     , balancer_(settings_, PlainCodec())
   {
-    Configuration configuration;
-    configuration.version_ = ConfigVersion{ 1 };
-    Route route;
-    route.address_ = kBoardAddress;
-    route.timeout_ = seconds{ 1 };
-    route.to_ = { { kBoards, 1 } };
-    configuration.routes_.push_back(route);
-    balancer_.UpdateRoutes(configuration);
+    balancer_.UpdateRoutes(ConfigurationOf(1));
     for (std::uint64_t host = 1; host <= kHosts; ++host) {
-      HostRecord record;
-      record.id_ = HostId{ host };
-      record.incarnation_ = Incarnation{ 1 };
-      record.sequence_ = 1;
-      record.service_ = kBoards;
-      record.agent_ =
-        MakeIpv4(0x0A000000U + static_cast<std::uint32_t>(host), 7);
-      record.slots_ = 2;
-      record.state_ = HostState::Ready;
-      balancer_.UpdateHosts(kStart, { record });
+      balancer_.UpdateHosts(kStart, { RecordOf(host, kBoards) });
     }
   }
 
@@ -78,19 +281,18 @@
     return settings;
   }
 
-  static Segment FromCaller(std::uint32_t aCaller)
+  /** A packet of a caller's open flow. */
+  static Segment PacketFrom(std::uint32_t aCaller)
   {
-    Segment segment;
+    auto segment = FromCaller(1025, kBoardAddress, false);
     segment.from_ = MakeIpv4(0x64400000U + aCaller, 1025);
-    segment.to_ = kBoardAddress;
-    segment.acknowledging_ = true;
     return segment;
   }
 
   Asked Packet(TimePoint aNow, std::uint32_t aCaller)
   {
     Balancer::Actions actions;
-    balancer_.OnPacket(aNow, PacketOf(FromCaller(aCaller)), actions);
+    balancer_.OnPacket(aNow, PacketOf(PacketFrom(aCaller)), actions);
     Asked asked;
     asked.Count(actions);
     return asked;
@@ -161,7 +363,7 @@
     }
   }
   ASSERT_FALSE(query.items_.empty());
-  const auto key = KeyFromCaller(FromCaller(unasked));
+  const auto key = KeyFromCaller(PacketFrom(unasked));
   EXPECT_EQ(query.items_.front().key_, key);
   Balancer::Actions actions;
   balancer_.OnAnswer(
