Tell a flow's story from the logs of the relay's system test

The system test of the three roles now takes a flow that was opened, lost its balancer's hint and was found again, and has `cornelshorectl trace` tell its story from the five processes' logs: taken, opened, searched, found, and the bounds of the clocks.

--- a/test/system/relay.sh
+++ b/test/system/relay.sh
@@ -169,6 +169,19 @@
 [ "$(figure wrong)" -eq 0 ] || fail "an answer came from another host than the flow's"
 [ "$(figure silent)" -eq 0 ] || fail "a flow went silent"
 [ "$(figure reset)" -eq 0 ] || fail "an open flow was reset"
+# A flow that outlived its balancer, told from the logs alone.
+callers_of() { # EVENT LOG...
+  local event=$1
+  shift
+  sed -n "s/.* event=$event caller=\([^ ]*\) .*/\1/p" "$@" | sort -u
+}
+told=$(comm -12 <(callers_of flow_found "$work"/entry-*.log) <(callers_of flow_taken "$work"/side-*.log) | head -n 1)
+[ -n "$told" ] || fail "no flow was opened and later looked for"
+ctl trace "$told" "$work"/entry-*.log "$work"/side-*.log >"$work/story.out" || fail "the story of $told could not be told"
+for event in flow_taken flow_opened flow_searched flow_found; do
+  grep -q " $event " "$work/story.out" || fail "the story of $told lacks $event"
+done
+grep -Eq '^clock of side-[0-9]: [-+0-9.]+ to [-+0-9.]+ ms$' "$work/story.out" || fail "no agent's clock was bounded"
 for i in 1 2; do kill -0 "${pids[entry-$i]}" || fail "a balancer ended"; done
 for i in 1 2 3; do kill -0 "${pids[side-$i]}" || fail "an agent ended"; done
 echo "event=passed"
