--- a/test/cornelshore/dissemination/fleet.hpp
+++ b/test/cornelshore/dissemination/fleet.hpp
@@ -221,6 +221,49 @@
   std::uint64_t slots_{};
 };
 
+/** @brief The service of the agents that `Fill` adds. */
+inline constexpr ServiceId kService{ 7 };
+
+/** @brief Adds control VMs, then balancers, then agents of one service. */
+inline void
+Fill(Fleet& aFleet,
+     std::size_t aControl,
+     std::size_t aBalancers,
+     std::size_t aAgents)
+{
+  NodeSettings settings;
+  settings.role_ = membership::NodeRole::Control;
+  for (std::size_t index = 0; index < aControl; ++index) {
+    aFleet.Add(settings);
+  }
+  settings.role_ = membership::NodeRole::Balancer;
+  for (std::size_t index = 0; index < aBalancers; ++index) {
+    aFleet.Add(settings);
+  }
+  settings.role_ = membership::NodeRole::Agent;
+  settings.interest_ = kService;
+  for (std::size_t index = 0; index < aAgents; ++index) {
+    aFleet.Add(settings);
+  }
+}
+
+/** @brief Record of the host beside an agent. */
+inline HostRecord
+RecordOf(const Fleet::Member& aMember,
+         std::uint64_t aSequence,
+         HostState aState)
+{
+  HostRecord record;
+  record.id_ = HostId{ aMember.settings_.self_.value_ };
+  record.incarnation_ = aMember.settings_.incarnation_;
+  record.sequence_ = aSequence;
+  record.service_ = kService;
+  record.agent_ = aMember.settings_.address_;
+  record.slots_ = 3;
+  record.state_ = aState;
+  return record;
+}
+
 } // namespace cornelshore::dissemination
 
 #endif
