Share the roles' builders' common part and their common figures

The five roles' builders each had the same settings, seeds, hooks and the same two calls; the five lists of figures each made gauges and counters their own way and repeated what every process tells of its node.

What is seen from outside: every role now serves cornelshore_config_confirmed and cornelshore_hosts, which the relay roles and control did not.

--- a/src/cornelshore/role/agent.cpp
+++ b/src/cornelshore/role/agent.cpp
@@ -5,6 +5,7 @@
 
 #include <cornelshore/core/hash.hpp>
 #include <cornelshore/role/agent_parts.hpp>
+#include <cornelshore/role/figures.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
 namespace cornelshore::role {
@@ -85,19 +86,6 @@
     .With("classes", std::move(classes));
 }
 
-Figure
-Plain(const char* aName, const char* aHelp, FigureKind aKind, double aValue)
-{
-  return { aName, aHelp, aKind, {}, aValue };
-}
-
-Figure
-Labelled(Figure aFigure, const char* aLabel, std::string_view aValue)
-{
-  aFigure.labels_.emplace_back(aLabel, std::string(aValue));
-  return aFigure;
-}
-
 } // namespace
 
 Agent::Agent(std::unique_ptr<Parts> aParts)
@@ -187,75 +175,54 @@
 {
   const auto flows = parts_->flows_.Dump(aNow);
   const auto requests = parts_->requests_.Dump(aNow);
-  const auto node = parts_->node_.Dump(aNow);
-  const auto number = [](auto aValue) { return static_cast<double>(aValue); };
-  using enum FigureKind;
   std::vector<Figure> figures{
-    Plain("cornelshore_agent_flows",
-          "Flows open at this host.",
-          Gauge,
-          number(flows.flows_)),
-    Plain("cornelshore_agent_requests_in_progress",
-          "Requests of this home without an outcome.",
-          Gauge,
-          number(requests.inProgress_)),
-    Plain("cornelshore_agent_request_ids",
-          "Request ids held as home.",
-          Gauge,
-          number(requests.ids_)),
-    Plain("cornelshore_config_version",
-          "Version of the configuration in force.",
-          Gauge,
-          number(node.config_.value_)),
-    Plain("cornelshore_config_confirmed",
-          "1 when control lately confirmed the configuration in force.",
-          Gauge,
-          node.confirmed_ ? 1 : 0),
-    Plain("cornelshore_control_sent_bytes_total",
-          "Bytes of control messages sent.",
-          Counter,
-          number(node.bytesSent_)),
+    internal::Gauge(
+      "cornelshore_agent_flows", "Flows open at this host.", flows.flows_),
+    internal::Gauge("cornelshore_agent_requests_in_progress",
+                    "Requests of this home without an outcome.",
+                    requests.inProgress_),
+    internal::Gauge("cornelshore_agent_request_ids",
+                    "Request ids held as home.",
+                    requests.ids_),
   };
+  internal::AddNodeFigures(parts_->node_.Dump(aNow), figures);
   for (std::size_t index = 0; index < flow::kOutcomeNames.size(); ++index) {
-    figures.push_back(Labelled(Plain("cornelshore_agent_packets_total",
-                                     "Packets of flows by what became of them.",
-                                     Counter,
-                                     number(flows.counters_[index])),
-                               "outcome",
-                               flow::kOutcomeNames[index].name_));
+    figures.push_back(internal::Labelled(
+      internal::Counter("cornelshore_agent_packets_total",
+                        "Packets of flows by what became of them.",
+                        flows.counters_[index]),
+      "outcome",
+      flow::kOutcomeNames[index].name_));
   }
   for (const auto& verdict : request::kVerdictNames) {
-    figures.push_back(
-      Labelled(Plain("cornelshore_agent_requests_total",
-                     "Requests of this home by verdict.",
-                     Counter,
-                     number(requests.outcomes_.Of(verdict.value_))),
-               "verdict",
-               verdict.name_));
+    figures.push_back(internal::Labelled(
+      internal::Counter("cornelshore_agent_requests_total",
+                        "Requests of this home by verdict.",
+                        requests.outcomes_.Of(verdict.value_)),
+      "verdict",
+      verdict.name_));
   }
   for (const auto& row : parts_->slots_.Dump(aNow).classes_) {
-    figures.push_back(Labelled(Plain("cornelshore_agent_slots_running",
-                                     "Slots in use, by class.",
-                                     Gauge,
-                                     number(row.running_)),
-                               "class",
-                               row.name_));
     figures.push_back(
-      Labelled(Plain("cornelshore_agent_slots_missing",
-                     "Slots that the fleet lacks for the class's floor.",
-                     Gauge,
-                     number(row.missing_)),
-               "class",
-               row.name_));
+      internal::Labelled(internal::Gauge("cornelshore_agent_slots_running",
+                                         "Slots in use, by class.",
+                                         row.running_),
+                         "class",
+                         row.name_));
+    figures.push_back(internal::Labelled(
+      internal::Gauge("cornelshore_agent_slots_missing",
+                      "Slots that the fleet lacks for the class's floor.",
+                      row.missing_),
+      "class",
+      row.name_));
   }
   return figures;
 }
 
 Agent::Builder::Builder(dissemination::NodeSettings aNode, HostRecord aHost)
-  : node_(std::move(aNode))
+  : NodeBuilder(std::move(aNode), membership::NodeRole::Agent)
   , host_(std::move(aHost))
 {
-  node_.role_ = membership::NodeRole::Agent;
   node_.interest_ = host_.service_;
   host_.id_ = HostId{ node_.self_.value_ };
   host_.incarnation_ = node_.incarnation_;
@@ -263,20 +230,6 @@
   host_.agent_ = node_.address_;
 }
 
-Agent::Builder&
-Agent::Builder::WithSeeds(std::vector<Address> aSeeds)
-{
-  seeds_ = std::move(aSeeds);
-  return *this;
-}
-
-Agent::Builder&
-Agent::Builder::WithHooks(Hooks aHooks)
-{
-  hooks_ = std::move(aHooks);
-  return *this;
-}
-
 Agent::Builder&
 Agent::Builder::WithStopLimit(Duration aLimit)
 {
@@ -287,7 +240,7 @@
 absl::StatusOr<std::unique_ptr<Agent>>
 Agent::Builder::Build(TimePoint aNow) const
 {
-  auto node = dissemination::Node::Builder(node_).Build();
+  auto node = BuildNode();
   if (!node.ok()) {
     return node.status();
   }
--- a/src/cornelshore/role/agent.hpp
+++ b/src/cornelshore/role/agent.hpp
@@ -18,7 +18,7 @@
 #include <cornelshore/flow/event.hpp>
 #include <cornelshore/request/event.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
+#include <cornelshore/role/node_builder.hpp>
 
 namespace cornelshore::role {
 
@@ -130,7 +130,7 @@
 };
 
 /** @brief Builds an agent. */
-class Agent::Builder
+class Agent::Builder : public NodeBuilder<Agent::Builder>
 {
 public:
   /**
@@ -140,8 +140,6 @@
    */
   Builder(dissemination::NodeSettings aNode, HostRecord aHost);
 
-  Builder& WithSeeds(std::vector<Address> aSeeds);
-  Builder& WithHooks(Hooks aHooks);
   /** @brief Longest planned stop. */
   Builder& WithStopLimit(Duration aLimit);
 
@@ -150,10 +148,7 @@
     TimePoint aNow) const;
 
 private:
-  dissemination::NodeSettings node_;
   HostRecord host_;
-  std::vector<Address> seeds_;
-  Hooks hooks_;
   Duration stopLimit_{ std::chrono::hours(1) };
 };
 
--- a/src/cornelshore/role/balancer.cpp
+++ b/src/cornelshore/role/balancer.cpp
@@ -8,6 +8,7 @@
 #include <cornelshore/admission/shedder.hpp>
 #include <cornelshore/membership/health_watcher.hpp>
 #include <cornelshore/role/address_book.hpp>
+#include <cornelshore/role/figures.hpp>
 #include <cornelshore/role/host_dump.hpp>
 #include <cornelshore/role/host_results.hpp>
 
@@ -413,79 +414,48 @@
 std::vector<Figure>
 Balancer::Figures(TimePoint aNow) const
 {
-  const auto counter = [](const char* aName, const char* aHelp, auto aValue) {
-    return Figure{
-      aName, aHelp, FigureKind::Counter, {}, static_cast<double>(aValue)
-    };
-  };
-  const auto gauge = [](const char* aName, const char* aHelp, auto aValue) {
-    return Figure{
-      aName, aHelp, FigureKind::Gauge, {}, static_cast<double>(aValue)
-    };
-  };
   const auto& parts = *parts_;
-  const auto node = parts.node_.Dump(aNow);
   std::vector<Figure> figures{
-    counter("cornelshore_balancer_packets_total",
-            "Packets received from the fabric.",
-            parts.packets_),
-    counter("cornelshore_balancer_flow_answers_total",
-            "Answers of flows relayed to callers.",
-            parts.flowAnswers_),
-    counter("cornelshore_balancer_requests_relayed_total",
-            "Request messages relayed to hosts.",
-            parts.requests_.Dump().toHome_ + parts.requests_.Dump().toBackup_),
-    gauge("cornelshore_config_version",
-          "Version of the configuration in force.",
-          node.config_.value_),
-    gauge("cornelshore_config_confirmed",
-          "1 when control lately confirmed the configuration in force.",
-          node.confirmed_ ? 1 : 0),
-    gauge("cornelshore_hosts", "Host records known.", node.hosts_),
-    counter("cornelshore_control_sent_bytes_total",
-            "Bytes of control messages sent.",
-            node.bytesSent_),
+    internal::Counter("cornelshore_balancer_packets_total",
+                      "Packets received from the fabric.",
+                      parts.packets_),
+    internal::Counter("cornelshore_balancer_flow_answers_total",
+                      "Answers of flows relayed to callers.",
+                      parts.flowAnswers_),
+    internal::Counter("cornelshore_balancer_requests_relayed_total",
+                      "Request messages relayed to hosts.",
+                      parts.requests_.Dump().toHome_ +
+                        parts.requests_.Dump().toBackup_),
   };
+  internal::AddNodeFigures(parts.node_.Dump(aNow), figures);
   for (std::size_t index = 0; index < flow::kRefusalNames.size(); ++index) {
-    auto figure = counter("cornelshore_balancer_packets_refused_total",
-                          "Packets sent to no host.",
-                          parts.packetsRefused_[index]);
-    figure.labels_.emplace_back("reason", flow::kRefusalNames[index].name_);
-    figures.push_back(std::move(figure));
+    figures.push_back(internal::Labelled(
+      internal::Counter("cornelshore_balancer_packets_refused_total",
+                        "Packets sent to no host.",
+                        parts.packetsRefused_[index]),
+      "reason",
+      flow::kRefusalNames[index].name_));
   }
   for (const auto& row : parts.shedder_->Dump()) {
-    auto figure = counter(
-      "cornelshore_balancer_shed_total", "Requests refused early.", row.shed_);
-    figure.labels_.emplace_back("class", row.name_);
-    figures.push_back(std::move(figure));
+    figures.push_back(
+      internal::Labelled(internal::Counter("cornelshore_balancer_shed_total",
+                                           "Requests refused early.",
+                                           row.shed_),
+                         "class",
+                         row.name_));
   }
   return figures;
 }
 
 Balancer::Builder::Builder(dissemination::NodeSettings aNode)
-  : node_(std::move(aNode))
-{
-  node_.role_ = membership::NodeRole::Balancer;
-}
-
-Balancer::Builder&
-Balancer::Builder::WithSeeds(std::vector<Address> aSeeds)
-{
-  seeds_ = std::move(aSeeds);
-  return *this;
-}
-
-Balancer::Builder&
-Balancer::Builder::WithHooks(Hooks aHooks)
+  : NodeBuilder(std::move(aNode), membership::NodeRole::Balancer)
 {
-  hooks_ = std::move(aHooks);
-  return *this;
 }
 
 absl::StatusOr<std::unique_ptr<Balancer>>
 Balancer::Builder::Build(TimePoint aNow) const
 {
-  auto node = dissemination::Node::Builder(node_).Build();
+  auto node = BuildNode();
   if (!node.ok()) {
     return node.status();
   }
--- a/src/cornelshore/role/balancer.hpp
+++ b/src/cornelshore/role/balancer.hpp
@@ -17,7 +17,7 @@
 #include <cornelshore/flow/balancer.hpp>
 #include <cornelshore/request/balancer.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
+#include <cornelshore/role/node_builder.hpp>
 
 namespace cornelshore::role {
 
@@ -82,23 +82,15 @@
 };
 
 /** @brief Builds a balancer. */
-class Balancer::Builder
+class Balancer::Builder : public NodeBuilder<Balancer::Builder>
 {
 public:
   /** @param aNode Who it is; its role is set to balancer. */
   explicit Builder(dissemination::NodeSettings aNode);
 
-  Builder& WithSeeds(std::vector<Address> aSeeds);
-  Builder& WithHooks(Hooks aHooks);
-
   /** @return The balancer, or `InvalidArgument` naming the setting. */
   [[nodiscard]] absl::StatusOr<std::unique_ptr<Balancer>> Build(
     TimePoint aNow) const;
-
-private:
-  dissemination::NodeSettings node_;
-  std::vector<Address> seeds_;
-  Hooks hooks_;
 };
 
 } // namespace cornelshore::role
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -7,6 +7,7 @@
 
 #include <cornelshore/admission/validate.hpp>
 #include <cornelshore/role/address_book.hpp>
+#include <cornelshore/role/figures.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
 namespace cornelshore::role {
@@ -421,53 +422,35 @@
 Control::Figures(TimePoint aNow) const
 {
   const auto replica = parts_->replica_.Dump(aNow);
-  const auto node = parts_->node_.Dump(aNow);
-  const auto gauge = [](const char* aName, const char* aHelp, double aValue) {
-    return Figure{ aName, aHelp, FigureKind::Gauge, {}, aValue };
-  };
-  return {
-    gauge("cornelshore_control_leader",
-          "1 when this replica leads.",
-          replica.role_ == consensus::Role::Leader ? 1 : 0),
-    gauge("cornelshore_control_holds_lease",
-          "1 when this replica holds the lease.",
-          replica.holdsLease_ ? 1 : 0),
-    gauge("cornelshore_control_term",
-          "Term of the replicated log.",
-          static_cast<double>(replica.term_.value_)),
-    gauge("cornelshore_control_commit_index",
-          "Last committed entry of the log.",
-          static_cast<double>(replica.commit_.value_)),
-    gauge("cornelshore_control_log_bytes",
-          "Bytes of the log in memory.",
-          static_cast<double>(replica.logBytes_)),
-    gauge("cornelshore_control_faulted",
-          "1 when the replica takes no further part.",
-          replica.fault_ == consensus::Fault::None ? 0 : 1),
-    gauge("cornelshore_config_version",
-          "Version of the configuration in force.",
-          static_cast<double>(node.config_.value_)),
-    Figure{ "cornelshore_control_sent_bytes_total",
-            "Bytes of control messages sent.",
-            FigureKind::Counter,
-            {},
-            static_cast<double>(node.bytesSent_) },
+  std::vector<Figure> figures{
+    internal::Gauge("cornelshore_control_leader",
+                    "1 when this replica leads.",
+                    replica.role_ == consensus::Role::Leader ? 1 : 0),
+    internal::Gauge("cornelshore_control_holds_lease",
+                    "1 when this replica holds the lease.",
+                    replica.holdsLease_ ? 1 : 0),
+    internal::Gauge("cornelshore_control_term",
+                    "Term of the replicated log.",
+                    replica.term_.value_),
+    internal::Gauge("cornelshore_control_commit_index",
+                    "Last committed entry of the log.",
+                    replica.commit_.value_),
+    internal::Gauge("cornelshore_control_log_bytes",
+                    "Bytes of the log in memory.",
+                    replica.logBytes_),
+    internal::Gauge("cornelshore_control_faulted",
+                    "1 when the replica takes no further part.",
+                    replica.fault_ == consensus::Fault::None ? 0 : 1),
   };
+  internal::AddNodeFigures(parts_->node_.Dump(aNow), figures);
+  return figures;
 }
 
 Control::Builder::Builder(dissemination::NodeSettings aNode,
                           consensus::Replica aReplica)
-  : node_(std::move(aNode))
+  : NodeBuilder(std::move(aNode), membership::NodeRole::Control)
   , replica_(std::move(aReplica))
 {
-  node_.role_ = membership::NodeRole::Control;
-}
-
-Control::Builder&
-Control::Builder::WithSeeds(std::vector<Address> aSeeds)
-{
-  seeds_ = std::move(aSeeds);
-  return *this;
 }
 
 Control::Builder&
@@ -477,17 +460,10 @@
   return *this;
 }
 
-Control::Builder&
-Control::Builder::WithHooks(Hooks aHooks)
-{
-  hooks_ = std::move(aHooks);
-  return *this;
-}
-
 absl::StatusOr<std::unique_ptr<Control>>
 Control::Builder::Build(TimePoint aNow)
 {
-  auto node = dissemination::Node::Builder(node_).Build();
+  auto node = BuildNode();
   if (!node.ok()) {
     return node.status();
   }
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -17,7 +17,7 @@
 #include <cornelshore/core/time.hpp>
 #include <cornelshore/dissemination/node.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
+#include <cornelshore/role/node_builder.hpp>
 
 namespace cornelshore::role {
 
@@ -135,7 +135,7 @@
 };
 
 /** @brief Builds a control process. */
-class Control::Builder
+class Control::Builder : public NodeBuilder<Control::Builder>
 {
 public:
   /**
@@ -144,20 +144,15 @@
    */
   Builder(dissemination::NodeSettings aNode, consensus::Replica aReplica);
 
-  Builder& WithSeeds(std::vector<Address> aSeeds);
   /** @brief Addresses of the control processes, by node. */
   Builder& WithMembers(std::vector<std::pair<NodeId, Address>> aMembers);
-  Builder& WithHooks(Hooks aHooks);
 
   /** @return The process, or `InvalidArgument` naming the setting. */
   [[nodiscard]] absl::StatusOr<std::unique_ptr<Control>> Build(TimePoint aNow);
 
 private:
-  dissemination::NodeSettings node_;
   consensus::Replica replica_;
-  std::vector<Address> seeds_;
   std::vector<std::pair<NodeId, Address>> members_;
-  Hooks hooks_;
 };
 
 } // namespace cornelshore::role
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <cornelshore/relay/load_reports.hpp>
+#include <cornelshore/role/figures.hpp>
 #include <cornelshore/role/flow_log.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
@@ -295,63 +296,36 @@
 RelayAgent::Figures(TimePoint aNow) const
 {
   const auto load = parts_->flows_.Load(aNow);
-  const auto node = parts_->node_.Dump(aNow);
-  const auto gauge = [](const char* aName, const char* aHelp, double aValue) {
-    return Figure{ aName, aHelp, FigureKind::Gauge, {}, aValue };
-  };
   std::vector<Figure> figures{
-    gauge("cornelshore_agent_flows",
-          "Flows open at this host.",
-          static_cast<double>(load.flows_)),
-    gauge("cornelshore_agent_requests_in_progress",
-          "Requests that the host has not answered.",
-          static_cast<double>(load.busy_)),
-    gauge("cornelshore_agent_accepts",
-          "1 when the host takes new flows.",
-          load.accepts_ ? 1.0 : 0.0),
-    gauge("cornelshore_config_version",
-          "Version of the configuration in force.",
-          static_cast<double>(node.config_.value_)),
-    Figure{ "cornelshore_control_sent_bytes_total",
-            "Bytes of control messages sent.",
-            FigureKind::Counter,
-            {},
-            static_cast<double>(node.bytesSent_) },
+    internal::Gauge(
+      "cornelshore_agent_flows", "Flows open at this host.", load.flows_),
+    internal::Gauge("cornelshore_agent_requests_in_progress",
+                    "Requests that the host has not answered.",
+                    load.busy_),
+    internal::Gauge("cornelshore_agent_accepts",
+                    "1 when the host takes new flows.",
+                    load.accepts_ ? 1 : 0),
   };
+  internal::AddNodeFigures(parts_->node_.Dump(aNow), figures);
   for (const auto& row : relay::kAgentCountNames) {
-    figures.push_back(
-      { "cornelshore_agent_packets_total",
-        "Packets of flows by what became of them.",
-        FigureKind::Counter,
-        { { "outcome", std::string(row.name_) } },
-        static_cast<double>(parts_->flows_.Count(row.value_)) });
+    figures.push_back(internal::Labelled(
+      internal::Counter("cornelshore_agent_packets_total",
+                        "Packets of flows by what became of them.",
+                        parts_->flows_.Count(row.value_)),
+      "outcome",
+      row.name_));
   }
   return figures;
 }
 
 RelayAgent::Builder::Builder(dissemination::NodeSettings aNode,
                              ServiceId aService)
-  : node_(std::move(aNode))
+  : NodeBuilder(std::move(aNode), membership::NodeRole::Agent)
   , service_(aService)
 {
-  node_.role_ = membership::NodeRole::Agent;
   node_.interest_ = aService;
 }
 
-RelayAgent::Builder&
-RelayAgent::Builder::WithSeeds(std::vector<Address> aSeeds)
-{
-  seeds_ = std::move(aSeeds);
-  return *this;
-}
-
-RelayAgent::Builder&
-RelayAgent::Builder::WithHooks(Hooks aHooks)
-{
-  hooks_ = std::move(aHooks);
-  return *this;
-}
-
 RelayAgent::Builder&
 RelayAgent::Builder::WithCodec(relay::Codec aCodec)
 {
@@ -369,7 +343,7 @@
 absl::StatusOr<std::unique_ptr<RelayAgent>>
 RelayAgent::Builder::Build(TimePoint aNow) const
 {
-  auto node = dissemination::Node::Builder(node_).Build();
+  auto node = BuildNode();
   if (!node.ok()) {
     return node.status();
   }
--- a/src/cornelshore/role/relay_agent.hpp
+++ b/src/cornelshore/role/relay_agent.hpp
@@ -14,7 +14,7 @@
 #include <cornelshore/dissemination/node.hpp>
 #include <cornelshore/relay/agent.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
+#include <cornelshore/role/node_builder.hpp>
 
 namespace cornelshore::role {
 
@@ -92,7 +92,7 @@
 };
 
 /** @brief Builds an agent of flows of segments. */
-class RelayAgent::Builder
+class RelayAgent::Builder : public NodeBuilder<RelayAgent::Builder>
 {
 public:
   /**
@@ -101,8 +101,6 @@
    */
   Builder(dissemination::NodeSettings aNode, ServiceId aService);
 
-  Builder& WithSeeds(std::vector<Address> aSeeds);
-  Builder& WithHooks(Hooks aHooks);
   Builder& WithCodec(relay::Codec aCodec);
   /** @brief Silence after which the upstream takes no new flows. */
   Builder& WithHostSilence(Duration aSilence);
@@ -112,10 +110,7 @@
     TimePoint aNow) const;
 
 private:
-  dissemination::NodeSettings node_;
   ServiceId service_;
-  std::vector<Address> seeds_;
-  Hooks hooks_;
   relay::Codec codec_;
   Duration hostSilence_{ std::chrono::milliseconds{ 3600 } };
 };
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include <cornelshore/role/figures.hpp>
 #include <cornelshore/role/flow_log.hpp>
 #include <cornelshore/role/host_dump.hpp>
 
@@ -300,58 +301,29 @@
 std::vector<Figure>
 RelayBalancer::Figures(TimePoint aNow) const
 {
-  const auto node = parts_->node_.Dump(aNow);
   std::vector<Figure> figures{
-    { "cornelshore_balancer_flows",
-      "Flows that a host is remembered for.",
-      FigureKind::Gauge,
-      {},
-      static_cast<double>(parts_->flows_.Flows()) },
-    { "cornelshore_balancer_ready",
-      "1 when the fabric should send packets here.",
-      FigureKind::Gauge,
-      {},
-      parts_->ready_ ? 1.0 : 0.0 },
-    { "cornelshore_config_version",
-      "Version of the configuration in force.",
-      FigureKind::Gauge,
-      {},
-      static_cast<double>(node.config_.value_) },
-    { "cornelshore_control_sent_bytes_total",
-      "Bytes of control messages sent.",
-      FigureKind::Counter,
-      {},
-      static_cast<double>(node.bytesSent_) },
+    internal::Gauge("cornelshore_balancer_flows",
+                    "Flows that a host is remembered for.",
+                    parts_->flows_.Flows()),
+    internal::Gauge("cornelshore_balancer_ready",
+                    "1 when the fabric should send packets here.",
+                    parts_->ready_ ? 1 : 0),
   };
+  internal::AddNodeFigures(parts_->node_.Dump(aNow), figures);
   for (const auto& row : relay::kBalancerCountNames) {
-    figures.push_back(
-      { "cornelshore_balancer_packets_total",
-        "Packets of callers by what became of them.",
-        FigureKind::Counter,
-        { { "outcome", std::string(row.name_) } },
-        static_cast<double>(parts_->flows_.Count(row.value_)) });
+    figures.push_back(internal::Labelled(
+      internal::Counter("cornelshore_balancer_packets_total",
+                        "Packets of callers by what became of them.",
+                        parts_->flows_.Count(row.value_)),
+      "outcome",
+      row.name_));
   }
   return figures;
 }
 
 RelayBalancer::Builder::Builder(dissemination::NodeSettings aNode)
-  : node_(std::move(aNode))
+  : NodeBuilder(std::move(aNode), membership::NodeRole::Balancer)
 {
-  node_.role_ = membership::NodeRole::Balancer;
-}
-
-RelayBalancer::Builder&
-RelayBalancer::Builder::WithSeeds(std::vector<Address> aSeeds)
-{
-  seeds_ = std::move(aSeeds);
-  return *this;
-}
-
-RelayBalancer::Builder&
-RelayBalancer::Builder::WithHooks(Hooks aHooks)
-{
-  hooks_ = std::move(aHooks);
-  return *this;
 }
 
 RelayBalancer::Builder&
@@ -371,7 +343,7 @@
 absl::StatusOr<std::unique_ptr<RelayBalancer>>
 RelayBalancer::Builder::Build(TimePoint aNow) const
 {
-  auto node = dissemination::Node::Builder(node_).Build();
+  auto node = BuildNode();
   if (!node.ok()) {
     return node.status();
   }
--- a/src/cornelshore/role/relay_balancer.hpp
+++ b/src/cornelshore/role/relay_balancer.hpp
@@ -14,7 +14,7 @@
 #include <cornelshore/dissemination/node.hpp>
 #include <cornelshore/relay/balancer.hpp>
 #include <cornelshore/role/event.hpp>
-#include <cornelshore/role/hooks.hpp>
+#include <cornelshore/role/node_builder.hpp>
 
 namespace cornelshore::role {
 
@@ -74,14 +74,12 @@
 };
 
 /** @brief Builds a balancer of flows of segments. */
-class RelayBalancer::Builder
+class RelayBalancer::Builder : public NodeBuilder<RelayBalancer::Builder>
 {
 public:
   /** @param aNode Who it is; its role is set to balancer. */
   explicit Builder(dissemination::NodeSettings aNode);
 
-  Builder& WithSeeds(std::vector<Address> aSeeds);
-  Builder& WithHooks(Hooks aHooks);
   Builder& WithCodec(relay::Codec aCodec);
   /** @brief Longest planned stop. */
   Builder& WithStopLimit(Duration aLimit);
@@ -91,9 +89,6 @@
     TimePoint aNow) const;
 
 private:
-  dissemination::NodeSettings node_;
-  std::vector<Address> seeds_;
-  Hooks hooks_;
   relay::Codec codec_;
   Duration stopLimit_{ std::chrono::seconds{ 5 } };
 };
