Reset no flow between hearing of a host and asking it

The message that brings them in step brings the missing host as well; that starts the search anew, but only at the next tick, and the deciding thread takes up to 256 waiting events before it. A packet of the flow among them found "in step" and "denied by all" and was answered with a reset.

Ruled out: an agent's wrong denial (its host had the flow for 25 s and no agent restarted), a configuration change.

Change: while a resumption is due, no flow counts as lost.

--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -346,6 +346,8 @@
   dissemination::ByteBudget searches_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, HeldOpening> held_;
+  /** Hosts, routes or records are new: until the next tick what was denied
+   * before may hold no more. */
   bool resumes_{};
   std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Flows to look at.
   TimePoint nextTimer_{ TimePoint::max() };
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -153,7 +153,8 @@
   const auto inStep = inStepAt_ && aNow - *inStepAt_ < settings_.inStepLife_;
   const auto longEnough =
     aNow - aFlow.searchingSince_ >= settings_.searchLeast_;
-  return inStep && longEnough && aFlow.everywhere_ && aFlow.denied_;
+  return inStep && !resumes_ && longEnough && aFlow.everywhere_ &&
+         aFlow.denied_;
 }
 
 void
--- a/test/cornelshore/relay/balancer_search.cpp
+++ b/test/cornelshore/relay/balancer_search.cpp
@@ -234,6 +234,28 @@
   EXPECT_EQ(ResetsIn(Packet(now, packet)), 1U);
 }
 
+TEST_F(BalancerTest, ResetsNoFlowBeforeAHostJustHeardOfIsAsked)
+{
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  auto now = kStart + std::chrono::seconds{ 5 };
+  const auto query = DeniedNearby(now, packet);
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+    Reply(now + kGather, host, query, Holding::No);
+  }
+  now += milliseconds{ 200 };
+  balancer_.UpdateHosts(now, { RecordOf(4, kBoards) });
+  balancer_.NoteInStep(now);
+  EXPECT_EQ(ResetsIn(Packet(now, packet)), 0U);
+  Balancer::Actions actions;
+  balancer_.Tick(now, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  balancer_.Tick(now + kGather, actions);
+  Query again;
+  EXPECT_TRUE(QueriedIn(actions, &again).contains(4));
+  actions = Reply(now + kGather, 4, again, Holding::Yes);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 4 });
+}
+
 /** What a balancer sent to look for flows. */
 struct Asked
 {
