Look for a flow whose opening's answer was lost, show a host each flow once

Change: an agent gives a packet back that the balancer sent directly, and a balancer looks for a flow whose last offered host denies a packet of it, whether or not the opening was answered. An agent remembers for 20 s what its host gave back and neither shows it more of that flow nor calls itself unsure about it.

AgentTest.GivesABalancerThePacketBackThatItWronglyThoughtHeldHere, AgentTest.ShowsItsHostNoFlowAgainThatTheHostGaveBack and BalancerTest.LooksForAFlowThatOpenedAtAHostWhoseAnswerWasLost fail before. All 18 test programs pass.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -18,6 +18,11 @@
  * peer's last retransmission comes within. */
 constexpr Duration kClosedLife = std::chrono::seconds{ 4 };
 
+/** How long a host is shown no further packet of a flow that it gave back. It
+ * could hold it later only by an opening, which comes through its agent; the
+ * time bounds the memory of such flows. */
+constexpr Duration kReturnedLife = std::chrono::seconds{ 20 };
+
 /** Marks that say why a packet was handed to the host. */
 constexpr std::uint32_t kOpenMark = 1;
 constexpr std::uint32_t kHeldMark = 2;
@@ -165,9 +170,9 @@
       Tell(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
     mark = kHeldMark;
-  } else if (MayHoldOthers(aNow) && (aCarried.service_ == settings_.service_ ||
+  } else if (MayHold(aNow, aKey) && (aCarried.service_ == settings_.service_ ||
                                      aCarried.service_ == kAnyService)) {
-    guesses_[aKey] = { aBalancer, aNow };
+    guesses_[aKey] = { aBalancer, aNow, aCarried.purpose_ == Purpose::Direct };
   } else {
     Deny(aNow, aKey, aBalancer, std::move(aCarried), aOut);
     return;
@@ -191,7 +196,7 @@
     return IsOther(found->second, aItem.acknowledged_) ? Holding::No
                                                        : Holding::Yes;
   }
-  return MayHoldOthers(aNow) ? Holding::Unsure : Holding::No;
+  return MayHold(aNow, aItem.key_) ? Holding::Unsure : Holding::No;
 }
 
 void
@@ -234,6 +239,14 @@
   return !runBeganHere_ && aNow - start_ < settings_.flowLife_;
 }
 
+bool
+Agent::MayHold(TimePoint aNow, const FlowKey& aKey) const
+{
+  const auto guess = guesses_.find(aKey);
+  return MayHoldOthers(aNow) &&
+         (guess == guesses_.end() || !guess->second.returned_);
+}
+
 void
 Agent::OnHostPacket(TimePoint aNow, std::string aPacket, Actions& aOut)
 {
@@ -289,9 +302,16 @@
   const auto found = flows_.find(key);
   if (aSegment.mark_ == kGuessMark || found == flows_.end()) {
     const auto guess = guesses_.find(key);
-    if (guess != guesses_.end()) {
-      Tell(aNow, guess->second.balancer_, key, Verdict::Unknown, aOut);
-      guesses_.erase(guess);
+    if (guess != guesses_.end() && !guess->second.returned_) {
+      codec_.mark_(aPacket, 0);
+      Tell(aNow,
+           guess->second.balancer_,
+           key,
+           Verdict::Unknown,
+           aOut,
+           guess->second.direct_ ? std::move(aPacket) : std::string());
+      guess->second.returned_ = true;
+      guess->second.since_ = aNow;
     }
     return;
   }
@@ -443,7 +463,9 @@
   }
   sweepAt_ = aNow + kSweepEvery;
   absl::erase_if(guesses_, [&](const auto& aRow) {
-    return aNow - aRow.second.since_ > kClosedLife;
+    const auto& guess = aRow.second;
+    return aNow - guess.since_ >
+           (guess.returned_ ? kReturnedLife : kClosedLife);
   });
   const auto idle = routes_.FlowIdle();
   const auto life = idle > Duration::zero()
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -191,11 +191,13 @@
     bool closed_{}; ///< Both ends are done, or one reset the flow.
   };
 
-  /** A packet of an unknown flow that the host may hold. */
+  /** An unknown flow of which the host was shown a packet. */
   struct Guess
   {
     Address balancer_; ///< Told when the host answers.
     TimePoint since_;
+    bool direct_{};   ///< The balancer thinks that the host holds the flow.
+    bool returned_{}; ///< The host does not hold it.
   };
 
   void Open(TimePoint aNow,
@@ -249,7 +251,10 @@
             const FlowKey& aKey,
             Actions& aOut) const;
   /** @brief Whether the host may hold flows that this agent never saw. */
+  /** @brief Whether the host may hold flows that this agent never saw. */
   [[nodiscard]] bool MayHoldOthers(TimePoint aNow) const noexcept;
+  /** @brief Whether the host may hold this one, which is none of `flows_`. */
+  [[nodiscard]] bool MayHold(TimePoint aNow, const FlowKey& aKey) const;
   void Note(AgentCount aCount) noexcept
   {
     ++counts_[static_cast<std::size_t>(aCount)];
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -187,16 +187,13 @@
                    Flow& aFlow,
                    Actions& aOut)
 {
-  if (aFlow.phase_ == Phase::Held && aFlow.host_ == aHost) {
-    if (!aAnswer.packet_.empty()) {
+  if (aFlow.phase_ != Phase::Searching) {
+    if (aFlow.host_ == aHost && !aAnswer.packet_.empty()) {
       aFlow.packets_ = { std::move(aAnswer.packet_) };
       StartSearch(aNow, aAnswer.key_, aFlow, aHost, aOut);
     }
     return;
   }
-  if (aFlow.phase_ != Phase::Searching) {
-    return;
-  }
   if (!aAnswer.packet_.empty() &&
       aFlow.packets_.size() < settings_.mostWaiting_) {
     aFlow.packets_.push_back(std::move(aAnswer.packet_));
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -108,16 +108,22 @@
     return std::nullopt;
   }
 
-  static std::optional<Verdict> VerdictIn(const Agent::Actions& aActions)
+  static std::optional<Answer> AnswerIn(const Agent::Actions& aActions)
   {
     for (const auto& action : aActions) {
       if (const auto* tell = std::get_if<ToBalancer>(&action)) {
-        return tell->answer_.verdict_;
+        return tell->answer_;
       }
     }
     return std::nullopt;
   }
 
+  static std::optional<Verdict> VerdictIn(const Agent::Actions& aActions)
+  {
+    const auto answer = AnswerIn(aActions);
+    return answer ? std::optional(answer->verdict_) : std::nullopt;
+  }
+
   Agent agent_;
   ConfigVersion version_{ 1 };
 };
@@ -298,6 +304,42 @@
   EXPECT_EQ(VerdictIn(HostSends(kStart, packet)), Verdict::Unknown);
 }
 
+TEST_F(AgentTest, ShowsItsHostNoFlowAgainThatTheHostGaveBack)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  const auto sent = FromCaller(1, false);
+  auto packet = *Delivered(Carry(kStart, Purpose::Search, sent));
+  packet.returned_ = true;
+  HostSends(kStart, packet);
+  for (const auto purpose : { Purpose::Search, Purpose::Direct }) {
+    const auto actions = Carry(kStart, purpose, sent);
+    EXPECT_FALSE(Delivered(actions));
+    EXPECT_EQ(VerdictIn(actions), Verdict::Unknown);
+  }
+  Agent::Actions actions;
+  agent_.OnQuery(
+    kStart, kBalancer, { 1, { { KeyFromCaller(sent), 5001 } } }, actions);
+  EXPECT_EQ(std::get<AnswerQuery>(actions.front()).answer_.holdings_,
+            std::vector{ Holding::No });
+  Carry(kStart, Purpose::Insist, FromCaller(1, true));
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, sent)));
+}
+
+TEST_F(AgentTest, GivesABalancerThePacketBackThatItWronglyThoughtHeldHere)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  const auto sent = FromCaller(1, false);
+  auto packet = *Delivered(Carry(kStart, Purpose::Direct, sent));
+  packet.returned_ = true;
+  const auto answer = AnswerIn(HostSends(kStart, packet));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->verdict_, Verdict::Unknown);
+  const auto back = SegmentOf(answer->packet_);
+  ASSERT_TRUE(back.has_value());
+  EXPECT_EQ(back->mark_, sent.mark_);
+  EXPECT_EQ(KeyFromCaller(*back), KeyFromCaller(sent));
+}
+
 TEST_F(AgentTest, RefusesAnOpeningThatTheHostGaveBack)
 {
   agent_.OnReport(kStart, ReportOf(1));
--- a/test/cornelshore/relay/balancer_search.cpp
+++ b/test/cornelshore/relay/balancer_search.cpp
@@ -256,6 +256,25 @@
   EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 4 });
 }
 
+TEST_F(BalancerTest, LooksForAFlowThatOpenedAtAHostWhoseAnswerWasLost)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  const auto opened = *HostsOf(Packet(kStart, opening)).begin();
+  Balancer::Actions actions;
+  const auto now = kStart + milliseconds{ 100 };
+  balancer_.Tick(now, actions);
+  const auto last = *HostsOf(actions).begin();
+  ASSERT_NE(last, opened);
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ last });
+  const auto asked =
+    HostsOf(Answer(now, last, packet, Verdict::Unknown, PacketOf(packet)));
+  EXPECT_TRUE(asked.contains(opened));
+  EXPECT_FALSE(asked.contains(last));
+  Answer(now, opened, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ opened });
+}
+
 /** What a balancer sent to look for flows. */
 struct Asked
 {
