Wait for room on a full disk instead of ending

Cause: the log treated ENOSPC like a failed disk. Change: Log::Resume writes the state, with every write that was appended, to a new segment and goes on; a log opens on a full disk. The storage thread retries every 50 ms and reports nothing meanwhile, so that a full disk is a slow one to the replica. A write above the frame limit is OutOfRange now, since no room helps it. Measured: Log.ResumesOnceAFullDiskHasRoom, 200 random runs with the disk full at any write and at any start: nothing that was synced is lost, no part of a failed write is read back, no old segment stays.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t kPersistRingCapacity = 4096;
 constexpr std::chrono::milliseconds kLongestSleep{ 1000 };
 constexpr std::size_t kMostAppendsASync = 256;
+constexpr std::chrono::milliseconds kFullDiskRetryInterval{ 50 };
 
 /** Times of a group that forms itself: an election ends well within the time
  * in which its operators expect an acknowledgement, 5 s. */
@@ -76,6 +77,9 @@
 private:
   void Run()
   {
+    if (const auto status = WaitForRoom(log_->Failure()); !status.ok()) {
+      ReportFailure(status);
+    }
     while (!stopping_) {
       if (!WriteWaiting()) {
         signal_.Sleep([this] { return stopping_ || writes_.HasWork(); },
@@ -91,7 +95,7 @@
     absl::Status status;
     writes_.Drain(kMostAppendsASync, [&](const consensus::Persist& aPersist) {
       if (status.ok()) {
-        status = log_->Append(aPersist);
+        status = WaitForRoom(log_->Append(aPersist));
         last = aPersist.id_;
       }
     });
@@ -99,18 +103,43 @@
       return false;
     }
     if (status.ok()) {
-      status = log_->Sync();
+      status = WaitForRoom(log_->Sync());
+    }
+    if (status.ok()) {
+      events_.Push(consensus::Synced{ *last });
+    } else {
+      ReportFailure(status);
     }
-    Tell(status, *last);
     return true;
   }
 
-  void Tell(const absl::Status& aStatus, consensus::PersistId aLast)
+  /** Waits while the disk is full: to the replica it is a slow disk, whose
+   * writes no vote and no acknowledgement may depend on yet. */
+  absl::Status WaitForRoom(absl::Status aStatus)
   {
-    if (aStatus.ok()) {
-      events_.Push(consensus::Synced{ aLast });
-      return;
+    if (!absl::IsResourceExhausted(aStatus)) {
+      return aStatus;
+    }
+    const auto since = Now();
+    log::Write(log::Level::Error,
+               log::Event("disk_full")
+                 .With("why", std::string(aStatus.message()))
+                 .With("remedy", "free space on the disk of data_folder"));
+    while (absl::IsResourceExhausted(aStatus) && !stopping_) {
+      std::this_thread::sleep_for(kFullDiskRetryInterval);
+      aStatus = log_->Resume();
     }
+    const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now() - since);
+    log::Write(log::Level::Info,
+               log::Event("disk_full_ended")
+                 .With("waited_ms", static_cast<std::uint64_t>(waited.count()))
+                 .With("writes_again", aStatus.ok() ? "yes" : "no"));
+    return aStatus;
+  }
+
+  void ReportFailure(const absl::Status& aStatus)
+  {
     log::Write(
       log::Level::Error,
       log::Event("storage_failed").With("why", std::string(aStatus.message())));
--- a/src/cornelshore/storage/log.cpp
+++ b/src/cornelshore/storage/log.cpp
@@ -192,15 +192,28 @@
   aRecovered.state_ = state_;
   RemoveTemporary(*names);
   segment_ = segments.back();
-  if (auto status = RewriteAll(); !status.ok()) {
-    return status;
+  auto status = RecordFailure(RewriteAll());
+  if (absl::IsResourceExhausted(status)) {
+    return absl::OkStatus();
+  }
+  if (status.ok()) {
+    RemoveSegmentsBefore(segments.back());
+  }
+  return status;
+}
+
+void
+Log::RemoveSegmentsBefore(std::uint64_t aSegment)
+{
+  const auto names = hooks_.list_(folder_);
+  if (!names.ok()) {
+    return;
   }
-  for (const auto old : segments) {
-    if (old != segments.back()) {
+  for (const auto old : SegmentsIn(*names)) {
+    if (old < aSegment) {
       static_cast<void>(hooks_.remove_(PathOf(old)));
     }
   }
-  return absl::OkStatus();
 }
 
 void
@@ -288,16 +301,33 @@
   return RecordFailure(std::move(status));
 }
 
+absl::Status
+Log::Resume()
+{
+  if (!absl::IsResourceExhausted(failure_)) {
+    return failure_;
+  }
+  failure_ = RewriteAll();
+  if (failure_.ok()) {
+    RemoveSegmentsBefore(segment_);
+  } else {
+    CloseFile(handle_);
+  }
+  return failure_;
+}
+
 absl::Status
 Log::RewriteAll()
 {
   const auto old = segment_;
   CloseFile(handle_);
-  if (auto status = WriteSegment(old + 1); !status.ok()) {
-    return status;
+  auto written = WriteSegment(old + 1);
+  if (written.ok()) {
+    written = PublishSegment(old + 1);
   }
-  if (auto status = PublishSegment(old + 1); !status.ok()) {
-    return status;
+  if (!written.ok()) {
+    static_cast<void>(hooks_.remove_(TemporaryPathOf(old + 1)));
+    return written;
   }
   segment_ = old + 1;
   rewriteThresholdBytes_ = std::max(kMinRewriteThresholdBytes, 4 * bytes_);
@@ -316,8 +346,7 @@
 absl::Status
 Log::WriteSegment(std::uint64_t aSegment)
 {
-  auto handle = hooks_.create_(
-    absl::StrCat(PathOf(aSegment), std::string(kTemporarySuffix)));
+  auto handle = hooks_.create_(TemporaryPathOf(aSegment));
   if (!handle.ok()) {
     return handle.status();
   }
@@ -371,9 +400,8 @@
     return status;
   }
   syncedBytes_ = bytes_;
-  const auto path = PathOf(aSegment);
-  const auto temporary = absl::StrCat(path, std::string(kTemporarySuffix));
-  if (auto status = hooks_.rename_(temporary, path); !status.ok()) {
+  if (auto status = hooks_.rename_(TemporaryPathOf(aSegment), PathOf(aSegment));
+      !status.ok()) {
     return status;
   }
   return hooks_.syncFolder_(folder_);
@@ -385,7 +413,7 @@
                 std::string_view aPayload)
 {
   if (aPayload.size() > kMaxFrameBytes) {
-    return absl::ResourceExhaustedError("write exceeds the frame size limit");
+    return absl::OutOfRangeError("write exceeds the frame size limit");
   }
   const Frame frame{ static_cast<FrameKind>(aKind), syncedBytes_, aPayload };
   const auto bytes = MakeFrame(aSeed, bytes_, frame);
@@ -452,6 +480,12 @@
   return absl::StrCat(folder_, "/", std::string(kSegmentPrefix), aSegment);
 }
 
+std::string
+Log::TemporaryPathOf(std::uint64_t aSegment) const
+{
+  return absl::StrCat(PathOf(aSegment), std::string(kTemporarySuffix));
+}
+
 std::string
 Log::MarkerPath() const
 {
--- a/src/cornelshore/storage/log.hpp
+++ b/src/cornelshore/storage/log.hpp
@@ -48,6 +48,8 @@
  * failure every call returns that failure again: pages that a failed sync left
  * in the page cache must not be treated as durable. The next `Open` writes the
  * recovered state to a new segment and syncs it before returning it.
+ *
+ * A full disk is the exception: `Resume` goes on once it has room again.
  */
 class Log
 {
@@ -64,6 +66,8 @@
 
   /**
    * @brief Recovers the log in the folder.
+   * On a full disk the log opens with its state and `Append` fails until
+   * `Resume` succeeds.
    * @return The log and its state, `NotFound` when there is no log (a new or
    * emptied disk), `DataLoss` when synced state is damaged, moved or missing,
    * or the error of a file operation.
@@ -86,6 +90,21 @@
   /** @brief Makes all appended writes durable. @return As for `Append`. */
   [[nodiscard]] absl::Status Sync();
 
+  /**
+   * @brief Goes on after a full disk: writes the state, with every write that
+   * was appended, to a new segment and syncs it. What the failed write left
+   * behind is never read again.
+   * @return OK, `ResourceExhausted` while the disk is full, or the first other
+   * error, after which the log stays failed.
+   */
+  [[nodiscard]] absl::Status Resume();
+
+  /** @brief OK, or the failure that every call returns. */
+  [[nodiscard]] const absl::Status& Failure() const noexcept
+  {
+    return failure_;
+  }
+
   /** @brief Size of the current segment, in bytes. */
   [[nodiscard]] std::uint64_t Bytes() const noexcept { return bytes_; }
 
@@ -94,6 +113,7 @@
 
   [[nodiscard]] absl::Status LockFolder();
   [[nodiscard]] absl::Status RewriteAll();
+  void RemoveSegmentsBefore(std::uint64_t aSegment);
   [[nodiscard]] absl::Status WriteSegment(std::uint64_t aSegment);
   [[nodiscard]] absl::Status WriteState();
   [[nodiscard]] absl::Status PublishSegment(std::uint64_t aSegment);
@@ -110,6 +130,7 @@
   absl::Status RecordFailure(absl::Status aStatus);
   void CloseFile(int& aHandle);
   [[nodiscard]] std::string PathOf(std::uint64_t aSegment) const;
+  [[nodiscard]] std::string TemporaryPathOf(std::uint64_t aSegment) const;
   [[nodiscard]] std::string MarkerPath() const;
 
   std::string folder_;
--- a/test/cornelshore/storage/fake_files.hpp
+++ b/test/cornelshore/storage/fake_files.hpp
@@ -39,6 +39,7 @@
   Injected fault_{ Injected::None };
   std::uint64_t faultAt_{}; ///< Number of the faulty operation, from 1.
   std::uint64_t operations_{};
+  bool full_{}; ///< No file is created, and a write stores a part at most.
   std::uint64_t boot_{ 1 };
   std::map<std::string, std::shared_ptr<File>> names_;
   std::map<std::string, std::shared_ptr<File>> durableNames_;
@@ -102,6 +103,9 @@
 
   absl::StatusOr<int> Create(const std::string& aPath)
   {
+    if (full_) {
+      return absl::ResourceExhaustedError("full");
+    }
     if (auto status = Step(); !status.ok()) {
       return status;
     }
@@ -119,11 +123,14 @@
     const auto fault = Due();
     auto status = Step();
     auto count = aBytes.size();
-    if (!status.ok() &&
-        (fault == Injected::None || fault == Injected::SyncFails)) {
+    if (full_ && status.ok()) {
+      status = absl::ResourceExhaustedError("full");
+      count = random_.Below(aBytes.size());
+    } else if (!status.ok() &&
+               (fault == Injected::None || fault == Injected::SyncFails)) {
       return status;
     }
-    if (!status.ok()) {
+    if (!status.ok() && !full_) {
       count = random_.Below(aBytes.size() + 1);
     }
     auto& cached = handles_[aHandle]->cached_;
--- a/test/cornelshore/storage/log.cpp
+++ b/test/cornelshore/storage/log.cpp
@@ -197,6 +197,49 @@
   }
 }
 
+// A disk that is full for a while, at any write, also while the log opens: the
+// log goes on without a restart, and no part of a failed write survives.
+TEST(Log, ResumesOnceAFullDiskHasRoom)
+{
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    Random random(seed);
+    FakeFiles files;
+    files.random_ = Random(seed + 1);
+    Writes writes(seed);
+    auto log = Log::Create(kFolder, writes.State(), files.Hooks()).value();
+    for (std::size_t count = 0; count < kWrites; ++count) {
+      files.full_ = random.Below(4) == 0;
+      auto status = log->Append(writes.Next());
+      if (status.ok()) {
+        status = log->Sync();
+      }
+      ASSERT_EQ(status.ok(), !files.full_);
+      if (files.full_) {
+        EXPECT_EQ(status.code(), absl::StatusCode::kResourceExhausted);
+        EXPECT_EQ(log->Resume().code(), absl::StatusCode::kResourceExhausted);
+        files.full_ = false;
+        ASSERT_TRUE(log->Resume().ok());
+      }
+      if (random.Below(6) == 0) {
+        log.reset();
+        files.full_ = true;
+        files.fault_ = Injected::PowerLoss;
+        files.Restart();
+        auto opened = Log::Open(kFolder, files.Hooks());
+        ASSERT_TRUE(opened.ok()) << opened.status();
+        EXPECT_TRUE(Same(opened->state_, writes.State()));
+        log = std::move(opened->log_);
+        EXPECT_FALSE(log->Sync().ok());
+        files.full_ = false;
+        ASSERT_TRUE(log->Resume().ok());
+        writes.Resume(opened->state_);
+      }
+      EXPECT_LE(files.names_.size(), 2U);
+    }
+  }
+}
+
 /** A folder after a run whose last write was synced. */
 FakeFiles
 WrittenFolder()
