Let a replica that grants a pre-vote campaign second

Cause: with two of five disks lost, every survivor's vote is needed. Change: a follower that grants a pre-vote waits one to two heartbeats more; of two pre-candidates the one with the greater id withdraws. A second test changes the configuration while the voters' disks are full in turn.

--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -284,6 +284,12 @@
    * have contact to a leader.
    */
   void ShortenElectionTimer();
+  /** @brief Whether a replica that granted a pre-vote lets the other campaign
+   * first. Two that campaign at the same time split the votes, and with just a
+   * quorum up both lose an election timeout. */
+  [[nodiscard]] bool YieldsTo(const ReplicaId& aCandidate) const;
+  /** @brief Ends an own campaign and gives the other time to win. */
+  void DeferToCandidate();
   void Fail(Fault aFault);
   void RecordDurabilityProof();
   void SendHellos();
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -51,6 +51,8 @@
     }
     role_ = Role::Follower;
     ResetElectionTimer();
+  } else if (granted && YieldsTo(aMessage.from_)) {
+    DeferToCandidate();
   }
   SendTo(aMessage.from_, VoteReply{ aBody.ballot_, aBody.term_, granted });
 }
@@ -205,6 +207,25 @@
                  Duration{ static_cast<std::int64_t>(random_.Below(spread)) };
 }
 
+bool
+Replica::YieldsTo(const ReplicaId& aCandidate) const
+{
+  return role_ == Role::Follower ||
+         (role_ == Role::PreCandidate && aCandidate < id_);
+}
+
+void
+Replica::DeferToCandidate()
+{
+  role_ = Role::Follower;
+  votes_.clear();
+  const auto spread = static_cast<std::uint64_t>(settings_.heartbeat_.count());
+  const auto wait =
+    settings_.heartbeat_ +
+    Duration{ static_cast<std::int64_t>(random_.Below(spread)) };
+  electionDue_ = std::max(electionDue_, now_ + wait);
+}
+
 void
 Replica::RecordDurabilityProof()
 {
--- a/test/cornelshore/consensus/self_forming.cpp
+++ b/test/cornelshore/consensus/self_forming.cpp
@@ -145,6 +145,50 @@
   }
 }
 
+// Load pattern: all lose power, two of five disks are lost. Every survivor's
+// vote is needed; two that campaigned within milliseconds of each other voted
+// for themselves, and callers waited for another election timeout.
+TEST(SelfForming, SurvivorsOfTwoLostDisksDoNotSplitTheirVotes)
+{
+  auto group = FiveVoters();
+  for (int run = 0; run < 300; ++run) {
+    for (std::uint64_t node = 1; node <= 5; ++node) {
+      group.Kill(node);
+    }
+    group.RunFor(milliseconds{ 20 });
+    for (std::uint64_t node = 1; node <= 3; ++node) {
+      group.Restart(node);
+    }
+    group.RunFor(milliseconds{ 250 });
+    EXPECT_TRUE(group.Leader()) << "run " << run;
+  }
+}
+
+// Load pattern: the disks of the voters are full one after another, never two
+// at once, while changes come. A write that waits for room is a slow one.
+TEST(SelfForming, AcknowledgesChangesWhileDisksAreFullInTurn)
+{
+  auto group = FiveVoters();
+  std::uint64_t version = 0;
+  const auto changeAt = [&](std::uint64_t aNode) {
+    const auto token = group.Propose(aNode, ++version);
+    group.RunFor(milliseconds{ 500 });
+    const auto answer = group.AnswerTo(token);
+    return answer && answer->status_ == ProposalStatus::Decided;
+  };
+  for (int round = 0; round < 3; ++round) {
+    for (std::uint64_t full = 1; full <= 5; ++full) {
+      group.Stall(full, true);
+      for (int change = 0; change < 4; ++change) {
+        EXPECT_TRUE(changeAt(OtherThan(full))) << round << " " << full;
+      }
+      group.Stall(full, false);
+      EXPECT_TRUE(changeAt(full)) << round << " " << full;
+    }
+  }
+  EXPECT_TRUE(group.Leader());
+}
+
 TEST(SelfForming, TheHighestVersionWinsAndLowerOnesChangeNothing)
 {
   auto group = FiveVoters();
