--- a/src/cornelshore/dissemination/message.hpp
+++ b/src/cornelshore/dissemination/message.hpp
@@ -153,6 +153,21 @@
   bool operator==(const Leaf&) const noexcept = default;
 };
 
+/**
+ * @brief Batch of a snapshot that a message belongs to.
+ *
+ * A snapshot has all records of the sender in the order of the digest tree's
+ * leaves; the receiver requests one batch after the other.
+ */
+struct SnapshotBatch
+{
+  std::uint16_t first_{};   ///< First leaf of the batch.
+  std::uint16_t next_{};    ///< First leaf of the next batch; `first_`: denied.
+  std::uint16_t records_{}; ///< Records in all messages of the batch.
+
+  bool operator==(const SnapshotBatch&) const noexcept = default;
+};
+
 /** @brief A message between two processes; empty lists cost a byte each. */
 struct Message
 {
@@ -164,6 +179,9 @@
   std::vector<TreeChildren> hashes_;
   std::vector<Leaf> leaves_;
   std::vector<NodeId> requestedRecords_; ///< Subjects of requested records.
+  /** First leaf of the snapshot batch that the sender requests. */
+  std::optional<std::uint16_t> snapshotRequest_;
+  std::optional<SnapshotBatch> snapshotBatch_;
 
   bool operator==(const Message&) const noexcept = default;
 };
--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -21,6 +21,7 @@
  * need the bytes, leave a quarter themselves, and without them no process
  * would ever join. */
 constexpr double kJoiningBudgetReserve = 0.6;
+constexpr std::uint64_t kMaxJoiningDoublings = 4;
 constexpr std::uint64_t kConfigRounds = 5;
 constexpr std::uint64_t kAgentRoundEvery = 2;
 constexpr std::uint64_t kExpireEvery = 10;
@@ -37,10 +38,7 @@
   }
   joiningRoundDue_ =
     IsBehind() && budget_.HasShareLeft(aNow, kJoiningBudgetReserve);
-  nextRound_ =
-    aNow + (joiningRoundDue_
-              ? std::min(settings_.round_, settings_.joiningRoundInterval_)
-              : settings_.round_);
+  nextRound_ = aNow + (joiningRoundDue_ ? JoiningInterval() : settings_.round_);
   ++round_;
   if (!IsAgent() && aNow >= renewAt_) {
     Renew(aNow);
@@ -52,11 +50,22 @@
   Round(aNow);
 }
 
+Duration
+Node::State::JoiningInterval() const noexcept
+{
+  const auto late = round_ < kMaxJoiningRounds ? 0 : round_ - kMaxJoiningRounds;
+  const auto doublings = std::min(late, kMaxJoiningDoublings);
+  return std::min(settings_.round_,
+                  settings_.joiningRoundInterval_ * (1U << doublings));
+}
+
 void
 Node::State::Round(TimePoint aNow)
 {
   std::vector<NodeId> peers;
-  if (!IsAgent()) {
+  if (AwaitsSnapshot()) {
+    RequestSnapshot(aNow);
+  } else if (!IsAgent()) {
     peers = partners_.Pick(ledger_, joiningRoundDue_ ? kJoiningPartners : 1);
   } else {
     peers = partners_.PickForAgent(ledger_);
@@ -97,13 +106,14 @@
   const auto unknownSeeds = alone ? seeds_ : UnknownSeeds();
   const auto most = std::min(alone ? kSeedsPerRound : 1, unknownSeeds.size());
   for (std::size_t seed = 0; seed < most; ++seed) {
+    const auto& address = unknownSeeds[nextSeed_++ % unknownSeeds.size()];
+    if (seed == 0 && alone && AwaitsSnapshot()) {
+      SendSnapshotRequest(aNow, {}, address);
+      continue;
+    }
     Packer packer(HeaderFor(aNow, {}, MessageKind::Round));
     AddSubject(aNow, settings_.self_, packer);
-    SendTo(aNow,
-           {},
-           unknownSeeds[nextSeed_++ % unknownSeeds.size()],
-           std::move(packer).Finish(),
-           Priority::Normal);
+    SendTo(aNow, {}, address, std::move(packer).Finish(), Priority::Normal);
   }
 }
 
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -158,14 +158,18 @@
   }
 }
 
-void
+std::size_t
 Node::State::AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const
 {
   if (const auto host = ledger_.HostOf(aNow, aSubject)) {
     aPacker.Add(*host);
-  } else if (const auto peer = ledger_.PeerOf(aNow, aSubject)) {
+    return BytesOf(*host);
+  }
+  if (const auto peer = ledger_.PeerOf(aNow, aSubject)) {
     aPacker.Add(*peer);
+    return BytesOf(*peer);
   }
+  return 0;
 }
 
 void
@@ -257,7 +261,9 @@
     static_cast<void>(config_.Take(chunk));
   }
   Release(aNow);
+  TakeSnapshotBatch(aNow, aEvent);
   NoteSynced(aNow, aEvent);
+  AnswerSnapshotRequest(aNow, aEvent);
   Answer(aNow, aEvent, config_.Missing() != before);
 }
 
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -90,6 +90,9 @@
   void PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress);
   void PushToLaggards(TimePoint aNow);
   void AddNewestDelta(Packer& aPacker) const;
+  /** @brief Interval of joining rounds; grows to the normal one when joining
+   * takes long, as while control has no leader. */
+  [[nodiscard]] Duration JoiningInterval() const noexcept;
   void Round(TimePoint aNow);
   void RoundWith(TimePoint aNow, NodeId aPeer);
   void ContactSeeds(TimePoint aNow);
@@ -99,7 +102,10 @@
   [[nodiscard]] bool DefersToServiceAgents();
   void Renew(TimePoint aNow);
   void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
-  void AddSubject(TimePoint aNow, NodeId aSubject, Packer& aPacker) const;
+  /** @return Bytes of the record; 0: unknown. */
+  std::size_t AddSubject(TimePoint aNow,
+                         NodeId aSubject,
+                         Packer& aPacker) const;
 
   void TakeHost(TimePoint aNow, const HostUpdate& aUpdate, bool aFromRepair);
   void TakePeer(TimePoint aNow, const PeerUpdate& aUpdate, bool aFromRepair);
@@ -107,6 +113,17 @@
   void Answer(TimePoint aNow, const Received& aEvent, bool aProgress);
   void Release(TimePoint aNow);
 
+  /** @brief Requests the next batch of the snapshot from the node it comes
+   * from, or from another one when that node did not answer in time. */
+  void RequestSnapshot(TimePoint aNow);
+  void SendSnapshotRequest(TimePoint aNow, NodeId aTo, const Address& aAddress);
+  /** @brief Whether the snapshot of this start is still to come. */
+  [[nodiscard]] bool AwaitsSnapshot() const noexcept;
+  void TakeSnapshotBatch(TimePoint aNow, const Received& aEvent);
+  void FinishSnapshot(TimePoint aNow, const Received& aEvent);
+  /** @brief Sends the requested batch, or denies it when bytes are short. */
+  void AnswerSnapshotRequest(TimePoint aNow, const Received& aEvent);
+
   void CompareHashes(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void CompareLeaves(TimePoint aNow, const Message& aMessage, Packer& aPacker);
   void CompareDigest(TimePoint aNow, const Message& aMessage, Packer& aPacker);
@@ -117,6 +134,19 @@
   [[nodiscard]] bool CountsAsSync(TimePoint aNow, const Header& aTheirs) const;
   void NoteSynced(TimePoint aNow, const Received& aEvent);
 
+  /** Copy of another node's records that a node takes after its start. */
+  struct Snapshot
+  {
+    Address from_; ///< Port 0: nobody was asked.
+    std::uint16_t nextLeaf_{};
+    std::uint32_t received_{}; ///< Records of the current batch.
+    std::uint32_t requests_{}; ///< Without an answer that led further.
+    TimePoint requestedAt_;
+    bool inStep_{ true }; ///< Each sender was in step with others.
+    bool complete_{};
+  };
+
+  Snapshot snapshot_;
   std::uint64_t selfSequence_{};
   bool selfGone_{};
   std::optional<TimePoint> startedAt_;
--- a/src/cornelshore/dissemination/packer.hpp
+++ b/src/cornelshore/dissemination/packer.hpp
@@ -40,6 +40,11 @@
 
   void Add(const ConfigRequest& aRequest) { Last().configRequest_ = aRequest; }
 
+  void AddSnapshotRequest(std::uint16_t aFirstLeaf)
+  {
+    Last().snapshotRequest_ = aFirstLeaf;
+  }
+
   void Add(const TreeChildren& aChildren)
   {
     Reserve(BytesOf(aChildren), Last().hashes_.size());
@@ -62,7 +67,8 @@
   [[nodiscard]] bool Empty() const
   {
     return messages_.size() == 1 &&
-           messages_.front() == Message{ header_, {}, {}, {}, {}, {}, {}, {} };
+           messages_.front() ==
+             Message{ header_, {}, {}, {}, {}, {}, {}, {}, {}, {} };
   }
 
   /** @brief The messages; at least one. */
@@ -89,8 +95,9 @@
     bytes_ += aBytes;
   }
 
-  /** For the config request and the growing list lengths. */
-  static constexpr std::size_t kReserveBytes = 48;
+  /** For the config request, the growing list lengths and the position in a
+   * snapshot. */
+  static constexpr std::size_t kReserveBytes = 60;
 
   Header header_;
   std::vector<Message> messages_;
--- a/src/cornelshore/dissemination/size.cpp
+++ b/src/cornelshore/dissemination/size.cpp
@@ -78,6 +78,22 @@
          Uint(aRequest.version_.value_) + Uint(aRequest.offset_);
 }
 
+std::size_t
+SnapshotBytes(const Message& aMessage)
+{
+  if (!aMessage.snapshotRequest_ && !aMessage.snapshotBatch_) {
+    return 0;
+  }
+  auto bytes = 2 * kBoolBytes;
+  if (aMessage.snapshotRequest_) {
+    bytes += Uint(*aMessage.snapshotRequest_);
+  }
+  if (const auto& batch = aMessage.snapshotBatch_) {
+    bytes += Uint(batch->first_) + Uint(batch->next_) + Uint(batch->records_);
+  }
+  return bytes;
+}
+
 std::size_t
 EntryBytes(const LeafEntry& aEntry)
 {
@@ -157,9 +173,9 @@
 std::size_t
 PayloadBytesOf(const Message& aMessage) noexcept
 {
-  return HeaderBytes(aMessage.header_) + BytesOfList(aMessage.hosts_) +
-         BytesOfList(aMessage.peers_) + BytesOfList(aMessage.chunks_) +
-         kBoolBytes +
+  return SnapshotBytes(aMessage) + HeaderBytes(aMessage.header_) +
+         BytesOfList(aMessage.hosts_) + BytesOfList(aMessage.peers_) +
+         BytesOfList(aMessage.chunks_) + kBoolBytes +
          (aMessage.configRequest_ ? RequestBytes(*aMessage.configRequest_)
                                   : 0) +
          BytesOfList(aMessage.hashes_) + BytesOfList(aMessage.leaves_) +
--- a/src/cornelshore/wire/dissemination_codec.cpp
+++ b/src/cornelshore/wire/dissemination_codec.cpp
@@ -19,6 +19,7 @@
 using dissemination::Message;
 using dissemination::MessageKind;
 using dissemination::PeerUpdate;
+using dissemination::SnapshotBatch;
 using dissemination::TreeChildren;
 
 namespace {
@@ -240,6 +241,41 @@
   TakeList(aReader, aLeaf.entries_, dissemination::kMaxLeafEntries);
 }
 
+/** Written only when there is something: earlier releases do not know it and
+ * refuse a message that goes on after its lists. */
+void
+PutSnapshot(Writer& aWriter, const Message& aMessage)
+{
+  aWriter.Bool(aMessage.snapshotRequest_.has_value());
+  if (aMessage.snapshotRequest_) {
+    aWriter.Uint(*aMessage.snapshotRequest_);
+  }
+  aWriter.Bool(aMessage.snapshotBatch_.has_value());
+  if (aMessage.snapshotBatch_) {
+    aWriter.Uint(aMessage.snapshotBatch_->first_);
+    aWriter.Uint(aMessage.snapshotBatch_->next_);
+    aWriter.Uint(aMessage.snapshotBatch_->records_);
+  }
+}
+
+void
+TakeSnapshot(Reader& aReader, Message& aMessage)
+{
+  const auto leaf = [&aReader](std::uint16_t aLast) {
+    return static_cast<std::uint16_t>(aReader.Uint(aLast));
+  };
+  if (aReader.Bool()) {
+    aMessage.snapshotRequest_ = leaf(DigestTree::kLeaves - 1U);
+  }
+  if (aReader.Bool()) {
+    SnapshotBatch batch;
+    batch.first_ = leaf(DigestTree::kLeaves - 1U);
+    batch.next_ = leaf(DigestTree::kLeaves);
+    batch.records_ = aReader.Number<std::uint16_t>();
+    aMessage.snapshotBatch_ = batch;
+  }
+}
+
 } // namespace
 
 void
@@ -259,6 +295,9 @@
   PutList(aWriter, aMessage.hashes_);
   PutList(aWriter, aMessage.leaves_);
   PutList(aWriter, aMessage.requestedRecords_);
+  if (aMessage.snapshotRequest_ || aMessage.snapshotBatch_) {
+    PutSnapshot(aWriter, aMessage);
+  }
 }
 
 absl::StatusOr<Message>
@@ -281,6 +320,9 @@
   TakeList(aReader, message.hashes_, kMost);
   TakeList(aReader, message.leaves_, kMost);
   TakeList(aReader, message.requestedRecords_, kMost);
+  if (!aReader.Rest().empty()) {
+    TakeSnapshot(aReader, message);
+  }
   const auto status = aReader.Finish();
   if (!status.ok()) {
     return status;
--- a/test/cornelshore/dissemination/fleet.hpp
+++ b/test/cornelshore/dissemination/fleet.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <tuple>
 #include <utility>
@@ -130,8 +131,13 @@
   /** @brief Seeds every node with the first few addresses. */
   std::size_t seeds_{ 3 };
 
+  /** @brief Link of a member, by its index; none: as fast as needed. */
+  std::function<std::optional<std::uint32_t>(std::size_t)> bytesPerSecond_ =
+    [](std::size_t) { return std::nullopt; };
+
 private:
   static constexpr Duration kDownTick = std::chrono::seconds(1);
+  static constexpr Duration kMaxLinkQueue = std::chrono::milliseconds(500);
 
   struct Item
   {
@@ -183,11 +189,38 @@
     const auto bytes = DatagramBytesOf(aSend.message_);
     members_[aFrom].sent_ += bytes;
     const auto fate = fate_(aFrom, to);
+    const auto sentAt = PassLink(out_[aFrom], aFrom, now_, bytes);
+    const auto arrival =
+      sentAt ? PassLink(in_[to], to, *sentAt + fate.delay_, bytes) : sentAt;
+    if (!arrival) {
+      return;
+    }
     for (std::uint32_t copy = 0; copy < fate.copies_; ++copy) {
       const auto slot = ++slots_;
       inFlight_[slot] = { IdAt(aFrom), AddressAt(aFrom), aSend.message_ };
-      Push(now_ + fate.delay_, to, slot);
+      Push(*arrival, to, slot);
+    }
+  }
+
+  /** When a message has passed one direction of a member's link; nothing: its
+   * queue is full. */
+  std::optional<TimePoint> PassLink(TimePoint& aFreeAt,
+                                    std::size_t aMember,
+                                    TimePoint aAt,
+                                    std::size_t aBytes)
+  {
+    const auto rate = bytesPerSecond_(aMember);
+    if (!rate) {
+      return aAt;
+    }
+    if (aFreeAt > aAt + kMaxLinkQueue) {
+      return std::nullopt;
     }
+    const std::chrono::duration<double> time{ static_cast<double>(aBytes) /
+                                              *rate };
+    aFreeAt =
+      std::max(aFreeAt, aAt) + std::chrono::duration_cast<Duration>(time);
+    return aFreeAt;
   }
 
   void Deliver(const Item& aItem)
@@ -217,6 +250,8 @@
   std::priority_queue<Item> queue_;
   std::map<std::uint64_t, Received> inFlight_;
   std::map<std::size_t, TimePoint> nextTick_;
+  std::map<std::size_t, TimePoint> out_; ///< When a link is free again.
+  std::map<std::size_t, TimePoint> in_;
   std::uint64_t order_{};
   std::uint64_t slots_{};
 };
--- /dev/null
+++ b/test/cornelshore/dissemination/node_restart.cpp
@@ -0,0 +1,183 @@
+#include <cornelshore/dissemination/node.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <cornelshore/dissemination/fleet.hpp>
+
+namespace cornelshore::dissemination {
+namespace {
+
+constexpr std::size_t kControl = 5;
+constexpr std::size_t kBalancers = 91;
+constexpr std::size_t kAgents = 204;
+constexpr std::size_t kFirstAgent = kControl + kBalancers;
+constexpr std::uint64_t kSeeds = 2;
+constexpr std::uint32_t kThinLink = 250'000; ///< Bytes a second: 2 Mbit/s.
+
+bool
+IsBalancer(std::size_t aIndex)
+{
+  return aIndex >= kControl && aIndex < kFirstAgent;
+}
+
+/** A fleet of hundreds of VMs whose balancers have thin links, with all hosts
+ * known everywhere and a configuration in force. */
+Fleet
+RunningFleet(std::uint64_t aSeed)
+{
+  Fleet fleet(aSeed);
+  fleet.bytesPerSecond_ = [](std::size_t aIndex) {
+    return IsBalancer(aIndex) ? std::optional(kThinLink) : std::nullopt;
+  };
+  Fill(fleet, kControl, kBalancers, kAgents);
+  for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+    auto& settings = fleet.Members()[index].settings_;
+    settings.joiningRoundInterval_ = std::chrono::milliseconds(100);
+    const std::uint32_t factor = index < kControl ? 4 : 1;
+    settings.bytesPerSecond_ = 40'000 * factor;
+    settings.burstBytes_ = 1'000'000 * factor;
+    fleet.Restart(index);
+  }
+  for (std::size_t agent = kFirstAgent; agent < kFirstAgent + kAgents;
+       ++agent) {
+    fleet.Feed(
+      agent,
+      HostAnnounced{ RecordOf(fleet.Members()[agent], 1, HostState::Ready) });
+  }
+  std::string routes;
+  while (routes.size() < 12'000) {
+    routes += std::to_string(fleet.Randomness().Next());
+  }
+  fleet.Feed(0, ConfigAccepted{ { 1 }, routes });
+  fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+  fleet.RunFor(std::chrono::seconds(20));
+  return fleet;
+}
+
+/** Restarted balancers that know a share of all hosts and have a configuration
+ * in force. */
+std::size_t
+CountCaughtUp(Fleet& aFleet,
+              const std::vector<std::size_t>& aRestarted,
+              std::size_t aHosts)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aRestarted.begin(), aRestarted.end(), [&](std::size_t aNode) {
+      auto& node = aFleet.At(aNode);
+      return node.Hosts().All().size() >= aHosts &&
+             node.Config() == ConfigVersion{ 1 };
+    }));
+}
+
+// Load pattern: a planned restart of 15 of 91 balancers at once while the
+// others serve. Control VMs were the only senders that the restarted ones knew,
+// and had spent their bytes: most knew 4 of 204 hosts for several seconds.
+TEST(NodeRestart, BalancersRestartedTogetherKnowTheFleetWithinASecond)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto fleet = RunningFleet(seed);
+    std::vector<std::size_t> restarted;
+    for (std::size_t index = 0; index < 15; ++index) {
+      restarted.push_back(kControl + 6 * index);
+      fleet.Restart(restarted.back());
+    }
+    constexpr auto kMostHosts = kAgents * 95 / 100;
+    fleet.RunFor(std::chrono::seconds(1));
+    EXPECT_GE(CountCaughtUp(fleet, restarted, kMostHosts) * 100,
+              restarted.size() * 95)
+      << "seed " << seed;
+    fleet.RunFor(std::chrono::seconds(2));
+    for (const auto node : restarted) {
+      EXPECT_EQ(fleet.At(node).Hosts().All().size(), kAgents) << seed;
+      EXPECT_TRUE(fleet.At(node).ConfirmedAt()) << "seed " << seed;
+    }
+  }
+}
+
+// Load pattern: most of the fleet is killed at once and starts again at once.
+TEST(NodeRestart, MostOfTheFleetKilledTogetherIsBackWithinThreeSeconds)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto fleet = RunningFleet(seed);
+    std::vector<std::size_t> restarted;
+    for (std::size_t index = kControl; index < kFirstAgent + kAgents; ++index) {
+      if (index % 5 >= 2) {
+        continue;
+      }
+      fleet.Restart(index);
+      if (IsBalancer(index)) {
+        restarted.push_back(index);
+      } else {
+        fleet.Feed(index,
+                   HostAnnounced{
+                     RecordOf(fleet.Members()[index], 1, HostState::Ready) });
+      }
+    }
+    for (std::size_t index = kControl; index < kFirstAgent; ++index) {
+      if (index % 5 == 2) {
+        fleet.Restart(index);
+        restarted.push_back(index);
+      }
+    }
+    fleet.RunFor(std::chrono::seconds(3));
+    EXPECT_EQ(CountCaughtUp(fleet, restarted, kAgents), restarted.size())
+      << "seed " << seed;
+  }
+}
+
+// A batch of the snapshot that arrives in part is requested again, from another
+// node, and nothing of it is taken for whole.
+TEST(NodeRestart, ALossyLinkDelaysTheSnapshotAndLosesNoRecord)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto fleet = RunningFleet(seed);
+    fleet.fate_ = [&fleet](std::size_t, std::size_t) {
+      return Fleet::Fate{ fleet.Randomness().Below(5) == 0 ? 0U : 1U,
+                          std::chrono::milliseconds(1) };
+    };
+    const std::vector<std::size_t> restarted{ 10, 20, 30, 40 };
+    for (const auto node : restarted) {
+      fleet.Restart(node);
+    }
+    std::size_t early = 0;
+    fleet.RunUntil(fleet.Now() + std::chrono::seconds(10), [&] {
+      for (const auto node : restarted) {
+        early += fleet.At(node).ConfirmedAt() &&
+                     fleet.At(node).Hosts().All().size() < kAgents
+                   ? 1U
+                   : 0U;
+      }
+      return early != 0;
+    });
+    EXPECT_EQ(early, 0U) << "seed " << seed;
+    EXPECT_EQ(CountCaughtUp(fleet, restarted, kAgents), restarted.size())
+      << "seed " << seed;
+  }
+}
+
+// While control has no leader the fleet waits for a configuration; that must
+// not use up the bytes which the restarts after it need.
+TEST(NodeRestart, WaitingForAConfigurationLeavesMostOfTheBudget)
+{
+  Fleet fleet(9);
+  Fill(fleet, kControl, 20, 40);
+  for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+    auto& settings = fleet.Members()[index].settings_;
+    settings.joiningRoundInterval_ = std::chrono::milliseconds(100);
+    settings.bytesPerSecond_ = 40'000;
+    settings.burstBytes_ = 1'000'000;
+    fleet.Restart(index);
+  }
+  fleet.RunFor(std::chrono::seconds(10));
+  for (auto& member : fleet.Members()) {
+    EXPECT_EQ(member.node_.Dump(fleet.Now()).sendsThrottled_, 0U)
+      << member.settings_.self_.value_;
+  }
+}
+
+} // namespace
+} // namespace cornelshore::dissemination
