--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -211,6 +211,8 @@
     ++undecodable_;
     return;
   }
+  receivedBytes_[static_cast<std::size_t>(role::TrafficPurposeOf(*message))] +=
+    aBytes.size();
   onMessage_(
     { opened.sender_, opened.incarnation_, aFrom, *std::move(message) });
 }
@@ -261,6 +263,7 @@
   node.dataCentre_ = DataCentreIdOf(settings_.dataCentre_);
   node.address_ = settings_.node_;
   node.joiningRoundInterval_ = kJoiningRound;
+  node.round_ = settings_.controlRound_;
   node.bytesPerSecond_ = settings_.controlBytesPerSecond_;
   node.burstBytes_ = settings_.controlBurstBytes_;
   if (settings_.role_ == settings::Role::Agent) {
@@ -288,6 +291,20 @@
                       MetricKind::Counter,
                       {},
                       static_cast<double>(undecodable_.load()) });
+  for (const auto& purpose : role::kTrafficPurposeNames) {
+    for (const auto& [direction, bytes] :
+         { std::pair("sent", sender_->BytesFor(purpose.value_)),
+           std::pair("received",
+                     receivedBytes_[static_cast<std::size_t>(purpose.value_)]
+                       .load()) }) {
+      figures.push_back({ "cornelshore_traffic_bytes_total",
+                          "Bytes between processes by what they are for.",
+                          MetricKind::Counter,
+                          { { "direction", direction },
+                            { "purpose", std::string(purpose.name_) } },
+                          static_cast<double>(bytes) });
+    }
+  }
   const auto sent = sender_->Count();
   figures.push_back({ "cornelshore_sent_total",
                       "Messages and answers handed to the sockets.",
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -118,6 +118,8 @@
   std::function<void()> onStop_;
   std::array<std::atomic<std::uint64_t>, wire::kOpenOutcomeNames.size()>
     opened_{};
+  std::array<std::atomic<std::uint64_t>, role::kTrafficPurposeNames.size()>
+    receivedBytes_{};
   std::atomic<std::uint64_t> undecodable_{ 0 };
   std::uint64_t refusedLogged_{};
   std::thread thread_;
--- a/src/cornelshore/daemon/sender.cpp
+++ b/src/cornelshore/daemon/sender.cpp
@@ -133,6 +133,7 @@
 {
   ++sent_;
   if (const auto* raw = std::get_if<ToCaller>(&aOutgoing.body_)) {
+    CountBytes(role::TrafficPurpose::Packet, raw->bytes_.size());
     raw->socket_->Send(aOutgoing.to_, raw->bytes_);
     return;
   }
@@ -142,6 +143,7 @@
     if (streams_ != nullptr) {
       std::string frame;
       frames_.Seal(encoded, frame);
+      CountBytes(role::TrafficPurpose::Consensus, frame.size());
       streams_->Send(aOutgoing.to_, std::move(frame));
     }
     return;
@@ -149,11 +151,18 @@
   auto& datagram = batch_.emplace_back();
   datagram.to_ = aOutgoing.to_;
   datagrams_.Seal(encoded, datagram.bytes_);
+  CountBytes(role::TrafficPurposeOf(message), datagram.bytes_.size());
   if (batch_.size() == kBatch) {
     Flush();
   }
 }
 
+void
+Sender::CountBytes(role::TrafficPurpose aPurpose, std::size_t aBytes)
+{
+  bytes_[static_cast<std::size_t>(aPurpose)] += aBytes;
+}
+
 void
 Sender::Flush()
 {
--- a/src/cornelshore/daemon/sender.hpp
+++ b/src/cornelshore/daemon/sender.hpp
@@ -1,6 +1,7 @@
 #ifndef CORNELSHORE_DAEMON_SENDER_HPP
 #define CORNELSHORE_DAEMON_SENDER_HPP
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -85,11 +86,19 @@
 
   [[nodiscard]] Counters Count() const;
 
+  /** @brief Bytes handed to the sockets, with seals, by purpose. */
+  [[nodiscard]] std::uint64_t BytesFor(
+    role::TrafficPurpose aPurpose) const noexcept
+  {
+    return bytes_[static_cast<std::size_t>(aPurpose)];
+  }
+
 private:
   void Run();
   void TakeNewKeys();
   std::size_t SendWaiting();
   void Take(Outgoing& aOutgoing);
+  void CountBytes(role::TrafficPurpose aPurpose, std::size_t aBytes);
   void Flush();
 
   net::UdpSocket& socket_;
@@ -102,6 +111,8 @@
   std::shared_ptr<const wire::KeyRing> newKeys_;
   std::atomic<bool> stopping_{ false };
   std::atomic<std::uint64_t> sent_{ 0 };
+  std::array<std::atomic<std::uint64_t>, role::kTrafficPurposeNames.size()>
+    bytes_{};
   std::thread thread_;
 };
 
