--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -23,6 +23,9 @@
  * fleet of 1,900 within its 4 KB/s. */
 constexpr std::int64_t kUsualControlBytes = 2000;
 constexpr std::int64_t kUsualControlBurst = 98'304;
+constexpr std::int64_t kUsualRoundMillis = 1000;
+constexpr std::int64_t kLeastRoundMillis = 100;
+constexpr std::int64_t kMostRoundMillis = 10'000;
 constexpr std::int64_t kLeastControlBytes = 1000;
 constexpr std::int64_t kLeastControlBurst = 8192;
 constexpr std::int64_t kMostControlBytes = 100'000'000;
@@ -81,6 +84,11 @@
                                                 kLeastControlBurst,
                                                 kMostControlBytes,
                                                 kUsualControlBurst));
+  aSettings.controlRound_ =
+    std::chrono::milliseconds(aTable.IntegerOr("control_round_ms",
+                                               kLeastRoundMillis,
+                                               kMostRoundMillis,
+                                               kUsualRoundMillis));
   const auto authentication =
     aTable.OneOf("authentication", NamesOf(kAuthenticationNames), "keys");
   aSettings.authentication_ = ValueIn(kAuthenticationNames, authentication)
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -2,6 +2,7 @@
 #define CORNELSHORE_SETTINGS_SETTINGS_HPP
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -132,6 +133,8 @@
   std::vector<Address> seeds_; ///< Control VMs and balancers to begin with.
   /** Seeds listen for other processes at the port that this one has. */
   bool seedsShareOwnPort_{};
+  /** Interval of rounds with other processes. */
+  std::chrono::milliseconds controlRound_{};
   /** Most bytes of control messages sent a second, on average, and at once. */
   std::uint32_t controlBytesPerSecond_{};
   std::uint32_t controlBurstBytes_{};
--- a/test/cornelshore/settings/settings.cpp
+++ b/test/cornelshore/settings/settings.cpp
@@ -258,5 +258,20 @@
   EXPECT_EQ(control.members_[1].address_, *ParseAddress("127.0.0.8:1"));
 }
 
+TEST(Settings, BoundsTheIntervalOfRounds)
+{
+  const auto with = [](const std::string& aLine) {
+    const TextFile file(Replaced("key_file", aLine + "key_file"));
+    return Load(file.Path());
+  };
+  EXPECT_EQ(with("")->controlRound_, std::chrono::milliseconds(1000));
+  EXPECT_EQ(with("control_round_ms = 500\n")->controlRound_,
+            std::chrono::milliseconds(500));
+  for (const std::string value : { "99", "10001", "-500", "0.5", "\"1s\"" }) {
+    const auto settings = with("control_round_ms = " + value + "\n");
+    EXPECT_TRUE(absl::IsInvalidArgument(settings.status())) << value;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::settings
