Let the stand-in hosts answer openings with sequences of their own

Cause: all stand-in hosts began at sequence 5000, so that two of them that had answered copies of one opening could not be told apart and both held the flow; on the platform the caller's next packet names one of them. Change: each stand-in host draws its first sequence and returns packets that acknowledge another's. The check (no answer from another host than the flow's) is as it was.

--- a/examples/standin/segments.cpp
+++ b/examples/standin/segments.cpp
@@ -8,6 +8,8 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -112,7 +114,7 @@
     if (segment->opening_) {
       flows_[segment->from_] = 1;
       Send(*segment, kSyn | kAck, "");
-    } else if (flows_.count(segment->from_) == 0) {
+    } else if (!Holds(*segment)) {
       aPacket[26] = static_cast<char>(aPacket[26] | kReturned);
       aPacket[27] = 0;
       socket_->Send(outbound_, aPacket);
@@ -127,6 +129,12 @@
     }
   }
 
+  bool Holds(const relay::Segment& aSegment) const
+  {
+    return flows_.contains(aSegment.from_) &&
+           aSegment.acknowledged_ - start_ <= kMostFlowBytes;
+  }
+
   void Send(const relay::Segment& aTo,
             std::uint8_t aFlags,
             const std::string& aData)
@@ -134,7 +142,7 @@
     socket_->Send(outbound_,
                   PacketOf(aTo.to_,
                            aTo.from_,
-                           aTo.opening_ ? kStart : aTo.acknowledged_,
+                           aTo.opening_ ? start_ : aTo.acknowledged_,
                            aTo.sequence_ + 1,
                            aFlags,
                            aData));
@@ -179,10 +187,14 @@
                 error);
   }
 
-  static constexpr std::uint32_t kStart = 5000;
+  /** Most bytes that a host sends in one flow. */
+  static constexpr std::uint32_t kMostFlowBytes = 1U << 28U;
 
   asio::io_context& context_;
   std::map<std::string, std::string> options_;
+  /** Differs from host to host: of two that answer an opening, the caller's
+   * next packet names the one that holds the flow. */
+  std::uint32_t start_{ std::random_device{}() };
   asio::steady_timer timer_;
   Address outbound_;
   Address reports_;
