Spread queries to all hosts over time and size searches by the link

Change: a query goes to as many hosts at a time as its token bucket allows, and times out only after it has gone to all. node.link_mbps, filled in by the platform's template, sets the budgets: an eighth of the link each for packets and near queries, 15 % for queries to all.

--- a/src/cornelshore/daemon/relay_balancer_process.cpp
+++ b/src/cornelshore/daemon/relay_balancer_process.cpp
@@ -69,6 +69,7 @@
                 .WithSeeds(settings.seeds_)
                 .WithHooks(wire::RoleHooks())
                 .WithCodec(platform::SegmentCodec())
+                .WithLink(settings.LinkBytesPerSecond())
                 .WithStopLimit(settings.relay_.stopLimit_)
                 .Build(Now());
   if (!role.ok()) {
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -161,6 +161,14 @@
   Duration flowTimeout_{ std::chrono::seconds{ 70 } };
 };
 
+/**
+ * @brief Sets the budgets of searches to shares of a link: an eighth each for
+ * packets and for queries to nearby hosts, about a sixth for queries to all.
+ * @param aLinkBytesPerSecond Bandwidth; above 10 Mbit/s it is taken as that.
+ */
+void ScaleSearchTo(std::uint64_t aLinkBytesPerSecond,
+                   BalancerSettings& aSettings);
+
 /**
  * @brief Chooses a host for each new flow and searches for the hosts of open
  * flows that it does not know.
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -21,8 +21,26 @@
  * them would fill a link. */
 constexpr std::size_t kMaxProbedUnresponsive = 4;
 
+constexpr std::uint64_t kMaxLinkBytesPerSecond = 1'250'000;
+constexpr std::uint32_t kSearchShareOfLink = 8;
+constexpr std::uint32_t kBurstSeconds = 2;
+constexpr double kFarShareOfLink = 0.15;
+constexpr double kFarMessageBytes = 400;
+
 } // namespace
 
+void
+ScaleSearchTo(std::uint64_t aLinkBytesPerSecond, BalancerSettings& aSettings)
+{
+  const auto link = std::min(aLinkBytesPerSecond, kMaxLinkBytesPerSecond);
+  const auto share = static_cast<std::uint32_t>(link / kSearchShareOfLink);
+  aSettings.searchBytesPerSecond_ = aSettings.nearSearch_.bytesPerSecond_ =
+    share;
+  aSettings.searchBurst_ = aSettings.nearSearch_.burst_ = share * kBurstSeconds;
+  aSettings.farSearch_.burst_ = aSettings.farSearch_.perSecond_ =
+    static_cast<double>(link) * kFarShareOfLink / kFarMessageBytes;
+}
+
 void
 Balancer::StartSearch(TimePoint aNow,
                       const FlowKey& aKey,
--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -79,7 +79,6 @@
          budget_ > 0) {
     const auto id = ++lastId_;
     auto& open = open_[id];
-    open.since_ = aNow;
     while (!queue_.empty() && open.items_.size() < settings_.maxQueryFlows_) {
       queryOf_[queue_.front().key_] = id;
       open.items_.push_back({ queue_.front(), {}, false });
@@ -89,6 +88,24 @@
   queueDue_ = queue_.empty() ? TimePoint::max() : aNow + settings_.batchWindow_;
 }
 
+void
+FarSearch::ListHosts(TimePoint aNow, Open& aOpen, const HostTable& aHosts) const
+{
+  aOpen.awaited_.clear();
+  for (const auto& [id, host] : aHosts.All()) {
+    const auto heardAt = host.lastReportAt_.value_or(host.firstSeenAt_);
+    const auto answered =
+      std::find(aOpen.answered_.begin(), aOpen.answered_.end(), id) !=
+      aOpen.answered_.end();
+    if (host.record_.state_ != HostState::Gone && !answered &&
+        aNow - heardAt < settings_.hostTimeout_) {
+      aOpen.awaited_.push_back(id);
+    }
+  }
+  aOpen.unsent_ = aOpen.awaited_;
+  aOpen.sentAt_ = aNow;
+}
+
 void
 FarSearch::SendQuery(TimePoint aNow,
                      std::uint32_t aId,
@@ -102,19 +119,14 @@
     query.items_.push_back(
       { ShortHashOf(item.flow_.key_), item.flow_.acknowledged_ });
   }
-  aOpen.sentAt_ = aNow;
-  aOpen.awaited_.clear();
-  for (const auto& [id, host] : aHosts.All()) {
-    const auto heardAt = host.lastReportAt_.value_or(host.firstSeenAt_);
-    const auto answered =
-      std::find(aOpen.answered_.begin(), aOpen.answered_.end(), id) !=
-      aOpen.answered_.end();
-    if (host.record_.state_ != HostState::Gone && !answered &&
-        aNow - heardAt < settings_.hostTimeout_) {
-      aOpen.awaited_.push_back(id);
-      aOut.push_back({ host.record_.agent_, query });
+  while (!aOpen.unsent_.empty() && budget_ > 0) {
+    const auto* host = aHosts.Find(aOpen.unsent_.back());
+    aOpen.unsent_.pop_back();
+    if (host != nullptr) {
+      aOut.push_back({ host->record_.agent_, query });
       budget_ -= 1;
     }
+    aOpen.sentAt_ = aNow;
   }
 }
 
@@ -140,8 +152,10 @@
   Refill(aNow);
   for (auto row = open_.begin(); row != open_.end();) {
     const auto current = row++;
-    if (aNow - current->second.since_ >= settings_.queryTimeout_) {
-      ReportUnresolved(current->second, due.unresolved_);
+    auto& open = current->second;
+    if (open.unsent_.empty() &&
+        aNow - open.firstRoundAt_ >= settings_.queryTimeout_) {
+      ReportUnresolved(open, due.unresolved_);
       open_.erase(current);
     }
   }
@@ -149,14 +163,24 @@
   next_ = queueDue_;
   for (auto& [id, open] : open_) {
     const auto first = open.sentAt_ == TimePoint{};
-    const auto again =
-      aNow - open.sentAt_ >= settings_.retryInterval_ && budget_ > 0;
+    const auto again = open.unsent_.empty() && budget_ > 0 &&
+                       aNow - open.sentAt_ >= settings_.retryInterval_;
     if (first || again) {
-      SendQuery(aNow, id, open, aHosts, due.queries_);
+      ListHosts(aNow, open, aHosts);
+    }
+    SendQuery(aNow, id, open, aHosts, due.queries_);
+    if (!open.wasSentToAll_) {
+      open.firstRoundAt_ = aNow;
+      open.wasSentToAll_ = open.unsent_.empty();
     }
-    const auto retryAt = std::max(open.sentAt_ + settings_.retryInterval_,
-                                  aNow + settings_.batchWindow_);
-    next_ = std::min({ next_, retryAt, open.since_ + settings_.queryTimeout_ });
+    const auto retryAt = open.unsent_.empty()
+                           ? std::max(open.sentAt_ + settings_.retryInterval_,
+                                      aNow + settings_.batchWindow_)
+                           : aNow + settings_.batchWindow_;
+    next_ = std::min({ next_,
+                       retryAt,
+                       std::max(open.firstRoundAt_ + settings_.queryTimeout_,
+                                aNow + settings_.batchWindow_) });
   }
   return due;
 }
--- a/src/cornelshore/relay/far_search.hpp
+++ b/src/cornelshore/relay/far_search.hpp
@@ -22,11 +22,12 @@
   /** Maximum concurrent queries: this allows 1,000 flows per second at 40 ms
    * each, and a query to 62 hosts takes 10 ms of a slow link. */
   std::size_t maxOpenQueries_{ 2 };
-  /** Token bucket of query messages: its capacity and its refill per second.
-   * 100 flows lost together are resolved at once among 62 hosts, and queries
-   * never take more than 40 kB/s of a link. */
-  double burst_{ 400 };
-  double perSecond_{ 100 };
+  /** Token bucket of query messages of up to 400 bytes: its capacity and its
+   * refill per second. A query is sent to as many hosts at a time as the bucket
+   * allows, because a burst to hundreds of hosts blocks a slow link for
+   * seconds. */
+  double burst_{ 90 };
+  double perSecond_{ 90 };
   /** Retry interval for a host that did not answer; several round trips and
    * the delay of a busy agent. */
   Duration retryInterval_{ std::chrono::milliseconds{ 300 } };
@@ -120,15 +121,20 @@
   struct Open
   {
     std::vector<Item> items_;
+    std::vector<HostId> unsent_; ///< Hosts that the query goes to next.
     std::vector<HostId> awaited_;
     std::vector<HostId> answered_;
-    TimePoint since_;
-    TimePoint sentAt_;
+    TimePoint sentAt_;       ///< Last message; not set before the first.
+    TimePoint firstRoundAt_; ///< When the query had been sent to all hosts.
+    bool wasSentToAll_{};
   };
 
   void StartQueries(TimePoint aNow);
   void Refill(TimePoint aNow);
   void ReportUnresolved(Open& aOpen, std::vector<Unresolved>& aOut);
+  /** @brief Lists the hosts that have not answered as those to query. */
+  void ListHosts(TimePoint aNow, Open& aOpen, const HostTable& aHosts) const;
+  /** @brief Sends the query to the next hosts, within the budget. */
   void SendQuery(TimePoint aNow,
                  std::uint32_t aId,
                  Open& aOpen,
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -336,6 +336,13 @@
   return *this;
 }
 
+RelayBalancer::Builder&
+RelayBalancer::Builder::WithLink(std::uint64_t aBytesPerSecond)
+{
+  linkBytesPerSecond_ = aBytesPerSecond;
+  return *this;
+}
+
 RelayBalancer::Builder&
 RelayBalancer::Builder::WithStopLimit(Duration aLimit)
 {
@@ -353,6 +360,9 @@
   relay::BalancerSettings settings;
   settings.hosts_.dataCentre_ = node_.dataCentre_;
   settings.seed_ = node_.seed_;
+  if (linkBytesPerSecond_ > 0) {
+    relay::ScaleSearchTo(linkBytesPerSecond_, settings);
+  }
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        relay::Balancer(settings, codec_));
   parts->hooks_ = hooks_;
--- a/src/cornelshore/role/relay_balancer.hpp
+++ b/src/cornelshore/role/relay_balancer.hpp
@@ -82,6 +82,9 @@
   explicit Builder(dissemination::NodeSettings aNode);
 
   Builder& WithCodec(relay::Codec aCodec);
+  /** @brief Bandwidth of the VM's link in bytes per second; 0: unknown, taken
+   * as 2 Mbit/s. */
+  Builder& WithLink(std::uint64_t aBytesPerSecond);
   /** @brief Maximum duration of a planned stop; default 5 s. */
   Builder& WithStopLimit(Duration aLimit);
 
@@ -91,6 +94,7 @@
 
 private:
   relay::Codec codec_;
+  std::uint64_t linkBytesPerSecond_{};
   Duration stopLimit_{ std::chrono::seconds{ 5 } };
 };
 
--- a/src/cornelshore/settings/settings.cpp
+++ b/src/cornelshore/settings/settings.cpp
@@ -23,6 +23,7 @@
  * fleet of 1,900 within its 4 KB/s. */
 constexpr std::int64_t kUsualControlBytes = 2000;
 constexpr std::int64_t kUsualControlBurst = 98'304;
+constexpr double kMostLinkMegabits = 1'000'000;
 constexpr std::int64_t kUsualRoundMillis = 1000;
 constexpr std::int64_t kLeastRoundMillis = 100;
 constexpr std::int64_t kMostRoundMillis = 10'000;
@@ -74,6 +75,8 @@
   aSettings.node_ = aTable.AddressAt("address");
   aSettings.seeds_ = aTable.Addresses("seeds");
   aSettings.seedsShareOwnPort_ = aTable.BoolOr("seeds_share_own_port", false);
+  aSettings.linkMegabits_ =
+    aTable.RealOr("link_mbps", 0.0, kMostLinkMegabits, 0.0);
   aSettings.controlBytesPerSecond_ =
     static_cast<std::uint32_t>(aTable.IntegerOr("control_bytes_per_second",
                                                 kLeastControlBytes,
--- a/src/cornelshore/settings/settings.hpp
+++ b/src/cornelshore/settings/settings.hpp
@@ -133,6 +133,8 @@
   std::vector<Address> seeds_; ///< Control VMs and balancers to begin with.
   /** Seeds listen for other processes at the port that this one has. */
   bool seedsShareOwnPort_{};
+  /** Bandwidth of the VM's link in Mbit/s; 0: unknown. */
+  double linkMegabits_{};
   /** Interval of rounds with other processes. */
   std::chrono::milliseconds controlRound_{};
   /** Most bytes of control messages sent a second, on average, and at once. */
@@ -148,6 +150,13 @@
   AgentSettings agent_;
   ControlSettings control_;
   RelaySettings relay_;
+
+  /** @brief Bandwidth of the VM's link; 0: unknown. */
+  [[nodiscard]] std::uint64_t LinkBytesPerSecond() const noexcept
+  {
+    constexpr double kBytesPerMegabit = 125'000;
+    return static_cast<std::uint64_t>(linkMegabits_ * kBytesPerMegabit);
+  }
 };
 
 /**
--- a/test/cornelshore/relay/balancer_search.cpp
+++ b/test/cornelshore/relay/balancer_search.cpp
@@ -473,5 +473,21 @@
   EXPECT_GT(Packet(kStart + seconds{ 1 }, last + 2).packets_, 0U);
 }
 
+TEST(ScaleSearchTo, LeavesMostOfALinkForCallers)
+{
+  constexpr double kFarMessageBytes = 400;
+  for (const std::uint64_t link :
+       { 100'000U, 250'000U, 575'000U, 1'250'000U }) {
+    BalancerSettings settings;
+    ScaleSearchTo(link, settings);
+    const auto searches =
+      static_cast<double>(settings.searchBytesPerSecond_) +
+      static_cast<double>(settings.nearSearch_.bytesPerSecond_) +
+      settings.farSearch_.perSecond_ * kFarMessageBytes;
+    EXPECT_LE(searches, 0.41 * static_cast<double>(link));
+    EXPECT_GE(searches, 0.35 * static_cast<double>(link));
+  }
+}
+
 } // namespace
 } // namespace cornelshore::relay
--- a/test/cornelshore/settings/settings.cpp
+++ b/test/cornelshore/settings/settings.cpp
@@ -273,5 +273,20 @@
   }
 }
 
+TEST(Settings, ReadsTheBandwidthOfTheLink)
+{
+  const auto with = [](const std::string& aLine) {
+    const TextFile file(Replaced("key_file", aLine + "key_file"));
+    return Load(file.Path());
+  };
+  EXPECT_EQ(with("")->LinkBytesPerSecond(), 0U);
+  EXPECT_EQ(with("link_mbps = 2\n")->LinkBytesPerSecond(), 250'000U);
+  EXPECT_EQ(with("link_mbps = 4.4\n")->LinkBytesPerSecond(), 550'000U);
+  for (const std::string value : { "-1", "1e300", "nan", "\"2\"" }) {
+    const auto settings = with("link_mbps = " + value + "\n");
+    EXPECT_TRUE(absl::IsInvalidArgument(settings.status())) << value;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::settings
