--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -49,7 +49,7 @@
   const auto open = open_.find(place->second);
   if (open != open_.end()) {
     for (auto& item : open->second.items_) {
-      item.resolved_ |= item.query_.key_ == aKey;
+      item.resolved_ |= item.flow_.key_ == aKey;
     }
   } else {
     std::erase_if(queue_,
@@ -79,8 +79,7 @@
          budget_ > 0) {
     const auto id = ++lastId_;
     auto& open = open_[id];
-    open.since_ = aNow;
-    while (!queue_.empty() && open.items_.size() < kMaxQueryItems) {
+    while (!queue_.empty() && open.items_.size() < settings_.maxQueryFlows_) {
       queryOf_[queue_.front().key_] = id;
       open.items_.push_back({ queue_.front(), {}, false });
       queue_.pop_front();
@@ -90,18 +89,8 @@
 }
 
 void
-FarSearch::SendQuery(TimePoint aNow,
-                     std::uint32_t aId,
-                     Open& aOpen,
-                     const HostTable& aHosts,
-                     std::vector<Outgoing>& aOut)
+FarSearch::ListHosts(TimePoint aNow, Open& aOpen, const HostTable& aHosts) const
 {
-  Query query;
-  query.id_ = aId;
-  for (const auto& item : aOpen.items_) {
-    query.items_.push_back(item.query_);
-  }
-  aOpen.sentAt_ = aNow;
   aOpen.awaited_.clear();
   for (const auto& [id, host] : aHosts.All()) {
     const auto heardAt = host.lastReportAt_.value_or(host.firstSeenAt_);
@@ -111,9 +100,33 @@
     if (host.record_.state_ != HostState::Gone && !answered &&
         aNow - heardAt < settings_.hostTimeout_) {
       aOpen.awaited_.push_back(id);
-      aOut.push_back({ host.record_.agent_, query });
+    }
+  }
+  aOpen.unsent_ = aOpen.awaited_;
+  aOpen.sentAt_ = aNow;
+}
+
+void
+FarSearch::SendQuery(TimePoint aNow,
+                     std::uint32_t aId,
+                     Open& aOpen,
+                     const HostTable& aHosts,
+                     std::vector<Outgoing>& aOut)
+{
+  Query query;
+  query.id_ = aId;
+  for (const auto& item : aOpen.items_) {
+    query.items_.push_back(
+      { ShortHashOf(item.flow_.key_), item.flow_.acknowledged_ });
+  }
+  while (!aOpen.unsent_.empty() && budget_ > 0) {
+    const auto* host = aHosts.Find(aOpen.unsent_.back());
+    aOpen.unsent_.pop_back();
+    if (host != nullptr) {
+      aOut.push_back({ host->record_.agent_, query });
       budget_ -= 1;
     }
+    aOpen.sentAt_ = aNow;
   }
 }
 
@@ -127,8 +140,8 @@
     auto unresponsive = aOpen.awaited_;
     unresponsive.insert(
       unresponsive.end(), item.unsure_.begin(), item.unsure_.end());
-    aOut.push_back({ item.query_.key_, std::move(unresponsive) });
-    queryOf_.erase(item.query_.key_);
+    aOut.push_back({ item.flow_.key_, std::move(unresponsive) });
+    queryOf_.erase(item.flow_.key_);
   }
 }
 
@@ -139,8 +152,10 @@
   Refill(aNow);
   for (auto row = open_.begin(); row != open_.end();) {
     const auto current = row++;
-    if (aNow - current->second.since_ >= settings_.queryTimeout_) {
-      ReportUnresolved(current->second, due.unresolved_);
+    auto& open = current->second;
+    if (open.unsent_.empty() &&
+        aNow - open.firstRoundAt_ >= settings_.queryTimeout_) {
+      ReportUnresolved(open, due.unresolved_);
       open_.erase(current);
     }
   }
@@ -148,14 +163,24 @@
   next_ = queueDue_;
   for (auto& [id, open] : open_) {
     const auto first = open.sentAt_ == TimePoint{};
-    const auto again =
-      aNow - open.sentAt_ >= settings_.retryInterval_ && budget_ > 0;
+    const auto again = open.unsent_.empty() && budget_ > 0 &&
+                       aNow - open.sentAt_ >= settings_.retryInterval_;
     if (first || again) {
-      SendQuery(aNow, id, open, aHosts, due.queries_);
+      ListHosts(aNow, open, aHosts);
+    }
+    SendQuery(aNow, id, open, aHosts, due.queries_);
+    if (!open.wasSentToAll_) {
+      open.firstRoundAt_ = aNow;
+      open.wasSentToAll_ = open.unsent_.empty();
     }
-    const auto retryAt = std::max(open.sentAt_ + settings_.retryInterval_,
-                                  aNow + settings_.batchWindow_);
-    next_ = std::min({ next_, retryAt, open.since_ + settings_.queryTimeout_ });
+    const auto retryAt = open.unsent_.empty()
+                           ? std::max(open.sentAt_ + settings_.retryInterval_,
+                                      aNow + settings_.batchWindow_)
+                           : aNow + settings_.batchWindow_;
+    next_ = std::min({ next_,
+                       retryAt,
+                       std::max(open.firstRoundAt_ + settings_.queryTimeout_,
+                                aNow + settings_.batchWindow_) });
   }
   return due;
 }
@@ -168,7 +193,7 @@
   }
   for (const auto& item : aOpen.items_) {
     if (!item.resolved_ && item.unsure_.empty()) {
-      aDenied.push_back(item.query_.key_);
+      aDenied.push_back(item.flow_.key_);
     }
   }
 }
@@ -193,10 +218,10 @@
       continue;
     }
     if (aAnswer.holdings_[index] == Holding::Yes) {
-      findings.held_.push_back(item.query_.key_);
+      findings.held_.push_back(item.flow_.key_);
     } else if (aAnswer.holdings_[index] == Holding::Unsure) {
       item.unsure_.push_back(aHost);
-      findings.unsure_.push_back(item.query_.key_);
+      findings.unsure_.push_back(item.flow_.key_);
     }
   }
   for (const auto& key : findings.held_) {
@@ -220,7 +245,7 @@
     return false;
   }
   for (auto& item : found->second.items_) {
-    if (item.query_.key_ == aKey) {
+    if (item.flow_.key_ == aKey) {
       std::erase(item.unsure_, aHost);
     }
   }
