--- a/test/cornelshore/dissemination/node_restart.cpp
+++ b/test/cornelshore/dissemination/node_restart.cpp
@@ -159,6 +159,44 @@
   }
 }
 
+// A process restarts beside a node that was cut off while a host left. That
+// node still holds the host as ready; its snapshot must not count as in step,
+// and the host must not stay in use once others are reached.
+TEST(NodeRestart, ASnapshotOfACutOffNodeBringsNoHostBackThatHasLeft)
+{
+  constexpr std::size_t kCutOff = 0;
+  constexpr std::size_t kRestarted = kControl + 4;
+  auto fleet = RunningFleet(4);
+  fleet.fate_ = [](std::size_t aFrom, std::size_t aTo) {
+    const bool cut = aFrom == kCutOff || aTo == kCutOff;
+    return Fleet::Fate{ cut ? 0U : 1U, std::chrono::milliseconds(1) };
+  };
+  const auto left = RecordOf(fleet.Members()[kFirstAgent], 2, HostState::Gone);
+  fleet.Feed(kFirstAgent, HostAnnounced{ left });
+  fleet.RunFor(std::chrono::seconds(6));
+  const auto stateAt = [&](std::size_t aNode) {
+    const auto* host = fleet.At(aNode).Hosts().Find(left.id_);
+    return host == nullptr ? HostState::Gone : host->state_;
+  };
+  ASSERT_EQ(stateAt(kCutOff), HostState::Ready);
+  ASSERT_EQ(stateAt(kRestarted), HostState::Gone);
+  fleet.fate_ = [](std::size_t aFrom, std::size_t aTo) {
+    const bool pair = (aFrom == kCutOff && aTo == kRestarted) ||
+                      (aFrom == kRestarted && aTo == kCutOff);
+    const bool cut = aFrom == kCutOff || aTo == kCutOff ||
+                     aFrom == kRestarted || aTo == kRestarted;
+    return Fleet::Fate{ cut && !pair ? 0U : 1U, std::chrono::milliseconds(1) };
+  };
+  fleet.Restart(kRestarted);
+  fleet.RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(stateAt(kRestarted), HostState::Ready);
+  EXPECT_FALSE(fleet.At(kRestarted).ConfirmedAt());
+  fleet.fate_ = [](std::size_t, std::size_t) { return Fleet::Fate{}; };
+  fleet.RunFor(std::chrono::seconds(5));
+  EXPECT_EQ(stateAt(kRestarted), HostState::Gone);
+  EXPECT_TRUE(fleet.At(kRestarted).ConfirmedAt());
+}
+
 // While control has no leader the fleet waits for a configuration; that must
 // not use up the bytes which the restarts after it need.
 TEST(NodeRestart, WaitingForAConfigurationLeavesMostOfTheBudget)
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -460,5 +460,24 @@
   EXPECT_EQ(agent_.Busy(), 0U);
 }
 
+// A host whose reports stop for a while gets no new flows, and keeps those that
+// it has: its work is neither given up nor moved, and late answers are passed.
+TEST_F(AgentTest, AHostThatIsOnlySilentKeepsItsFlows)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  const auto silent = kStart + seconds{ 20 };
+  agent_.Tick(silent);
+  EXPECT_FALSE(agent_.HostAlive(silent));
+  EXPECT_FALSE(
+    Delivered(Carry(silent, Purpose::ForceOpen, FromCaller(2, true))));
+  EXPECT_TRUE(Delivered(Carry(silent, Purpose::Direct, FromCaller(1, false))));
+  const auto answers = HostSends(silent, FromHostTo(1, false));
+  EXPECT_TRUE(
+    std::any_of(answers.begin(), answers.end(), [](const auto& aAction) {
+      return std::holds_alternative<FromHost>(aAction);
+    }));
+}
+
 } // namespace
 } // namespace cornelshore::relay
--- a/test/cornelshore/relay/balancer_waiting.cpp
+++ b/test/cornelshore/relay/balancer_waiting.cpp
@@ -133,5 +133,20 @@
   EXPECT_TRUE(OfferedAt(kStart + milliseconds{ 1500 }).empty());
 }
 
+// A host that has not reported its load for long is offered no opening; packets
+// of its open flows go to it as before.
+TEST_F(BalancerWaiting, AHostThatIsOnlySilentKeepsItsFlows)
+{
+  const auto opening = FromCaller(1, kBoardAddress, true);
+  const auto host = OfferIn(Packet(kStart, opening)).host_.value_;
+  Answer(kStart, host, opening, Verdict::Opened);
+  const auto silent = kStart + std::chrono::seconds{ 20 };
+  const auto packet = FromCaller(1, kBoardAddress, false);
+  const auto actions = Packet(silent, packet);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ host });
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  EXPECT_EQ(OfferIn(actions).relayedPacket_.purpose_, Purpose::Direct);
+}
+
 } // namespace
 } // namespace cornelshore::relay
