Show flows reset after a planned restart of the agent beside a new host

An agent takes a heartbeat counted 1 or less for the first one of its host; after a restart that is wrong for a host that counts from 0.

--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -214,7 +214,8 @@
 /**
  * @brief A host: holds flows, answers each request with its own id.
  *
- * Reports itself every `--beat-ms`, first `--first-beat-ms` after its start.
+ * Reports itself every `--beat-ms`, first `--first-beat-ms` after its start and
+ * with the count `--first-seq`.
  */
 class Host
 {
@@ -323,9 +324,11 @@
                          ? std::stoi(options_["first-beat-ms"])
                          : 0;
     std::this_thread::sleep_for(std::chrono::milliseconds(first));
-    for (std::uint64_t sequence = 1;; ++sequence) {
+    const auto firstSequence =
+      options_.contains("first-seq") ? std::stoull(options_["first-seq"]) : 1;
+    for (std::uint64_t sequence = firstSequence;; ++sequence) {
       const auto acknowledged = Beat(sequence);
-      if (sequence == 1 || acknowledged != acknowledged_) {
+      if (sequence == firstSequence || acknowledged != acknowledged_) {
         record_.Note("host " + options_["id"] + ": heartbeat " +
                      std::to_string(sequence) +
                      (acknowledged ? " acknowledged" : " not acknowledged"));
