--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,7 +8,7 @@
 
 catch_up_ms=4000
 recovery_s=12
-rounds=19
+rounds=18
 configuration='{"version":7,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"sillero","max-attempts":2}],"services":[{"name":"sillero","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}'
 
 alive=(1 2 3 4 5)
