Show balancers that follow an old version after most others are lost

Cause: records of processes that ended without a word are kept for three hours, and a change of the desired state goes to processes drawn from all of them; an agent whose places are full of such records hears of no change.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,56 +1,89 @@
 #!/usr/bin/env bash
-# A host crashes and starts again; flows that the new boot opens before its first
-# heartbeat must stay. TROUBLE=0: the host does not crash.
+# Most machines in front are lost at once. Once all is calm the desired state
+# changes; each change must be in force within config-propagation-ms. TROUBLE=0:
+# no machine is lost.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 source review/lib.sh
 
-pause_ms=5000
-window_ms=4000 # stability-window-ms
-configuration='{"version":1,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"sillero","max-attempts":2}],"services":[{"name":"sillero","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}'
+fronts=91
+left=3
+changes=14
+heartbeat_ms=770
+link_mbps=2.0
+window_ms=6000      # stability-window-ms
+propagation_ms=5000 # config-propagation-ms
+slack_ms=200
+
+configuration() { # VERSION SERVICE
+  local services
+  services=$(printf '{"name":"%s","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false},' shopfloor drawings)
+  printf '{"version":%s,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"%s","max-attempts":2}],"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}' "$1" "$2" "${services%,}"
+}
 
 for i in 1 2 3 4 5; do write_control $i true; done
-for i in 1 2; do write_balancer $i; done
-write_agent 1 sillero
+for i in $(seq $fronts); do write_balancer "$i"; done
+for i in 1 2; do write_agent $i shopfloor; done
+for i in 3 4; do write_agent $i drawings; done
 for i in 1 2 3 4 5; do start_daemon core-$i; done
-for i in 1 2; do start_daemon frontend-$i; done
-start_daemon side-1
-start_host 1 sillero boot-a
-wait_until 20 "the configuration is acknowledged" put_anywhere "$configuration"
-for i in 1 2; do wait_until 20 "balancer $i is ready" ready_at $i; done
+for i in $(seq $fronts); do start_daemon "frontend-$i"; done
+for i in 1 2 3 4; do start_daemon side-$i; done
+for i in 1 2; do start_host $i shopfloor shopfloor-$i; done
+for i in 3 4; do start_host $i drawings drawings-$i; done
+wait_until 20 "version 1 is acknowledged" put_anywhere "$(configuration 1 shopfloor)"
+for i in $(seq $fronts); do wait_until 20 "frontend-$i is ready" ready_at "$i"; done
+note "version 1 sends all flows to shopfloor; $fronts machines in front are ready"
 sleep 6
-note "the system is calm"
 
-start clients "$standin" clients --listen "$(client_ip 1):8172" --service 198.18.0.1:443 \
-  --via "$(balancer_ip 1):8172,$(balancer_ip 2):8172" --flows 60 --every-ms 25 \
-  --pause-ms $pause_ms --limit-ms 1000 --log "$record" --began "$began"
-sleep 0.5
-lives=boot-a
 if [ "$trouble" != 0 ]; then
-  note "host boot-a crashes"
-  kill_process host-1 KILL
-  sleep 0.1
-  start_host 1 sillero boot-b --first-beat-ms 300
-  lives=boot-b
+  for i in $(seq $((left + 1)) $fronts); do
+    disown "${pids[frontend-$i]}"
+    kill -KILL "${pids[frontend-$i]}"
+    unset "pids[frontend-$i]"
+  done
+  note "frontend-$((left + 1)) to frontend-$fronts are lost at once"
 fi
-restarted=$(($(now_ms) - began))
-wait "${pids[clients]}" || cannot_run "the clients failed"
-unset "pids[clients]"
-for name in "${!pids[@]}"; do
-  kill -0 "${pids[$name]}" 2>/dev/null || note "$name has ended"
-done
+sleep $(((window_ms + 1000) / 1000))
+note "nothing has happened for more than the window"
+
+via=""
+for i in $(seq $left); do via+="$(balancer_ip "$i"):8172,"; done
+names=(shopfloor drawings)
+for change in $(seq $changes); do
+  version=$((change + 1))
+  new=${names[change % 2]} old=${names[(change + 1) % 2]}
+  put_anywhere "$(configuration $version "$new")" || cannot_run "version $version got no confirmation"
+  confirmed=$(now_ms)
+  note "version $version, which sends all flows to $new, is confirmed"
+  while [ $(($(now_ms) - confirmed)) -le $((propagation_ms + slack_ms)) ]; do sleep 0.05; done
+  for i in $(seq $left); do ready_at "$i" || cannot_run "frontend-$i is not ready"; done
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || cannot_run "$name has ended"
+  done
 
-# Flows that are open at the living host and were reset by the system when the
-# host had lived undisturbed for the window.
-opened=$(sed -n "s/.* host $lives: flow of port \([0-9]*\) is open/\1/p" "$record" | sort -u)
-[ "$(wc -w <<<"$opened")" -ge 10 ] || cannot_run "the living host has too few flows"
-reset=0
-for port in $opened; do
-  at=$(sed -n "s/^\([0-9]*\) ms: client gets a reset of the system on the flow of port $port,.*/\1/p" "$record" | head -n 1)
-  if [ -n "$at" ] && [ $((at - restarted)) -gt $window_ms ]; then
-    note "flow of port $port, open at host $lives, was reset $((at - restarted)) ms after the last disturbance"
-    reset=$((reset + 1))
-  fi
+  # Every opening of these clients is sent after the bound and has ended, or
+  # its client is stopped, before the next change.
+  lines=$(wc -l <"$record")
+  after=$(($(now_ms) - confirmed))
+  start clients "$standin" clients --listen "$(client_ip $change):8172" --service 198.18.0.1:443 \
+    --via "${via%,}" --flows 24 --every-ms 10 --pause-ms 50 --limit-ms 1000 --log "$record" --began "$began"
+  for _ in $(seq 15); do
+    kill -0 "${pids[clients]}" 2>/dev/null || break
+    sleep 0.1
+  done
+  kill_process clients KILL 2>/dev/null || true
+  late=$(tail -n +$((lines + 1)) "$record" | grep -c " host $old-[1-4]: flow of port [0-9]* is open" || true)
+  ran=$(tail -n +$((lines + 1)) "$record" | grep -c " host $old-[1-4] ran request " || true)
+  right=$(tail -n +$((lines + 1)) "$record" | grep -c " host $new-[1-4]: flow of port [0-9]* is open" || true)
+  note "openings sent $after ms after that or later: $right flows at hosts of $new, $late at hosts of $old"
+  [ "$late" -eq 0 ] && continue
+  for i in $(seq $left); do
+    grep -q "event=configuration_in_force version=$version " "$work/frontend-$i".{out,err} || note "frontend-$i does not have version $version"
+  done
+  for i in 1 2 3 4; do
+    grep -q "event=configuration_in_force version=$version " "$work/side-$i".{out,err} || note "side-$i does not have version $version"
+  done
+  broken "CONFIG: $late flows with $ran requests went to the service that only versions before $version name"
 done
-[ $reset -eq 0 ] || broken "FLOW: $reset of $(wc -w <<<"$opened") flows open at host $lives were reset"
-held "none of $(wc -w <<<"$opened") flows open at host $lives was reset"
+[ "$right" -ge 10 ] || cannot_run "too few flows were opened"
+held "after each of $changes changes all flows went to the service that the new version names"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -21,6 +21,7 @@
 until is_free "$net.1.1" 8166; do net=127.$((RANDOM % 200 + 20)); done
 operator_next=$((RANDOM % 5000 + 12000))
 heartbeat_ms=1200
+link_mbps=1000.0 # of balancers
 declare -A pids=()
 declare -A operator_port=()
 
@@ -74,7 +75,7 @@
   text=$(sed "s/{{#seeds}}.*{{\/seeds}}/$seed_list/" "deploy/$template.toml")
   for pair in "node=$name" "ip=$ip" "zone=ant-a" "internal-ports.0=7720" \
     "internal-ports.1=${operator_port[$name]}" "heartbeat-ms=$heartbeat_ms" \
-    "limits.link-mbps=1000.0" "bounds.grace-s=6" "fault-tolerance.machines=2" \
+    "limits.link-mbps=$link_mbps" "bounds.grace-s=6" "fault-tolerance.machines=2" \
     "listen.datagram-addr=$ip:8172" "listen.readiness-addr=$ip:8167" \
     "listen.outbound=$ip:8162" "listen.control=$ip:8166" "app=$ip:8165" "$@"; do
     text=${text//"{{${pair%%=*}}}"/${pair#*=}}
