Let a stand-in host hold only flows that acknowledge what it sent

Cause: each stand-in host drew one start for all its flows and held a flow whose acknowledgement lay within 2^28 of it. When copies of an opening reach two hosts whose starts are that near, one pair in eight, both answered the flow, and test/system/relay.sh saw answers of another host. Change: each flow gets a start of its own, and the host holds it only for acknowledgements of the answer to the opening or of bytes sent after it.

--- a/examples/standin/segments.cpp
+++ b/examples/standin/segments.cpp
@@ -2,6 +2,7 @@
 // callers that open flows through balancers, retransmit and count what breaks.
 #include <utility>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -112,40 +113,56 @@
       return;
     }
     if (segment->opening_) {
-      flows_[segment->from_] = 1;
-      Send(*segment, kSyn | kAck, "");
+      const auto [row, added] = flows_.try_emplace(segment->from_);
+      if (added) {
+        row->second.start_ = static_cast<std::uint32_t>(random_());
+      }
+      Send(*segment, row->second.start_, kSyn | kAck, "");
     } else if (!Holds(*segment)) {
       aPacket[26] = static_cast<char>(aPacket[26] | kReturned);
       aPacket[27] = 0;
       socket_->Send(outbound_, aPacket);
     } else if (segment->payload_ > 0) {
       const auto last = leavingSince_ ? kAck | kFin : kAck;
+      const auto data = options_["name"] + " " + DataOf(aPacket);
+      auto& flow = flows_[segment->from_];
+      flow.sentBytes_ =
+        std::max(flow.sentBytes_, static_cast<std::uint32_t>(data.size()));
       Send(*segment,
+           segment->acknowledged_,
            static_cast<std::uint8_t>(last),
-           options_["name"] + " " + DataOf(aPacket));
+           data);
     } else if (segment->finishing_) {
-      Send(*segment, kAck | kFin, "");
+      Send(*segment, segment->acknowledged_, kAck | kFin, "");
       flows_.erase(segment->from_);
     }
   }
 
+  struct Flow
+  {
+    std::uint32_t start_{};     ///< Sequence of the answer to the opening.
+    std::uint32_t sentBytes_{}; ///< Callers acknowledge at most this many.
+  };
+
+  /** Of several hosts that answered an opening, the one whose sequence the
+   * caller acknowledges holds the flow. */
   bool Holds(const relay::Segment& aSegment) const
   {
-    return flows_.contains(aSegment.from_) &&
-           aSegment.acknowledged_ - start_ <= kMostFlowBytes;
+    const auto found = flows_.find(aSegment.from_);
+    return found != flows_.end() &&
+           aSegment.acknowledged_ - (found->second.start_ + 1) <=
+             found->second.sentBytes_;
   }
 
   void Send(const relay::Segment& aTo,
+            std::uint32_t aSequence,
             std::uint8_t aFlags,
             const std::string& aData)
   {
-    socket_->Send(outbound_,
-                  PacketOf(aTo.to_,
-                           aTo.from_,
-                           aTo.opening_ ? start_ : aTo.acknowledged_,
-                           aTo.sequence_ + 1,
-                           aFlags,
-                           aData));
+    socket_->Send(
+      outbound_,
+      PacketOf(
+        aTo.to_, aTo.from_, aSequence, aTo.sequence_ + 1, aFlags, aData));
   }
 
   void Beat()
@@ -187,14 +204,9 @@
                 error);
   }
 
-  /** Most bytes that a host sends in one flow. */
-  static constexpr std::uint32_t kMostFlowBytes = 1U << 28U;
-
   asio::io_context& context_;
   std::map<std::string, std::string> options_;
-  /** Differs from host to host: of two that answer an opening, the caller's
-   * next packet names the one that holds the flow. */
-  std::uint32_t start_{ std::random_device{}() };
+  std::mt19937 random_{ std::random_device{}() };
   asio::steady_timer timer_;
   Address outbound_;
   Address reports_;
@@ -202,7 +214,7 @@
   relay::Codec codec_;
   std::int64_t born_;
   std::uint64_t sequence_{};
-  std::map<Address, int> flows_;
+  std::map<Address, Flow> flows_;
   std::optional<Clock::time_point> leavingSince_;
 };
 
