Replace peers that do not answer at once, so that survivors follow a change

Cause: a configuration was pushed once to six processes drawn from all records, most of them lost; a round asked one process each 500 ms and avoided it only after three rounds of its own; an agent's table of 64 was full of lost balancers, so that it learned no other and did not ask its seeds. Change: a peer is silent to those whose message it leaves unanswered for 150 ms. Rounds and pushes of configurations go to others in its place, twice as many each time, until one or six have answered. Why it works: live peers are found in a number of timeouts that grows with the logarithm of the dead share, whether the loss has been noticed or not.

--- a/src/cornelshore/dissemination/ledger.cpp
+++ b/src/cornelshore/dissemination/ledger.cpp
@@ -70,12 +70,22 @@
     }
   }
   for (const auto id : expired) {
-    Remove(id, membership::VersionOf(peers_[id].record_));
-    peers_.erase(id);
-    SetLive(id, false);
+    Forget(id);
   }
 }
 
+void
+Ledger::Forget(NodeId aPeer)
+{
+  const auto found = peers_.find(aPeer);
+  if (found == peers_.end()) {
+    return;
+  }
+  Remove(aPeer, membership::VersionOf(found->second.record_));
+  peers_.erase(found);
+  SetLive(aPeer, false);
+}
+
 std::uint64_t
 Ledger::DigestOf(ServiceId aService) const
 {
--- a/src/cornelshore/dissemination/ledger.hpp
+++ b/src/cornelshore/dissemination/ledger.hpp
@@ -46,6 +46,9 @@
   /** @brief Merges a peer's record. */
   membership::MergeOutcome Merge(TimePoint aNow, const PeerUpdate& aUpdate);
 
+  /** @brief Drops a peer's record, which may be merged again. */
+  void Forget(NodeId aPeer);
+
   /** @brief Drops expired tombstones and peer records. */
   void Expire(TimePoint aNow);
 
--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -31,8 +31,13 @@
 TimePoint
 Node::NextTimer() const noexcept
 {
-  const auto spread = state_->spreadAt_.value_or(state_->nextRound_);
-  return std::min(spread, state_->nextRound_);
+  const auto orRound = [this](std::optional<TimePoint> aDue) {
+    return aDue.value_or(state_->nextRound_);
+  };
+  return std::min({ state_->nextRound_,
+                    orRound(state_->spreadAt_),
+                    orRound(state_->roundOutreach_.Due()),
+                    orRound(state_->configOutreach_.Due()) });
 }
 
 const membership::View&
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -63,6 +63,14 @@
   std::vector<Address> addresses_;
 };
 
+/** @brief A process works by this version; learned from its other messages. */
+struct VersionSeen
+{
+  NodeId from_;
+  Address address_;
+  ConfigVersion version_;
+};
+
 /** @brief Time has passed; see `Node::NextTimer()`. */
 struct Tick
 {};
@@ -73,6 +81,7 @@
                            ConfigAccepted,
                            ControlConfirmed,
                            SeedsChanged,
+                           VersionSeen,
                            Tick>;
 
 /** @brief Send a message; `to_` is 0 for a seed whose id is not known yet. */
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+void
+Node::State::Handle(TimePoint aNow, const VersionSeen& aEvent)
+{
+  newestKnownConfig_ = std::max(newestKnownConfig_, aEvent.version_);
+  const bool retryDue = aNow - requestedAt_ >= kRequestRetryInterval;
+  if (aEvent.version_ > config_.Version() && retryDue) {
+    RequestConfig(aNow, aEvent.from_, aEvent.address_);
+  }
+}
+
 void
 Node::State::Answer(TimePoint aNow, const Received& aEvent, bool aProgress)
 {
@@ -146,10 +156,9 @@
   if (!aUnknownToSender && partners_.Randomness().Below(kSampleOneIn) != 0) {
     return;
   }
-  for (const auto peer : partners_.Pick(ledger_, kSampledPeers)) {
-    if (ledger_.LivePeer(peer)->role_ == NodeRole::Balancer) {
-      AddSubject(aNow, peer, aPacker);
-    }
+  for (const auto peer :
+       partners_.PickBalancers(aNow, ledger_, kSampledPeers)) {
+    AddSubject(aNow, peer, aPacker);
   }
 }
 
--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -26,6 +26,9 @@
 constexpr std::uint64_t kAgentRoundEvery = 2;
 constexpr std::uint64_t kExpireEvery = 10;
 constexpr std::int64_t kAttachedRounds = 20;
+/** A peer that does not answer is asked again in one of this many rounds, as it
+ * may have been cut off; at 1 s a round this costs less than 30 B/s. */
+constexpr std::uint64_t kSilentPeerRounds = 4;
 
 } // namespace
 
@@ -62,43 +65,96 @@
 void
 Node::State::Round(TimePoint aNow)
 {
-  std::vector<NodeId> peers;
   if (AwaitsSnapshot()) {
     RequestSnapshot(aNow);
-  } else if (!IsAgent()) {
-    peers = partners_.Pick(ledger_, joiningRoundDue_ ? kJoiningPartners : 1);
+  } else if (!IsAgent() && joiningRoundDue_) {
+    for (const auto peer : partners_.Pick(aNow, ledger_, kJoiningPartners)) {
+      RoundWith(aNow, peer);
+    }
+  } else if (!roundOutreach_.Due()) {
+    BeginRoundOutreach(aNow);
+  }
+  if (round_ % kSilentPeerRounds == 0) {
+    if (const auto silent = partners_.PickSilent(aNow, ledger_)) {
+      RoundWith(aNow, *silent);
+    }
+  }
+  if (!pushedSubjects_.empty()) {
+    SpreadRecords(aNow, std::exchange(pushedSubjects_, {}));
+  }
+  if (!IsAgent() && configActive_) {
+    PushToLaggards(aNow);
+  }
+  if (IsAgent() && newestKnownConfig_ > config_.Version()) {
+    RequestFromServiceAgent(aNow);
+  }
+  ContactSeeds(aNow);
+}
+
+void
+Node::State::BeginRoundOutreach(TimePoint aNow)
+{
+  std::vector<NodeId> peers;
+  if (!IsAgent()) {
+    peers = partners_.Pick(aNow, ledger_, 1);
   } else {
-    peers = partners_.PickForAgent(ledger_);
+    peers = partners_.PickForAgent(aNow, ledger_);
     const bool awaited =
       std::any_of(peers.begin(), peers.end(), [this](NodeId aPeer) {
         return partners_.Awaits(aPeer);
       });
     const bool due = !joined_ || awaited || round_ % kAgentRoundEvery == 0;
-    if (!peers.empty()) {
-      peers = { peers[round_ / kAgentRoundEvery % peers.size()] };
+    if (!due || peers.empty()) {
+      return;
     }
-    peers.resize(due ? peers.size() : 0);
+    peers = { peers[round_ / kAgentRoundEvery % peers.size()] };
   }
+  roundOutreach_.Start(aNow, peers.size());
+  static_cast<void>(roundOutreach_.TakeDue(aNow));
   for (const auto peer : peers) {
+    roundOutreach_.Asked(peer);
     RoundWith(aNow, peer);
   }
-  if (!pushedSubjects_.empty()) {
-    SpreadRecords(aNow, std::exchange(pushedSubjects_, {}));
+}
+
+void
+Node::State::ContinueRoundOutreach(TimePoint aNow)
+{
+  const auto count = roundOutreach_.TakeDue(aNow);
+  if (count == 0) {
+    return;
   }
-  if (!IsAgent() && configActive_) {
-    PushToLaggards(aNow);
+  auto peers = partners_.PickFurther(aNow, ledger_, roundOutreach_, count);
+  if (IsAgent()) {
+    peers = partners_.RankForAgent(aNow, ledger_);
+    std::erase_if(peers, [&](NodeId aPeer) {
+      return roundOutreach_.HasAsked(aPeer) || partners_.IsSilent(aNow, aPeer);
+    });
+    peers.resize(std::min(peers.size(), count));
   }
-  if (IsAgent() && newestKnownConfig_ > config_.Version()) {
-    RequestFromServiceAgent(aNow);
+  if (peers.empty()) {
+    roundOutreach_.Stop();
   }
-  ContactSeeds(aNow);
+  for (const auto peer : peers) {
+    roundOutreach_.Asked(peer);
+    RoundWith(aNow, peer);
+  }
+}
+
+bool
+Node::State::IsAlone(TimePoint aNow) const
+{
+  if (!IsAgent()) {
+    return ledger_.LivePeers().size() <= 1;
+  }
+  const auto ranked = partners_.PickForAgent(aNow, ledger_);
+  return ranked.empty() || partners_.IsSilent(aNow, ranked.front());
 }
 
 void
 Node::State::ContactSeeds(TimePoint aNow)
 {
-  const bool alone = IsAgent() ? partners_.PickForAgent(ledger_).empty()
-                               : ledger_.LivePeers().size() <= 1;
+  const bool alone = IsAlone(aNow);
   const bool due = !configActive_ || round_ % kUnknownSeedRounds == 0;
   if (seeds_.empty() || (!alone && (IsAgent() || !due))) {
     return;
@@ -144,7 +200,7 @@
     receivedBytes_ = 0;
   }
   const auto address = AddressOf(aPeer);
-  partners_.Asked(aPeer);
+  partners_.Asked(aNow, aPeer);
   SendTo(aNow, aPeer, *address, std::move(packer).Finish(), Priority::Normal);
 }
 
@@ -159,17 +215,21 @@
     return;
   }
   const auto pick = partners_.Randomness().Below(serviceAgents.size());
-  const auto serviceAgent = SubjectOf(serviceAgents[pick].id_);
-  Packer packer(HeaderFor(aNow, serviceAgent, MessageKind::Round));
+  RequestConfig(
+    aNow, SubjectOf(serviceAgents[pick].id_), serviceAgents[pick].agent_);
+}
+
+void
+Node::State::RequestConfig(TimePoint aNow,
+                           NodeId aFrom,
+                           const Address& aAddress)
+{
+  Packer packer(HeaderFor(aNow, aFrom, MessageKind::Round));
   packer.Add(config_.Missing());
   requestedAt_ = aNow;
-  requestedFrom_ = serviceAgent;
+  requestedFrom_ = aFrom;
   receivedBytes_ = 0;
-  SendTo(aNow,
-         serviceAgent,
-         serviceAgents[pick].agent_,
-         std::move(packer).Finish(),
-         Priority::Normal);
+  SendTo(aNow, aFrom, aAddress, std::move(packer).Finish(), Priority::Normal);
 }
 
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/node_snapshot.cpp
+++ b/src/cornelshore/dissemination/node_snapshot.cpp
@@ -44,8 +44,8 @@
   if (awaited) {
     return;
   }
-  for (const auto peer : partners_.Pick(ledger_, 1)) {
-    partners_.Asked(peer);
+  for (const auto peer : partners_.Pick(aNow, ledger_, 1)) {
+    partners_.Asked(aNow, peer);
     SendSnapshotRequest(aNow, peer, ledger_.LivePeer(peer)->address_);
   }
 }
@@ -125,7 +125,7 @@
       ++batch.next_;
     }
   } else {
-    for (const auto peer : partners_.Pick(ledger_, kReferredPeers)) {
+    for (const auto peer : partners_.Pick(aNow, ledger_, kReferredPeers)) {
       AddSubject(aNow, peer, packer);
     }
   }
--- a/src/cornelshore/dissemination/node_spread.cpp
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t kUrgentFanout = 5;
+/** Peers that must answer a push of a configuration. */
 constexpr std::size_t kConfigFanout = 6;
 constexpr std::size_t kMaxPushedAgents = 64;
 constexpr std::size_t kMaxRepeatedPushes = 64;
@@ -19,6 +20,8 @@
 {
   Release(aNow);
   Spread(aNow);
+  ContinueConfigOutreach(aNow);
+  ContinueRoundOutreach(aNow);
   std::vector<Action> actions;
   if (InForce() != announcedConfig_) {
     announcedConfig_ = InForce();
@@ -88,8 +91,8 @@
     }
   };
   const auto all = [](NodeId) { return true; };
-  const auto peers = IsAgent() ? partners_.PickForAgent(ledger_)
-                               : partners_.Pick(ledger_, kUrgentFanout);
+  const auto peers = IsAgent() ? partners_.PickForAgent(aNow, ledger_)
+                               : partners_.Pick(aNow, ledger_, kUrgentFanout);
   for (const auto peer : peers) {
     push(peer, *AddressOf(peer), all);
   }
@@ -106,25 +109,47 @@
 void
 Node::State::SpreadConfig(TimePoint aNow)
 {
-  for (const auto peer : partners_.Pick(ledger_, kConfigFanout)) {
-    PushConfig(aNow, peer, *AddressOf(peer));
-  }
+  configOutreach_.Start(aNow, kConfigFanout);
+  ContinueConfigOutreach(aNow);
   PushToLaggards(aNow);
 }
 
+void
+Node::State::ContinueConfigOutreach(TimePoint aNow)
+{
+  const auto count = configOutreach_.TakeDue(aNow);
+  if (count == 0) {
+    return;
+  }
+  const auto peers =
+    partners_.PickFurther(aNow, ledger_, configOutreach_, count);
+  if (peers.empty()) {
+    configOutreach_.Stop();
+  }
+  for (const auto peer : peers) {
+    configOutreach_.Asked(peer);
+    partners_.Asked(aNow, peer);
+    PushConfig(aNow, peer, *AddressOf(peer), MessageKind::Round);
+  }
+}
+
 void
 Node::State::PushToLaggards(TimePoint aNow)
 {
   for (const auto agent :
        partners_.TakeLaggards(config_.Version(), kMaxPushedAgents)) {
-    PushConfig(aNow, agent, partners_.Attached().at(agent).address_);
+    PushConfig(
+      aNow, agent, partners_.Attached().at(agent).address_, MessageKind::Push);
   }
 }
 
 void
-Node::State::PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress)
+Node::State::PushConfig(TimePoint aNow,
+                        NodeId aTo,
+                        const Address& aAddress,
+                        MessageKind aKind)
 {
-  Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
+  Packer packer(HeaderFor(aNow, aTo, aKind));
   AddNewestDelta(packer);
   SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
 }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -245,6 +245,8 @@
   const auto& message = aEvent.message_;
   if (!IsAgent() || message.header_.role_ != NodeRole::Agent) {
     partners_.Heard(aNow, aEvent.from_, aEvent.address_, message.header_);
+    roundOutreach_.Answered(aEvent.from_);
+    configOutreach_.Answered(aEvent.from_);
   }
   newestKnownConfig_ = std::max(newestKnownConfig_, message.header_.config_);
   Adopt(aNow, aEvent);
@@ -366,7 +368,13 @@
   }
   const auto* held = ledger_.LivePeer(record.id_);
   const bool urgent = record.gone_ && held != nullptr;
-  const auto outcome = ledger_.Merge(aNow, aUpdate);
+  auto outcome = ledger_.Merge(aNow, aUpdate);
+  if (outcome == MergeOutcome::Full && IsAgent()) {
+    if (const auto silent = partners_.PickSilent(aNow, ledger_)) {
+      ledger_.Forget(*silent);
+      outcome = ledger_.Merge(aNow, aUpdate);
+    }
+  }
   if (outcome == MergeOutcome::Full) {
     ++recordsRefused_;
   }
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -13,6 +13,7 @@
 #include <cornelshore/dissemination/freshness.hpp>
 #include <cornelshore/dissemination/ledger.hpp>
 #include <cornelshore/dissemination/node.hpp>
+#include <cornelshore/dissemination/outreach.hpp>
 #include <cornelshore/dissemination/packer.hpp>
 #include <cornelshore/dissemination/partners.hpp>
 #include <cornelshore/dissemination/rumors.hpp>
@@ -27,6 +28,12 @@
  * its links are saturated, more rounds use up the bytes of their answers. */
 inline constexpr std::uint64_t kMaxJoiningRounds = 20;
 
+/** Most peers that a node starts rounds with at a time. */
+inline constexpr std::size_t kMaxRoundWidth = 8;
+
+/** Most peers that a node pushes a configuration to at a time. */
+inline constexpr std::size_t kMaxConfigWidth = 64;
+
 /** @brief State of a node and its event handlers. */
 struct Node::State
 {
@@ -38,6 +45,7 @@
   void Handle(TimePoint aNow, const ConfigAccepted& aEvent);
   void Handle(TimePoint aNow, const ControlConfirmed& aEvent);
   void Handle(TimePoint aNow, const SeedsChanged& aEvent);
+  void Handle(TimePoint aNow, const VersionSeen& aEvent);
   void Handle(TimePoint aNow, const Tick& aEvent);
 
   /** @brief Announces this process when it has not been announced yet. */
@@ -59,6 +67,8 @@
   ConfirmationTracker confirmation_;
   SyncTracker syncTracker_;
   Partners partners_;
+  Outreach roundOutreach_{ kMaxRoundWidth };
+  Outreach configOutreach_{ kMaxConfigWidth };
   Rumors rumors_;
   Transfers transfers_;
   ByteBudget budget_;
@@ -87,18 +97,34 @@
   void Spread(TimePoint aNow);
   void SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects);
   void SpreadConfig(TimePoint aNow);
-  void PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress);
+  /** @brief Sends the configuration; a `Round` is answered. */
+  void PushConfig(TimePoint aNow,
+                  NodeId aTo,
+                  const Address& aAddress,
+                  MessageKind aKind);
+  /** @brief Pushes the configuration to further peers in place of those that
+   * did not answer in time. */
+  void ContinueConfigOutreach(TimePoint aNow);
   void PushToLaggards(TimePoint aNow);
   void AddNewestDelta(Packer& aPacker) const;
   /** @brief Interval of joining rounds; grows to the normal one when joining
    * takes long, as while control has no leader. */
   [[nodiscard]] Duration JoiningInterval() const noexcept;
   void Round(TimePoint aNow);
+  void BeginRoundOutreach(TimePoint aNow);
+  /** @brief Starts rounds with further peers in place of those that did not
+   * answer in time. */
+  void ContinueRoundOutreach(TimePoint aNow);
+  /** @brief Whether no other peer is known, or to an agent none that answers:
+   * its table may be full of lost ones. */
+  [[nodiscard]] bool IsAlone(TimePoint aNow) const;
   void RoundWith(TimePoint aNow, NodeId aPeer);
   void ContactSeeds(TimePoint aNow);
   /** @brief Seeds at whose address no live peer is known. */
   [[nodiscard]] std::vector<Address> UnknownSeeds() const;
   void RequestFromServiceAgent(TimePoint aNow);
+  /** @brief Requests what is missing of the newest configuration. */
+  void RequestConfig(TimePoint aNow, NodeId aFrom, const Address& aAddress);
   [[nodiscard]] bool DefersToServiceAgents();
   void Renew(TimePoint aNow);
   void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
--- /dev/null
+++ b/src/cornelshore/dissemination/outreach.hpp
@@ -0,0 +1,96 @@
+#ifndef CORNELSHORE_DISSEMINATION_OUTREACH_HPP
+#define CORNELSHORE_DISSEMINATION_OUTREACH_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cornelshore/core/time.hpp>
+#include <cornelshore/core/types.hpp>
+
+namespace cornelshore::dissemination {
+
+/** @brief Time in which a live peer answers; several round trips, and the time
+ * that a message queues on a slow link. */
+inline constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
+
+/**
+ * @brief Decides how many peers to ask until enough of them have answered.
+ *
+ * The number asked at a time doubles with each timeout: when most of a fleet is
+ * lost at once, live peers are found after a few timeouts, and while all live
+ * peers answer, no peer more is asked than answers are needed.
+ */
+class Outreach
+{
+public:
+  /** @param aMaxWidth Most peers asked at a time. */
+  explicit Outreach(std::size_t aMaxWidth) noexcept
+    : maxWidth_(aMaxWidth)
+  {
+  }
+
+  /** @brief Begins anew; peers asked earlier may be asked again. */
+  void Start(TimePoint aNow, std::size_t aAnswers)
+  {
+    missing_ = aAnswers;
+    asksPerAnswer_ = 1;
+    awaited_.clear();
+    answered_.clear();
+    due_ = aNow;
+  }
+
+  /** @brief Number of peers to ask now: those missing, times a factor that
+   * doubles with each call. */
+  [[nodiscard]] std::size_t TakeDue(TimePoint aNow)
+  {
+    if (!due_ || *due_ > aNow) {
+      return 0;
+    }
+    const auto width = std::min(maxWidth_, missing_ * asksPerAnswer_);
+    asksPerAnswer_ = std::min(maxWidth_, 2 * asksPerAnswer_);
+    due_ = aNow + kAnswerTimeout;
+    return width;
+  }
+
+  /** @brief Records that a peer was asked. */
+  void Asked(NodeId aPeer) { awaited_.insert(aPeer); }
+
+  /** @brief Counts a peer's answer if one is awaited. */
+  void Answered(NodeId aPeer)
+  {
+    if (missing_ == 0 || awaited_.erase(aPeer) == 0) {
+      return;
+    }
+    answered_.insert(aPeer);
+    if (--missing_ == 0) {
+      Stop();
+    }
+  }
+
+  /** @brief Whether the peer has been asked since the start. */
+  [[nodiscard]] bool HasAsked(NodeId aPeer) const
+  {
+    return awaited_.contains(aPeer) || answered_.contains(aPeer);
+  }
+
+  /** @brief Asks nobody further: no other peer is known. */
+  void Stop() noexcept { due_.reset(); }
+
+  /** @brief When to ask next; nothing: enough have answered, or stopped. */
+  [[nodiscard]] std::optional<TimePoint> Due() const noexcept { return due_; }
+
+private:
+  std::size_t maxWidth_;
+  std::size_t missing_{}; ///< Answers that are still to come.
+  std::size_t asksPerAnswer_{ 1 };
+  absl::flat_hash_set<NodeId> awaited_;
+  absl::flat_hash_set<NodeId> answered_;
+  std::optional<TimePoint> due_;
+};
+
+} // namespace cornelshore::dissemination
+
+#endif
--- a/src/cornelshore/dissemination/partners.cpp
+++ b/src/cornelshore/dissemination/partners.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t kSilentAfter = 3;
-constexpr std::uint64_t kSilentRetryIn = 16;
-constexpr std::size_t kTriesPerPick = 4;
 constexpr std::uint32_t kPushesAVersion = 2;
 
 } // namespace
@@ -22,7 +19,7 @@
                 const Address& aAddress,
                 const Header& aHeader)
 {
-  unanswered_.erase(aFrom);
+  awaitedSince_.erase(aFrom);
   if (aHeader.role_ != membership::NodeRole::Agent) {
     return;
   }
@@ -37,56 +34,107 @@
 }
 
 void
-Partners::Asked(NodeId aPeer)
+Partners::Asked(TimePoint aNow, NodeId aPeer)
 {
-  ++unanswered_[aPeer];
+  awaitedSince_.try_emplace(aPeer, aNow);
 }
 
 std::vector<NodeId>
-Partners::Pick(const Ledger& aLedger, std::size_t aCount)
+Partners::PeersThat(TimePoint aNow, bool aAnswer, const Ledger& aLedger) const
 {
-  const auto& live = aLedger.LivePeers();
-  std::vector<NodeId> picked;
-  const auto tries = kTriesPerPick * aCount;
-  for (std::size_t tried = 0; tried < tries && picked.size() < aCount;
-       ++tried) {
-    if (live.empty()) {
-      break;
-    }
-    const auto peer = live[random_.Below(live.size())];
-    const bool skip =
-      peer == self_ ||
-      std::find(picked.begin(), picked.end(), peer) != picked.end() ||
-      (Silent(peer) && random_.Below(kSilentRetryIn) != 0);
-    if (!skip) {
-      picked.push_back(peer);
+  std::vector<NodeId> peers;
+  for (const auto peer : aLedger.LivePeers()) {
+    if (peer != self_ && IsSilent(aNow, peer) != aAnswer) {
+      peers.push_back(peer);
     }
   }
-  return picked;
+  return peers;
+}
+
+void
+Partners::Sample(std::size_t aCount, std::vector<NodeId>& aPeers)
+{
+  const auto count = std::min(aCount, aPeers.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto other = index + random_.Below(aPeers.size() - index);
+    std::swap(aPeers[index], aPeers[other]);
+  }
+  aPeers.resize(count);
+}
+
+std::vector<NodeId>
+Partners::Pick(TimePoint aNow, const Ledger& aLedger, std::size_t aCount)
+{
+  auto peers = PeersThat(aNow, true, aLedger);
+  if (peers.empty()) {
+    peers = PeersThat(aNow, false, aLedger);
+  }
+  Sample(aCount, peers);
+  return peers;
+}
+
+std::vector<NodeId>
+Partners::PickBalancers(TimePoint aNow,
+                        const Ledger& aLedger,
+                        std::size_t aCount)
+{
+  auto peers = PeersThat(aNow, true, aLedger);
+  std::erase_if(peers, [&](NodeId aPeer) {
+    return aLedger.LivePeer(aPeer)->role_ != membership::NodeRole::Balancer;
+  });
+  Sample(aCount, peers);
+  return peers;
+}
+
+std::vector<NodeId>
+Partners::PickFurther(TimePoint aNow,
+                      const Ledger& aLedger,
+                      const Outreach& aOutreach,
+                      std::size_t aCount)
+{
+  auto peers = PeersThat(aNow, true, aLedger);
+  std::erase_if(peers, [&](NodeId aPeer) { return aOutreach.HasAsked(aPeer); });
+  Sample(aCount, peers);
+  return peers;
+}
+
+std::optional<NodeId>
+Partners::PickSilent(TimePoint aNow, const Ledger& aLedger)
+{
+  const auto silent = PeersThat(aNow, false, aLedger);
+  return silent.empty() ? std::nullopt
+                        : std::optional(silent[random_.Below(silent.size())]);
 }
 
 std::vector<NodeId>
-Partners::PickForAgent(const Ledger& aLedger) const
+Partners::RankForAgent(TimePoint aNow, const Ledger& aLedger) const
 {
   using Rank = std::tuple<bool, bool, std::uint64_t, NodeId>;
   std::vector<Rank> ranks;
   for (const auto peer : aLedger.LivePeers()) {
     const auto* record = aLedger.LivePeer(peer);
     if (record->role_ == membership::NodeRole::Balancer) {
-      ranks.emplace_back(Silent(peer),
+      ranks.emplace_back(IsSilent(aNow, peer),
                          record->dataCentre_ != dataCentre_,
                          HashPair(self_.value_, peer.value_),
                          peer);
     }
   }
   std::sort(ranks.begin(), ranks.end());
-  ranks.resize(std::min(ranks.size(), kAgentPartners));
-  std::vector<NodeId> picked;
-  picked.reserve(ranks.size());
+  std::vector<NodeId> ranked;
+  ranked.reserve(ranks.size());
   for (const auto& rank : ranks) {
-    picked.push_back(std::get<NodeId>(rank));
+    ranked.push_back(std::get<NodeId>(rank));
   }
-  return picked;
+  return ranked;
+}
+
+std::vector<NodeId>
+Partners::PickForAgent(TimePoint aNow, const Ledger& aLedger) const
+{
+  auto ranked = RankForAgent(aNow, aLedger);
+  ranked.resize(std::min(ranked.size(), kAgentPartners));
+  return ranked;
 }
 
 std::vector<NodeId>
@@ -114,16 +162,16 @@
   absl::erase_if(attached_, [aNow, aLife](const auto& aEntry) {
     return aNow - aEntry.second.heardAt_ >= aLife;
   });
-  absl::erase_if(unanswered_, [&aLedger](const auto& aEntry) {
+  absl::erase_if(awaitedSince_, [&aLedger](const auto& aEntry) {
     return aLedger.LivePeer(aEntry.first) == nullptr;
   });
 }
 
 bool
-Partners::Silent(NodeId aPeer) const
+Partners::IsSilent(TimePoint aNow, NodeId aPeer) const
 {
-  const auto found = unanswered_.find(aPeer);
-  return found != unanswered_.end() && found->second >= kSilentAfter;
+  const auto found = awaitedSince_.find(aPeer);
+  return found != awaitedSince_.end() && aNow - found->second >= kAnswerTimeout;
 }
 
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/partners.hpp
+++ b/src/cornelshore/dissemination/partners.hpp
@@ -14,6 +14,7 @@
 #include <cornelshore/core/types.hpp>
 #include <cornelshore/dissemination/ledger.hpp>
 #include <cornelshore/dissemination/message.hpp>
+#include <cornelshore/dissemination/outreach.hpp>
 
 namespace cornelshore::dissemination {
 
@@ -50,17 +51,45 @@
              const Header& aHeader);
 
   /** @brief Records that an answer is awaited from a peer. */
-  void Asked(NodeId aPeer);
+  void Asked(TimePoint aNow, NodeId aPeer);
 
-  /** @brief Distinct random live peers, mostly ones that answer. */
-  [[nodiscard]] std::vector<NodeId> Pick(const Ledger& aLedger,
+  /** @brief Distinct random peers that answer; when there is none, peers that
+   * do not. */
+  [[nodiscard]] std::vector<NodeId> Pick(TimePoint aNow,
+                                         const Ledger& aLedger,
                                          std::size_t aCount);
 
+  /** @brief Distinct random balancers that answer. */
+  [[nodiscard]] std::vector<NodeId> PickBalancers(TimePoint aNow,
+                                                  const Ledger& aLedger,
+                                                  std::size_t aCount);
+
+  /** @brief Distinct random peers that answer and that the outreach has not
+   * asked. */
+  [[nodiscard]] std::vector<NodeId> PickFurther(TimePoint aNow,
+                                                const Ledger& aLedger,
+                                                const Outreach& aOutreach,
+                                                std::size_t aCount);
+
+  /** @brief A random peer that does not answer, if there is any. */
+  [[nodiscard]] std::optional<NodeId> PickSilent(TimePoint aNow,
+                                                 const Ledger& aLedger);
+
   /**
-   * @brief An agent's partners: a few balancers by rendezvous hashing
-   * (Thaler and Ravishankar, 1998), those of its own data centre first.
+   * @brief Balancers in an agent's order of preference by rendezvous hashing
+   * (Thaler and Ravishankar, 1998): those that answer first, of these the ones
+   * of its own data centre.
    */
-  [[nodiscard]] std::vector<NodeId> PickForAgent(const Ledger& aLedger) const;
+  [[nodiscard]] std::vector<NodeId> RankForAgent(TimePoint aNow,
+                                                 const Ledger& aLedger) const;
+
+  /** @brief An agent's partners: the first few of its order of preference. */
+  [[nodiscard]] std::vector<NodeId> PickForAgent(TimePoint aNow,
+                                                 const Ledger& aLedger) const;
+
+  /** @brief Whether a peer has left a message without an answer for longer than
+   * the timeout. */
+  [[nodiscard]] bool IsSilent(TimePoint aNow, NodeId aPeer) const;
 
   [[nodiscard]] const absl::flat_hash_map<NodeId, AttachedAgent>& Attached()
     const noexcept
@@ -82,18 +111,24 @@
   /** @brief Whether a peer's last answer is still awaited. */
   [[nodiscard]] bool Awaits(NodeId aPeer) const
   {
-    return unanswered_.contains(aPeer);
+    return awaitedSince_.contains(aPeer);
   }
 
   [[nodiscard]] Random& Randomness() noexcept { return random_; }
 
 private:
-  [[nodiscard]] bool Silent(NodeId aPeer) const;
+  /** @brief Peers other than this node that do or do not answer. */
+  [[nodiscard]] std::vector<NodeId> PeersThat(TimePoint aNow,
+                                              bool aAnswer,
+                                              const Ledger& aLedger) const;
+  /** @brief Reduces a list to a few random entries. */
+  void Sample(std::size_t aCount, std::vector<NodeId>& aPeers);
 
   NodeId self_;
   DataCentreId dataCentre_;
   Random random_;
-  absl::flat_hash_map<NodeId, std::uint32_t> unanswered_;
+  /** Peers whose answer is awaited, and since when. */
+  absl::flat_hash_map<NodeId, TimePoint> awaitedSince_;
   absl::flat_hash_map<NodeId, AttachedAgent> attached_;
 };
 
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -130,6 +130,12 @@
       ++unexpectedMessages_;
       return;
     }
+    if (carried->version_ > node_.Config()) {
+      Feed(aNow,
+           dissemination::VersionSeen{
+             aEvent.from_, aEvent.address_, carried->version_ },
+           aOut);
+    }
     relay::Agent::Actions actions;
     flows_.OnRelayedPacket(aNow, aEvent.address_, std::move(*carried), actions);
     Execute(aNow, std::move(actions), aOut);
