Keep flows that a new instance opens before its first report

Cause: until the first report of the new instance the agent passes openings to it; on that report it forgot all flows and took its table for complete, so that it denied these flows without asking the host. All agents denied, and the balancer reset. Change: only flows opened before the former instance's last report, less a second, are forgotten. Others are unassigned: their packets are passed to the host, and what it sends or returns decides. Data that the host sends is taken as proof of a flow at any time. Why it works: every flow of the new instance was opened through this agent after the former instance's last report.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -24,6 +24,10 @@
  * agent; the retention bounds the memory of such flows. */
 constexpr Duration kReturnedFlowRetention = std::chrono::seconds{ 20 };
 
+/** Maximum time from the sending of a report to its arrival: the host regards a
+ * report without an answer after this time as lost. */
+constexpr Duration kMaxReportDelay = std::chrono::seconds{ 1 };
+
 /** Marks that record why a packet was passed to the host. */
 constexpr std::uint32_t kOpenMark = 1;
 constexpr std::uint32_t kHeldMark = 2;
@@ -140,9 +144,10 @@
                  aOut);
     expectedRequests_.emplace_back(aNow, aKey);
   }
+  unassigned_.erase(aKey);
   auto& flow = flows_[aKey];
   flow.balancer_ = aBalancer;
-  flow.lastPacket_ = aNow;
+  flow.openedAt_ = flow.lastPacket_ = aNow;
   codec_.mark_(aPacket.packet_, kOpenMark);
   aOut.emplace_back(ToHost{ std::move(aPacket.packet_) });
 }
@@ -226,6 +231,11 @@
       aDo(place->second);
     }
   };
+  for (const auto& [key, unassigned] : unassigned_) {
+    eachPlace(key, [&](std::size_t aIndex) {
+      answer.holdings_[aIndex] = Holding::Unsure;
+    });
+  }
   for (const auto& [key, probe] : probes_) {
     eachPlace(key, [&, returned = probe.returned_](std::size_t aIndex) {
       if (returned) {
@@ -273,7 +283,7 @@
 Agent::MayHold(TimePoint aNow, const FlowKey& aKey) const
 {
   const auto probe = probes_.find(aKey);
-  return MayHoldUnseenFlows(aNow) &&
+  return (MayHoldUnseenFlows(aNow) || unassigned_.contains(aKey)) &&
          (probe == probes_.end() || !probe->second.returned_);
 }
 
@@ -291,35 +301,56 @@
   }
   Increment(AgentCount::Answered);
   const auto key = KeyFromHost(*segment);
-  auto found = flows_.find(key);
-  if (found == flows_.end() && !segment->reset_ && MayHoldUnseenFlows(aNow)) {
-    found = flows_.emplace(key, Flow{}).first;
-    found->second.open_ = true;
-    const auto probe = probes_.find(key);
-    if (probe != probes_.end()) {
-      found->second.balancer_ = probe->second.balancer_;
-      SendAnswer(aNow, probe->second.balancer_, key, Verdict::Holds, aOut);
-      probes_.erase(probe);
-    }
-  }
-  if (found != flows_.end()) {
-    auto& flow = found->second;
-    flow.lastPacket_ = aNow;
+  const auto found = flows_.find(key);
+  auto* const flow =
+    found == flows_.end() ? Learn(aNow, key, *segment, aOut) : &found->second;
+  if (flow != nullptr) {
+    flow->lastPacket_ = aNow;
     if (segment->opening_) {
-      flow.hostInitialSequence_ = segment->sequence_;
-      if (!std::exchange(flow.open_, true)) {
-        SendAnswer(aNow, flow.balancer_, key, Verdict::Opened, aOut);
+      flow->hostInitialSequence_ = segment->sequence_;
+      if (!std::exchange(flow->open_, true)) {
+        SendAnswer(aNow, flow->balancer_, key, Verdict::Opened, aOut);
       }
     }
     if (segment->payload_ > 0) {
-      SetBusy(aNow, flow, false);
+      SetBusy(aNow, *flow, false);
     }
-    flow.hostFinished_ |= segment->finishing_;
-    CloseIfFinished(aNow, key, flow, segment->reset_, aOut);
+    flow->hostFinished_ |= segment->finishing_;
+    CloseIfFinished(aNow, key, *flow, segment->reset_, aOut);
   }
   aOut.emplace_back(FromHost{ key.caller_, std::move(aPacket) });
 }
 
+Agent::Flow*
+Agent::Learn(TimePoint aNow,
+             const FlowKey& aKey,
+             const Segment& aSegment,
+             Actions& aOut)
+{
+  const auto unassigned = unassigned_.find(aKey);
+  const auto isUnassigned = unassigned != unassigned_.end();
+  const auto carriesData = aSegment.payload_ > 0 && !aSegment.finishing_;
+  if (aSegment.reset_ ||
+      !(isUnassigned || carriesData || MayHoldUnseenFlows(aNow))) {
+    return nullptr;
+  }
+  auto& flow = flows_[aKey];
+  flow.openedAt_ = aNow;
+  flow.open_ = true;
+  if (isUnassigned) {
+    flow.balancer_ = unassigned->second.balancer_;
+    flow.open_ = !aSegment.opening_;
+    unassigned_.erase(unassigned);
+  }
+  const auto probe = probes_.find(aKey);
+  if (probe != probes_.end()) {
+    flow.balancer_ = probe->second.balancer_;
+    SendAnswer(aNow, flow.balancer_, aKey, Verdict::Holds, aOut);
+    probes_.erase(probe);
+  }
+  return &flow;
+}
+
 void
 Agent::OnReturned(TimePoint aNow,
                   const Segment& aSegment,
@@ -342,6 +373,7 @@
                  probe->second.direct_ ? std::move(aPacket) : std::string());
       probe->second.returned_ = true;
       probe->second.since_ = aNow;
+      unassigned_.erase(key);
     }
     return;
   }
@@ -389,14 +421,25 @@
 {
   sawInstanceStart_ = host_ || endedInstance_ || aReport.sequence_ <= 1;
   if (sawInstanceStart_) {
-    flows_.clear();
-    expectedRequests_.clear();
-    busy_ = 0;
-    closed_ = 0;
+    UnassignFlows();
   }
   endedInstance_.reset();
 }
 
+void
+Agent::UnassignFlows()
+{
+  for (const auto& [key, flow] : flows_) {
+    if (flow.openedAt_ + kMaxReportDelay > lastReportAt_) {
+      unassigned_[key] = { flow.balancer_, flow.openedAt_ };
+    }
+  }
+  flows_.clear();
+  expectedRequests_.clear();
+  busy_ = 0;
+  closed_ = 0;
+}
+
 bool
 Agent::OnHostEnded(std::string_view aInstance)
 {
@@ -503,6 +546,9 @@
   const auto life = idle > Duration::zero()
                       ? std::min(idle * 2, settings_.flowTimeout_)
                       : settings_.flowTimeout_;
+  absl::erase_if(unassigned_, [&](const auto& aRow) {
+    return aNow - aRow.second.openedAt_ > settings_.flowTimeout_;
+  });
   for (auto row = flows_.begin(); row != flows_.end();) {
     const auto current = row++;
     auto& flow = current->second;
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -196,7 +196,8 @@
   /** A flow that the host holds or was offered. */
   struct Flow
   {
-    Address balancer_; ///< Notified when the host answers.
+    Address balancer_;   ///< Notified when the host answers.
+    TimePoint openedAt_; ///< Last opening passed, or first packet of the host.
     TimePoint lastPacket_;
     std::optional<std::uint32_t> hostInitialSequence_;
     bool open_{};
@@ -207,6 +208,14 @@
     bool closed_{}; ///< Both ends have finished, or one reset the flow.
   };
 
+  /** A flow opened about when one instance followed another: either may have
+   * accepted it. */
+  struct UnassignedFlow
+  {
+    Address balancer_; ///< Notified when the host answers.
+    TimePoint openedAt_;
+  };
+
   /** An unknown flow of which a packet was passed to the host as a probe. */
   struct Probe
   {
@@ -256,6 +265,15 @@
                        Actions& aOut);
   void Forget(const FlowKey& aKey);
   void StartRun(const HostReport& aReport);
+  /** @brief Forgets the flows of the former instance and keeps the keys of
+   * those that the new one may hold. */
+  void UnassignFlows();
+  /** @brief Adds a flow of which the host sent a packet, or nothing if that
+   * does not show that the host holds it. */
+  Flow* Learn(TimePoint aNow,
+              const FlowKey& aKey,
+              const Segment& aSegment,
+              Actions& aOut);
   /** @brief Why the host must not open the flow; `None`: it may. */
   [[nodiscard]] FlowReason ReasonToRefuse(TimePoint aNow,
                                           const FlowKey& aKey,
@@ -286,6 +304,7 @@
   /** This agent received the instance's first report. */
   bool sawInstanceStart_{};
   absl::flat_hash_map<FlowKey, Flow> flows_;
+  absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
   absl::flat_hash_map<FlowKey, Probe> probes_;
   std::uint32_t busy_{};
   /** Flows accepted lately whose first request has not arrived, oldest first.
