Ask hosts that started before their agent, whatever their reports count

Cause: the agent took a first report counted 1 or less for the start of the host, and its table of flows for complete. Change: the host's start must also be later than the agent's by the VM's wall clock; otherwise unknown flows are asked of the host, as after any restart.

--- a/src/cornelshore/daemon/relay_agent_process.cpp
+++ b/src/cornelshore/daemon/relay_agent_process.cpp
@@ -164,6 +164,7 @@
       .WithHooks(wire::RoleHooks())
       .WithCodec(platform::SegmentCodec())
       .WithHostSilence(settings.relay_.reportInterval_ * kReportsMissed)
+      .WithStart(WallMillis())
       .Build(Now());
   if (!role.ok()) {
     return role.status();
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -93,6 +93,14 @@
     std::chrono::nanoseconds{ now.tv_nsec }) };
 }
 
+std::uint64_t
+WallMillis()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 Runtime::Runtime(settings::Settings aSettings)
   : settings_(std::move(aSettings))
   , self_(NodeIdOf(settings_.name_))
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -128,6 +128,9 @@
 /** @brief Present time for the roles; counts on while the VM is suspended. */
 [[nodiscard]] TimePoint Now();
 
+/** @brief Wall clock in ms since 1970; may step. */
+[[nodiscard]] std::uint64_t WallMillis();
+
 } // namespace cornelshore::daemon
 
 #endif
--- a/src/cornelshore/daemon/targets_json.cpp
+++ b/src/cornelshore/daemon/targets_json.cpp
@@ -1,12 +1,13 @@
 #include <cornelshore/daemon/targets_json.hpp>
 
 #include <charconv>
-#include <chrono>
 #include <string_view>
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <cornelshore/daemon/runtime.hpp>
+
 namespace cornelshore::daemon {
 
 namespace {
@@ -93,14 +94,6 @@
   return true;
 }
 
-std::uint64_t
-WallMillis()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 } // namespace
 
 std::string
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -419,7 +419,10 @@
 void
 Agent::StartRun(const HostReport& aReport)
 {
-  sawInstanceStart_ = host_ || endedInstance_ || aReport.sequence_ <= 1;
+  const auto isFirstReport = aReport.sequence_ <= 1;
+  const auto startedLater = aReport.startMillis_ >= settings_.startMillis_;
+  sawInstanceStart_ =
+    host_ || endedInstance_ || (isFirstReport && startedLater);
   if (sawInstanceStart_) {
     UnassignFlows();
   }
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -94,6 +94,9 @@
 struct AgentSettings
 {
   ServiceId service_;
+  /** Wall clock at the agent's start, ms since 1970; a host that started
+   * earlier may hold flows that an earlier run of the agent passed to it. */
+  std::uint64_t startMillis_{};
   /** Maximum lifetime of a flow; until then an agent that started after its
    * host may not know all flows of the host. */
   Duration flowTimeout_{ std::chrono::seconds{ 70 } };
@@ -301,7 +304,7 @@
   /** Last report of the last instance that ended. */
   std::optional<HostReport> endedInstance_;
   TimePoint lastReportAt_{};
-  /** This agent received the instance's first report. */
+  /** The instance started after this agent, which passed all its flows. */
   bool sawInstanceStart_{};
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -350,6 +350,13 @@
   return *this;
 }
 
+RelayAgent::Builder&
+RelayAgent::Builder::WithStart(std::uint64_t aMillis)
+{
+  startMillis_ = aMillis;
+  return *this;
+}
+
 absl::StatusOr<std::unique_ptr<RelayAgent>>
 RelayAgent::Builder::Build(TimePoint aNow) const
 {
@@ -360,6 +367,7 @@
   relay::AgentSettings settings;
   settings.service_ = service_;
   settings.hostReportTimeout_ = hostReportTimeout_;
+  settings.startMillis_ = startMillis_;
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        relay::Agent(settings, codec_, aNow));
   parts->hooks_ = hooks_;
--- a/src/cornelshore/role/relay_agent.hpp
+++ b/src/cornelshore/role/relay_agent.hpp
@@ -106,6 +106,8 @@
   /** @brief Time without a report after which the upstream gets no new flows.
    */
   Builder& WithHostSilence(Duration aSilence);
+  /** @brief Wall clock at the start of this process, in ms since 1970. */
+  Builder& WithStart(std::uint64_t aMillis);
 
   /** @return The agent, or `InvalidArgument` naming the setting. */
   [[nodiscard]] absl::StatusOr<std::unique_ptr<RelayAgent>> Build(
@@ -115,6 +117,7 @@
   ServiceId service_;
   relay::Codec codec_;
   Duration hostReportTimeout_{ std::chrono::milliseconds{ 3600 } };
+  std::uint64_t startMillis_{};
 };
 
 } // namespace cornelshore::role
