Number disks by lot and tell the later one by who responds

Cause: a disk's number was the wall clock at its first start, and the leader ignored a VM whose number was not above that of its former disk. Change: the number is drawn at random. A request to join in the name of another disk of a member's VM is late while that member responds, and is followed once it does not. Why it works: a VM runs one replica at a time, so a member that responds is the one that runs, and one that does not is replaced by the one that asks.

--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -351,7 +351,11 @@
   void UpdateMembership();
   [[nodiscard]] bool PromoteLearner(const Member& aLearner);
   [[nodiscard]] bool IsCaughtUp(const ReplicaId& aId) const;
+  /** @brief Another member at the replica's node: its earlier disk. */
   [[nodiscard]] const Member* Predecessor(const ReplicaId& aId) const;
+  /** @brief Whether a member responded, or was added, within the lease length.
+   */
+  [[nodiscard]] bool IsResponsive(const ReplicaId& aId) const;
   [[nodiscard]] bool AdmitJoiningReplica();
   [[nodiscard]] bool ManagesMembership() const noexcept
   {
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -337,11 +337,22 @@
   const auto& members = log_.Members().members_;
   const auto found =
     std::find_if(members.begin(), members.end(), [&](const Member& aMember) {
-      return aMember.id_.node_ == aId.node_ && aMember.id_.disk_ < aId.disk_;
+      return aMember.id_.node_ == aId.node_ && aMember.id_ != aId;
     });
   return found == members.end() ? nullptr : &*found;
 }
 
+bool
+Replica::IsResponsive(const ReplicaId& aId) const
+{
+  const auto row = progress_.find(aId);
+  if (row == progress_.end()) {
+    return aId == id_;
+  }
+  const auto& progress = row->second;
+  return IsRecent(progress.ackSentAt_.value_or(progress.trackedSince_));
+}
+
 bool
 Replica::IsCaughtUp(const ReplicaId& aId) const
 {
@@ -356,12 +367,14 @@
 Replica::On(const Message& aMessage, const Join&)
 {
   const auto& from = aMessage.from_;
-  const auto& members = log_.Members().members_;
-  const auto known =
-    std::any_of(members.begin(), members.end(), [&](const Member& aMember) {
-      return aMember.id_.node_ == from.node_ && aMember.id_.disk_ >= from.disk_;
-    });
-  if (role_ != Role::Leader || known || from.disk_.value_ == 0) {
+  if (role_ != Role::Leader || from.disk_.value_ == 0) {
+    return;
+  }
+  // A node runs one replica at a time. While its member responds, a request in
+  // the name of another disk of the node was sent before the member's.
+  const auto* other = Predecessor(from);
+  const auto isLate = other != nullptr && IsResponsive(other->id_);
+  if (isLate || log_.Members().Find(from) != nullptr) {
     return;
   }
   std::erase_if(joining_,
--- a/src/cornelshore/daemon/control_log.cpp
+++ b/src/cornelshore/daemon/control_log.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/daemon/control_log.hpp>
 
 #include <algorithm>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -20,6 +21,15 @@
 /** Disk number of a member at the group's first start. */
 constexpr Incarnation kFirstDisk{ 1 };
 
+/** A number that no other disk of this VM has; wall clocks step back. */
+Incarnation
+DrawDisk()
+{
+  std::random_device device;
+  const auto drawn = (std::uint64_t{ device() } << 32U) | device();
+  return Incarnation{ std::max(drawn, kFirstDisk.value_ + 1) };
+}
+
 /** State of an empty folder: a first member's, or that of one who joins. */
 consensus::DurableState
 EmptyFolderState(const Runtime& aRuntime)
@@ -34,7 +44,7 @@
       return aVoter.node_ == aRuntime.Self();
     });
   if (!control.bootstrap_ || !isFirst) {
-    return consensus::JoiningState({ aRuntime.Self(), aRuntime.Run() });
+    return consensus::JoiningState({ aRuntime.Self(), DrawDisk() });
   }
   return consensus::BootstrapState({ aRuntime.Self(), kFirstDisk }, voters);
 }
--- a/test/cornelshore/consensus/self_forming.cpp
+++ b/test/cornelshore/consensus/self_forming.cpp
@@ -53,6 +53,22 @@
   EXPECT_TRUE(members.IsVoter({ NodeId{ wiped }, Incarnation{ 300 } }));
 }
 
+// A VM loses its disk twice; the wall clock had stepped back in between, and
+// the second disk got a lower number. It was ignored for good.
+TEST(SelfForming, TakesAVoterBackWhateverTheNumberOfItsDisk)
+{
+  auto group = FiveVoters();
+  const auto wiped = OtherThan(*group.Leader());
+  for (const std::uint64_t disk : { 300U, 200U, 250U }) {
+    group.Kill(wiped);
+    group.Join(wiped, disk);
+    group.RunFor(seconds{ 3 });
+    const auto members = group.Members();
+    EXPECT_EQ(members.Voters(), 5U);
+    EXPECT_TRUE(members.IsVoter({ NodeId{ wiped }, Incarnation{ disk } }));
+  }
+}
+
 TEST(SelfForming, KeepsAVoterThatIsSilentForAMomentOnly)
 {
   auto group = FiveVoters();
