Admit a control VM that reaches any member

Cause: a joining VM kept the first 16 control processes that it heard of, lost ones included, and only the leader acted on its request. Evidence: SelfForming.AdmitsAReplicaThatReachesOnlyAMemberThatDoesNotLead and AdmitsAReplicaWhenLostLearnersTakeAllPlaces fail without the change. Change: a member that does not lead forwards the request. The nodes asked are the latest 16 that answer, others each time; the oldest request and the learner that is silent longest give way in full tables. A VM that is not admitted logs not_admitted and has cornelshore_control_member 0. Why it works: any live member that is reached leads to the leader, and who is asked does not depend on how many VMs were lost before.

--- a/src/cornelshore/consensus/event.hpp
+++ b/src/cornelshore/consensus/event.hpp
@@ -78,8 +78,8 @@
 struct TrustDisk
 {};
 
-/** @brief Discovered control nodes; a joining replica contacts them in addition
- * to its seeds. */
+/** @brief Control nodes that are known now and answer; a joining replica
+ * contacts the first `kMaxMembers` of the latest ones besides its seeds. */
 struct PeersDiscovered
 {
   std::vector<NodeId> nodes_;
--- a/src/cornelshore/consensus/message.hpp
+++ b/src/cornelshore/consensus/message.hpp
@@ -104,9 +104,12 @@
   bool operator==(const HelloReply&) const noexcept = default;
 };
 
-/** @brief A replica with an empty disk asks to become a learner. */
+/** @brief Asks to make a replica with an empty disk a learner; sent by it, and
+ * forwarded to the leader by a member that does not lead. */
 struct Join
 {
+  ReplicaId replica_;
+
   bool operator==(const Join&) const noexcept = default;
 };
 
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -198,12 +198,8 @@
 void
 Replica::Handle(const PeersDiscovered& aEvent)
 {
-  for (const auto& node : aEvent.nodes_) {
-    const auto known = std::find(seeds_.begin(), seeds_.end(), node);
-    if (known == seeds_.end() && seeds_.size() < kMaxMembers) {
-      seeds_.push_back(node);
-    }
-  }
+  discovered_ = aEvent.nodes_;
+  discovered_.resize(std::min(discovered_.size(), kMaxMembers));
 }
 
 void
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -163,6 +163,12 @@
    */
   [[nodiscard]] bool IsRegisterCurrent(TimePoint aNow) const;
 
+  /** @brief Whether the newest membership known here has this replica. */
+  [[nodiscard]] bool IsMember() const noexcept
+  {
+    return log_.Members().Find(id_) != nullptr;
+  }
+
   [[nodiscard]] ReplicaDump Dump(TimePoint aNow) const;
 
   [[nodiscard]] consensus::Standing Standing() const;
@@ -387,6 +393,7 @@
   ReplicaSettings settings_;
   ReplicaId id_;
   std::vector<NodeId> seeds_;
+  std::vector<NodeId> discovered_;
   Random random_;
   internal::Verifier verifier_;
   internal::PeerObservations peerObservations_;
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -301,9 +301,13 @@
   if (log_.Members().Find(id_) != nullptr) {
     return;
   }
-  for (const auto& node : seeds_) {
+  auto nodes = seeds_;
+  nodes.insert(nodes.end(), discovered_.begin(), discovered_.end());
+  std::sort(nodes.begin(), nodes.end());
+  nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+  for (const auto& node : nodes) {
     if (node != id_.node_) {
-      SendTo(ReplicaId{ node, {} }, Join{});
+      SendTo(ReplicaId{ node, {} }, Join{ id_ });
     }
   }
 }
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -364,24 +364,31 @@
 }
 
 void
-Replica::On(const Message& aMessage, const Join&)
+Replica::On(const Message& aMessage, const Join& aBody)
 {
-  const auto& from = aMessage.from_;
-  if (role_ != Role::Leader || from.disk_.value_ == 0) {
+  const auto& replica = aBody.replica_;
+  if (replica.disk_.value_ == 0) {
+    return;
+  }
+  if (role_ != Role::Leader) {
+    if (leader_ && replica == aMessage.from_) {
+      SendTo(*leader_, aBody);
+    }
     return;
   }
   // A node runs one replica at a time. While its member responds, a request in
   // the name of another disk of the node was sent before the member's.
-  const auto* other = Predecessor(from);
+  const auto* other = Predecessor(replica);
   const auto isLate = other != nullptr && IsResponsive(other->id_);
-  if (isLate || log_.Members().Find(from) != nullptr) {
+  if (isLate || log_.Members().Find(replica) != nullptr) {
     return;
   }
-  std::erase_if(joining_,
-                [&](const ReplicaId& aId) { return aId.node_ == from.node_; });
-  if (joining_.size() < kMaxMembers) {
-    joining_.push_back(from);
+  std::erase_if(
+    joining_, [&](const ReplicaId& aId) { return aId.node_ == replica.node_; });
+  if (joining_.size() >= kMaxMembers) {
+    joining_.erase(joining_.begin());
   }
+  joining_.push_back(replica);
 }
 
 bool
@@ -396,6 +403,11 @@
       return aMember.id_.node_ == id.node_ &&
              aMember.role_ == MemberRole::Learner;
     });
+    const auto* unresponsive =
+      LongestUnresponsiveMember(MemberRole::Learner, settings_.voterTimeout_);
+    if (members.members_.size() >= kMaxMembers && unresponsive != nullptr) {
+      members.Remove(ReplicaId(unresponsive->id_));
+    }
     members.Set(id, MemberRole::Learner);
     return TryAppendMembership(std::move(members), std::nullopt) ==
            MembershipStatus::Done;
--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -60,6 +60,12 @@
   return peers;
 }
 
+bool
+Node::IsSilent(TimePoint aNow, NodeId aPeer) const
+{
+  return state_->partners_.IsSilent(aNow, aPeer);
+}
+
 std::optional<Address>
 Node::AddressOf(NodeId aNode) const
 {
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -161,6 +161,10 @@
   /** @brief Peer records known here that are not gone, by id. */
   [[nodiscard]] std::vector<membership::PeerRecord> Peers() const;
 
+  /** @brief Whether a peer has left a message unanswered for longer than the
+   * answer timeout. */
+  [[nodiscard]] bool IsSilent(TimePoint aNow, NodeId aPeer) const;
+
   /** @brief Address of a process, when it is known here. */
   [[nodiscard]] std::optional<Address> AddressOf(NodeId aNode) const;
 
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/role/control.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <utility>
@@ -16,6 +17,9 @@
 
 using Actions = std::vector<ControlAction>;
 
+/** Interval between log lines of a replica that is not admitted. */
+constexpr Duration kAdmissionLogInterval = std::chrono::seconds{ 5 };
+
 /** Interval between confirmations of the configuration in force. */
 constexpr Duration kConfirmInterval = std::chrono::milliseconds{ 250 };
 
@@ -106,14 +110,29 @@
   void Execute(TimePoint, dissemination::HostsChanged&, Actions&) {}
 
   void Execute(TimePoint aNow, dissemination::PeersChanged&, Actions& aOut)
+  {
+    DiscoverPeers(aNow, aOut);
+  }
+
+  /** Starts at another node each time: more may have ended without notice than
+   * the replica contacts. */
+  void DiscoverPeers(TimePoint aNow, Actions& aOut)
   {
     consensus::PeersDiscovered known;
     for (const auto& peer : node_.Peers()) {
       if (peer.role_ == membership::NodeRole::Control &&
-          peer.address_ != self_) {
+          peer.address_ != self_ && !node_.IsSilent(aNow, peer.id_)) {
         known.nodes_.push_back(peer.id_);
       }
     }
+    if (!known.nodes_.empty()) {
+      firstDiscovered_ =
+        (firstDiscovered_ + consensus::kMaxMembers) % known.nodes_.size();
+      std::rotate(known.nodes_.begin(),
+                  known.nodes_.begin() +
+                    static_cast<std::ptrdiff_t>(firstDiscovered_),
+                  known.nodes_.end());
+    }
     FeedReplica(aNow, std::move(known), aOut);
   }
 
@@ -263,12 +282,37 @@
     if (nextConfirmAt_ <= aNow) {
       nextConfirmAt_ = aNow + kConfirmInterval;
       Confirm(aNow, aOut);
+      WatchAdmission(aNow, aOut);
     }
     if (node_.NextTimer() <= aNow) {
       FeedNode(aNow, dissemination::Tick{}, aOut);
     }
   }
 
+  /** A replica that the group does not admit serves nobody; it keeps asking,
+   * and says so at intervals. */
+  void WatchAdmission(TimePoint aNow, Actions& aOut)
+  {
+    if (replica_.IsMember()) {
+      awaitsAdmissionSince_.reset();
+      return;
+    }
+    DiscoverPeers(aNow, aOut);
+    if (!awaitsAdmissionSince_) {
+      awaitsAdmissionSince_ = aNow;
+      admissionLogDue_ = aNow + kAdmissionLogInterval;
+    }
+    if (admissionLogDue_ <= aNow) {
+      admissionLogDue_ = aNow + kAdmissionLogInterval;
+      const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        aNow - *awaitsAdmissionSince_);
+      aOut.emplace_back(
+        Log{ Severity::Warning,
+             "not_admitted",
+             { { "waited_ms", std::to_string(waited.count()) } } });
+    }
+  }
+
   void Confirm(TimePoint aNow, Actions& aOut)
   {
     if (replica_.IsRegisterCurrent(aNow)) {
@@ -322,7 +366,10 @@
   internal::AddressBook addressBook_;
   std::map<NodeId, Address> members_;
   Address self_;
+  std::size_t firstDiscovered_{};
   TimePoint nextConfirmAt_{};
+  std::optional<TimePoint> awaitsAdmissionSince_;
+  TimePoint admissionLogDue_{};
   consensus::Standing standing_;
   bool wasCurrent_{};
   std::uint64_t unexpectedMessages_{};
@@ -439,6 +486,9 @@
     internal::Gauge("cornelshore_control_log_bytes",
                     "Bytes of the log in memory.",
                     replica.logBytes_),
+    internal::Gauge("cornelshore_control_member",
+                    "1 when the group has admitted this replica.",
+                    parts_->replica_.IsMember() ? 1 : 0),
     internal::Gauge("cornelshore_control_faulted",
                     "1 when the replica takes no further part.",
                     replica.fault_ == consensus::Fault::None ? 0 : 1),
--- a/src/cornelshore/wire/consensus_codec.cpp
+++ b/src/cornelshore/wire/consensus_codec.cpp
@@ -309,13 +309,15 @@
 }
 
 void
-EncodeBody(Writer&, const Join&)
+EncodeBody(Writer& aWriter, const Join& aBody)
 {
+  Encode(aWriter, aBody.replica_);
 }
 
 void
-DecodeBody(Reader&, Join&)
+DecodeBody(Reader& aReader, Join& aBody)
 {
+  Decode(aReader, aBody.replica_);
 }
 
 void
--- a/test/cornelshore/consensus/group.hpp
+++ b/test/cornelshore/consensus/group.hpp
@@ -42,6 +42,15 @@
     Start(JoiningState({ NodeId{ aNode }, Incarnation{ aDisk } }));
   }
 
+  /** Seeds of replicas that start from now on. */
+  void SetSeeds(std::vector<NodeId> aSeeds) { seeds_ = std::move(aSeeds); }
+
+  /** What dissemination reports in place of the running nodes. */
+  void SetDiscovered(std::vector<NodeId> aNodes)
+  {
+    discovered_ = std::move(aNodes);
+  }
+
   void Kill(std::uint64_t aNode) { Vm(aNode).replica_.reset(); }
 
   /** Restarts a replica from its disk. */
@@ -221,6 +230,9 @@
         known.nodes_.push_back(NodeId{ node });
       }
     }
+    if (discovered_) {
+      known.nodes_ = *discovered_;
+    }
     for (const auto& [node, vm] : vms_) {
       Tell(node, known);
     }
@@ -236,9 +248,11 @@
 
   void Start(DurableState aState)
   {
-    std::vector<NodeId> seeds;
-    for (const auto& id : first_) {
-      seeds.push_back(id.node_);
+    auto seeds = seeds_;
+    if (seeds.empty()) {
+      for (const auto& id : first_) {
+        seeds.push_back(id.node_);
+      }
     }
     auto& vm = vms_[aState.id_.node_.value_];
     vm.disk_ = aState;
@@ -282,6 +296,8 @@
   }
 
   std::vector<ReplicaId> first_;
+  std::vector<NodeId> seeds_;
+  std::optional<std::vector<NodeId>> discovered_;
   std::map<std::uint64_t, Machine> vms_;
   std::vector<Message> network_;
   std::set<std::uint64_t> cut_;
--- a/test/cornelshore/consensus/self_forming.cpp
+++ b/test/cornelshore/consensus/self_forming.cpp
@@ -69,6 +69,41 @@
   }
 }
 
+// A VM that starts empty knows control VMs that are gone and one member, which
+// does not lead. Only the leader acted on its request, and nobody passed it on.
+TEST(SelfForming, AdmitsAReplicaThatReachesOnlyAMemberThatDoesNotLead)
+{
+  auto group = FiveVoters();
+  const auto reached = OtherThan(*group.Leader());
+  std::vector<NodeId> known;
+  for (std::uint64_t gone = 60; gone < 60 + kMaxMembers - 1; ++gone) {
+    known.push_back(NodeId{ gone });
+  }
+  known.push_back(NodeId{ reached });
+  group.SetSeeds({ NodeId{ 90 }, NodeId{ 91 }, NodeId{ 92 } });
+  group.SetDiscovered(known);
+  group.Join(9, 200);
+  group.RunFor(seconds{ 2 });
+  EXPECT_NE(group.Members().Find({ NodeId{ 9 }, Incarnation{ 200 } }), nullptr);
+}
+
+// Each VM that replaces others is lost again before it votes, until lost
+// learners take all places of the group.
+TEST(SelfForming, AdmitsAReplicaWhenLostLearnersTakeAllPlaces)
+{
+  auto group = FiveVoters();
+  for (std::uint64_t node = 20; node < 40; ++node) {
+    group.Join(node, 100);
+    group.RunFor(milliseconds{ 500 });
+    group.Kill(node);
+  }
+  group.Join(50, 100);
+  group.RunFor(seconds{ 2 });
+  EXPECT_NE(group.Members().Find({ NodeId{ 50 }, Incarnation{ 100 } }),
+            nullptr);
+  EXPECT_LE(group.Members().members_.size(), kMaxMembers);
+}
+
 TEST(SelfForming, KeepsAVoterThatIsSilentForAMomentOnly)
 {
   auto group = FiveVoters();
--- a/test/cornelshore/wire/consensus_codec.cpp
+++ b/test/cornelshore/wire/consensus_codec.cpp
@@ -62,7 +62,7 @@
            AppendReply{ true, LogIndex{ 3 }, LogIndex{ 4 }, Duration{ -5 } },
            Hello{ 99, last, LogIndex{ 1 } },
            HelloReply{ 99, last, Term{ 4 }, LogIndex{ 3 }, {}, members },
-           Join{},
+           Join{ kFirst },
            Forward{ Token{ 8 }, change },
            ForwardReply{ Token{ 8 }, answer },
            ForwardReply{ Token{ 8 }, std::nullopt },
