Acknowledge a resent change only once enough disks hold it

Cause: a known change was answered from the register of whichever member was asked, without the number of copies. Evidence: SelfForming.AcknowledgesAChangeSentAgainOnlyOnceEnoughDisksHoldIt fails without the change. Change: with a minimum of copies only the leader answers, once all that it has applied is on as many disks; other members forward the change.

--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -343,6 +343,9 @@
   /** @brief Number of disks known to hold the entry, including those of
    * learners. */
   [[nodiscard]] std::size_t CopiesOf(LogIndex aIndex) const;
+  /** @brief Answers a change that is sent again, once everything applied here
+   * has enough copies: the change is among it. */
+  void AnswerAgain(const Change& aChange, const Requester& aRequester);
   /** @brief Answers proposers whose changes have enough copies. */
   void AnswerReplicatedChanges();
   void AppendRequested(Payload aPayload, const Requester& aRequester);
@@ -417,7 +420,7 @@
   std::map<ReplicaId, Progress> progress_;
 
   std::map<LogIndex, Requester> requesters_;
-  std::map<LogIndex, PendingAnswer> pendingAnswers_;
+  std::multimap<LogIndex, PendingAnswer> pendingAnswers_;
   absl::flat_hash_map<Token, ForwardedRequest> forwards_; ///< By local token.
   std::vector<PendingRead> unconfirmedReads_; ///< Waiting for a quorum.
   std::vector<PendingRead> unappliedReads_;   ///< Waiting for their index.
--- a/src/cornelshore/consensus/replica_replication.cpp
+++ b/src/cornelshore/consensus/replica_replication.cpp
@@ -422,7 +422,8 @@
     const auto needsCopies =
       answer && CopiesOf(aEntry.index_) < settings_.minCopies_;
     if (needsCopies) {
-      pendingAnswers_[aEntry.index_] = { requester->second, *answer };
+      pendingAnswers_.emplace(aEntry.index_,
+                              PendingAnswer{ requester->second, *answer });
     } else {
       AnswerRequester(requester->second, answer, true);
     }
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -103,6 +103,17 @@
   }
 }
 
+void
+Replica::AnswerAgain(const Change& aChange, const Requester& aRequester)
+{
+  const auto answer = register_.Apply(aChange);
+  if (CopiesOf(applied_) >= settings_.minCopies_) {
+    AnswerRequester(aRequester, answer, true);
+  } else {
+    pendingAnswers_.emplace(applied_, PendingAnswer{ aRequester, answer });
+  }
+}
+
 void
 Replica::AppendRequested(Payload aPayload, const Requester& aRequester)
 {
@@ -116,7 +127,8 @@
 {
   if (!CheckChange(aEvent.change_).ok()) {
     AnswerProposal(aEvent.token_, ProposalStatus::Invalid);
-  } else if (register_.FindAnswer(aEvent.change_.id_) != nullptr) {
+  } else if (settings_.minCopies_ == 0 &&
+             register_.FindAnswer(aEvent.change_.id_) != nullptr) {
     AnswerProposal(
       aEvent.token_, ProposalStatus::Decided, register_.Apply(aEvent.change_));
   } else if (fault_ != Fault::None ||
@@ -124,8 +136,11 @@
     AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
   } else if (role_ != Role::Leader) {
     ForwardToLeader(aEvent);
-  } else if (requesters_.size() >= settings_.maxPendingProposals_) {
+  } else if (requesters_.size() + pendingAnswers_.size() >=
+             settings_.maxPendingProposals_) {
     AnswerProposal(aEvent.token_, ProposalStatus::Overloaded);
+  } else if (register_.FindAnswer(aEvent.change_.id_) != nullptr) {
+    AnswerAgain(aEvent.change_, { aEvent.token_, std::nullopt, false });
   } else {
     AppendRequested(std::make_shared<const Change>(aEvent.change_),
                     { aEvent.token_, std::nullopt, false });
@@ -154,14 +169,15 @@
   if (aBody.change_ == nullptr || !CheckChange(*aBody.change_).ok()) {
     return;
   }
-  if (register_.FindAnswer(aBody.change_->id_) != nullptr) {
-    SendTo(aMessage.from_,
-           ForwardReply{ aBody.token_, register_.Apply(*aBody.change_) });
-  } else if (HoldsLease(now_) &&
-             requesters_.size() < settings_.maxPendingProposals_) {
-    AppendRequested(aBody.change_, { aBody.token_, aMessage.from_, false });
-  } else {
+  const Requester requester{ aBody.token_, aMessage.from_, false };
+  const auto isFull = requesters_.size() + pendingAnswers_.size() >=
+                      settings_.maxPendingProposals_;
+  if (!HoldsLease(now_) || isFull) {
     SendTo(aMessage.from_, ForwardReply{ aBody.token_, std::nullopt });
+  } else if (register_.FindAnswer(aBody.change_->id_) != nullptr) {
+    AnswerAgain(*aBody.change_, requester);
+  } else {
+    AppendRequested(aBody.change_, requester);
   }
 }
 
--- a/test/cornelshore/consensus/group.hpp
+++ b/test/cornelshore/consensus/group.hpp
@@ -138,8 +138,15 @@
     change.id_ = { aVersion, ++changes_ };
     change.chosen_ = ConfigVersion{ aVersion };
     change.document_ = std::to_string(changes_);
+    lastChange_ = change;
+    return Resend(aNode);
+  }
+
+  /** Sends the last proposed change again, with its id. */
+  Token Resend(std::uint64_t aNode)
+  {
     const Token token{ ++tokens_ };
-    Tell(aNode, consensus::Propose{ token, change });
+    Tell(aNode, consensus::Propose{ token, lastChange_ });
     return token;
   }
 
@@ -310,6 +317,7 @@
   TimePoint discoveryDue_{};
   std::uint64_t tokens_{};
   std::uint64_t changes_{};
+  Change lastChange_;
   std::uint64_t starts_{};
 };
 
--- a/test/cornelshore/consensus/self_forming.cpp
+++ b/test/cornelshore/consensus/self_forming.cpp
@@ -140,6 +140,33 @@
   EXPECT_GE(group.DisksWith(7), 3U);
 }
 
+// A change is committed by two of three voters and not yet on three disks. Sent
+// again, to the leader or to another member, it was acknowledged at once.
+TEST(SelfForming, AcknowledgesAChangeSentAgainOnlyOnceEnoughDisksHoldIt)
+{
+  Group group(3);
+  group.RunFor(seconds{ 1 });
+  const auto leader = *group.Leader();
+  const auto stalled = leader % 3 + 1;
+  const auto other = stalled % 3 + 1;
+  group.Stall(stalled, true);
+  const auto first = group.Propose(leader, 7);
+  group.RunFor(milliseconds{ 200 });
+  ASSERT_EQ(group.RegisterOf(leader).Current().version_.value_, 7U);
+  const auto atLeader = group.Resend(leader);
+  const auto atOther = group.Resend(other);
+  group.RunFor(milliseconds{ 200 });
+  for (const auto token : { first, atLeader, atOther }) {
+    EXPECT_FALSE(group.AnswerTo(token));
+  }
+  group.Join(4, 100);
+  group.RunFor(seconds{ 1 });
+  for (const auto token : { first, atLeader, atOther }) {
+    ASSERT_TRUE(group.AnswerTo(token));
+    EXPECT_EQ(group.AnswerTo(token)->status_, ProposalStatus::Decided);
+  }
+}
+
 TEST(SelfForming, KeepsWhatItAcknowledgedWhenTwoDisksAreLostAndAllLosePower)
 {
   for (std::uint64_t lost = 1; lost <= 5; ++lost) {
