Believe no start in the future, and follow a host whose clock stepped back

Callers would have seen (suspicions of the review, shown by tests): one report of another writer with a start far in the future ended all flows of the host beside the agent, whose own reports were late from then on; a host that started again after its clock had stepped back, or whose earlier run's end was reported late, was never used again. Cause: the greatest start was believed without a bound and for good, and the end of an instance is reported by its name alone, which a new run may share. An instance with an earlier start follows once the last one is silent. An instance that had not announced that it leaves continues with its next report. TreatsFurtherReportsOfAnEndedInstanceAsLate ended an instance that had not announced its leaving, which is the late notice of an earlier run; it now announces it first and demands the same.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -33,6 +33,17 @@
 constexpr std::uint32_t kHeldMark = 2;
 constexpr std::uint32_t kProbeMark = 3;
 
+/** Maximum step of the wall clock between the starts of the agent and a host
+ * beside it; clocks step by seconds. */
+constexpr std::chrono::milliseconds kMaxClockStep = std::chrono::hours{ 24 };
+
+bool
+IsSameRun(const HostReport& aOne, const HostReport& aOther) noexcept
+{
+  return aOne.startMillis_ == aOther.startMillis_ &&
+         aOne.instance_ == aOther.instance_;
+}
+
 bool
 IsOpening(Purpose aPurpose) noexcept
 {
@@ -396,21 +407,17 @@
   if (aReport.service_ != settings_.service_) {
     return ReportOutcome::Foreign;
   }
+  if (StartsInTheFuture(aNow, aReport)) {
+    return ReportOutcome::Implausible;
+  }
   const auto& last = host_ ? host_ : endedInstance_;
-  if (last) {
-    const auto sameRun = last->startMillis_ == aReport.startMillis_ &&
-                         last->instance_ == aReport.instance_;
-    const auto late = sameRun ? aReport.sequence_ <= last->sequence_ || !host_
-                              : aReport.startMillis_ < last->startMillis_;
-    if (late) {
-      return ReportOutcome::Late;
-    }
-    if (!sameRun) {
-      StartRun(aReport);
-    }
-  } else {
+  if (last && IsLate(aNow, aReport, *last)) {
+    return ReportOutcome::Late;
+  }
+  if (!last || !IsSameRun(aReport, *last)) {
     StartRun(aReport);
   }
+  endedInstance_.reset();
   host_ = aReport;
   lastReportAt_ = aNow;
   return ReportOutcome::Taken;
@@ -426,7 +433,33 @@
   if (sawInstanceStart_) {
     UnassignFlows();
   }
-  endedInstance_.reset();
+}
+
+bool
+Agent::StartsInTheFuture(TimePoint aNow, const HostReport& aReport) const
+{
+  if (settings_.startMillis_ == 0) {
+    return false;
+  }
+  const auto age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - start_);
+  const auto latest = settings_.startMillis_ +
+                      static_cast<std::uint64_t>(age.count()) +
+                      static_cast<std::uint64_t>(kMaxClockStep.count());
+  return aReport.startMillis_ > latest;
+}
+
+bool
+Agent::IsLate(TimePoint aNow,
+              const HostReport& aReport,
+              const HostReport& aLast) const
+{
+  if (IsSameRun(aReport, aLast)) {
+    const auto hasEnded = !host_ && aLast.leaving_;
+    return aReport.sequence_ <= aLast.sequence_ || hasEnded;
+  }
+  const auto lastIsRecent = aNow - lastReportAt_ < settings_.hostReportTimeout_;
+  return aReport.startMillis_ < aLast.startMillis_ && lastIsRecent;
 }
 
 void
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -121,15 +121,17 @@
 enum class ReportOutcome : std::uint8_t
 {
   Taken,
-  Late,    ///< Older report of this instance, or of an earlier instance.
-  Foreign, ///< Report of a service other than this agent's.
+  Late,        ///< Older report of this instance, or of an earlier instance.
+  Foreign,     ///< Report of a service other than this agent's.
+  Implausible, ///< The instance's start lies in the future.
 };
 
 /** @brief Names of `ReportOutcome`. */
-inline constexpr std::array<EnumName<ReportOutcome>, 3> kReportOutcomeNames{ {
+inline constexpr std::array<EnumName<ReportOutcome>, 4> kReportOutcomeNames{ {
   { ReportOutcome::Taken, "taken" },
   { ReportOutcome::Late, "late" },
   { ReportOutcome::Foreign, "foreign" },
+  { ReportOutcome::Implausible, "implausible" },
 } };
 
 /**
@@ -268,6 +270,17 @@
                        Actions& aOut);
   void Forget(const FlowKey& aKey);
   void StartRun(const HostReport& aReport);
+  [[nodiscard]] bool StartsInTheFuture(TimePoint aNow,
+                                       const HostReport& aReport) const;
+  /**
+   * @brief Whether a report is older than the last one. An instance with an
+   * earlier start follows once the last one is silent, as the wall clock may
+   * have stepped back; an instance that ended without leaving continues with
+   * its next report, as the notice of its end was one of an earlier run.
+   */
+  [[nodiscard]] bool IsLate(TimePoint aNow,
+                            const HostReport& aReport,
+                            const HostReport& aLast) const;
   /** @brief Forgets the flows of the former instance and keeps the keys of
    * those that the new one may hold. */
   void UnassignFlows();
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -469,12 +469,54 @@
 TEST_F(AgentTest, TreatsFurtherReportsOfAnEndedInstanceAsLate)
 {
   agent_.OnReport(kStart, ReportOf(1));
+  agent_.OnReport(kStart, ReportOf(2, true));
   EXPECT_TRUE(agent_.OnHostEnded("i-1"));
   EXPECT_FALSE(agent_.OnHostEnded("i-1"));
   EXPECT_EQ(agent_.OnReport(kStart, ReportOf(9)), ReportOutcome::Late);
   EXPECT_FALSE(agent_.Host());
 }
 
+// The notice that an earlier run ended arrives after a new run with the same
+// name has reported; the new run was never used again.
+TEST_F(AgentTest, AnInstanceThatReportsOnWasNotTheOneThatEnded)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  EXPECT_TRUE(agent_.OnHostEnded("i-1"));
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(1)), ReportOutcome::Late);
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(2)), ReportOutcome::Taken);
+  EXPECT_TRUE(agent_.Load(kStart).accepts_);
+}
+
+// A host starts again after the wall clock stepped back; its reports were taken
+// for late ones of an earlier instance for good.
+TEST_F(AgentTest, FollowsAnInstanceWithAnEarlierStartOnceTheLastIsSilent)
+{
+  agent_.OnReport(kStart, ReportOf(5));
+  auto next = NextInstance();
+  next.startMillis_ = 500;
+  EXPECT_EQ(agent_.OnReport(kStart + seconds{ 3 }, next), ReportOutcome::Late);
+  const auto silent = kStart + seconds{ 4 };
+  EXPECT_EQ(agent_.OnReport(silent, next), ReportOutcome::Taken);
+  EXPECT_EQ(agent_.Host()->instance_, "i-2");
+  EXPECT_TRUE(agent_.Load(silent).accepts_);
+}
+
+// Another writer's report names a start far in the future. It ended all flows
+// of the real host, whose own reports were late from then on.
+TEST_F(AgentTest, RefusesAStartInTheFuture)
+{
+  auto settings = SettingsOf();
+  settings.startMillis_ = 900;
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  auto odd = NextInstance();
+  odd.startMillis_ = 9'000'000'000'000'000'000U;
+  EXPECT_EQ(agent_.OnReport(kStart, odd), ReportOutcome::Implausible);
+  EXPECT_EQ(agent_.Flows(), 1U);
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(2)), ReportOutcome::Taken);
+}
+
 TEST_F(AgentTest, ExcludesClosedFlowsFromTheLoadAndRemovesThemSoon)
 {
   agent_.OnReport(kStart, ReportOf(1));
