Go on with rounds after nobody was known, and use restarted peers at once

Cause: an outreach that needs no answer, as when a process knows no other, stayed due for good and kept further rounds from starting. A peer that was silent stayed avoided after its restart until it sent a message of its own. Change: an outreach for no answer is not due; a new record of a peer, which only the peer makes, ends its silence. The search order of agents has a function of its own. Measured: Outreach.AsksNobodyWhenNoAnswerIsNeeded and NodeLosses.ARestartedPeerIsNoLongerSilent fail without the change; test_dissemination 37 of 37, test_role 8 of 8.

--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -104,10 +104,12 @@
         return partners_.Awaits(aPeer);
       });
     const bool due = !joined_ || awaited || round_ % kAgentRoundEvery == 0;
-    if (!due || peers.empty()) {
+    if (!due) {
       return;
     }
-    peers = { peers[round_ / kAgentRoundEvery % peers.size()] };
+    if (!peers.empty()) {
+      peers = { peers[round_ / kAgentRoundEvery % peers.size()] };
+    }
   }
   roundOutreach_.Start(aNow, peers.size());
   static_cast<void>(roundOutreach_.TakeDue(aNow));
@@ -124,14 +126,10 @@
   if (count == 0) {
     return;
   }
-  auto peers = partners_.PickFurther(aNow, ledger_, roundOutreach_, count);
-  if (IsAgent()) {
-    peers = partners_.RankForAgent(aNow, ledger_);
-    std::erase_if(peers, [&](NodeId aPeer) {
-      return roundOutreach_.HasAsked(aPeer) || partners_.IsSilent(aNow, aPeer);
-    });
-    peers.resize(std::min(peers.size(), count));
-  }
+  const auto peers =
+    IsAgent()
+      ? partners_.PickFurtherForAgent(aNow, ledger_, roundOutreach_, count)
+      : partners_.PickFurther(aNow, ledger_, roundOutreach_, count);
   if (peers.empty()) {
     roundOutreach_.Stop();
   }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -382,6 +382,7 @@
     return;
   }
   changedPeers_.push_back(record);
+  partners_.Renewed(record.id_);
   if (IsAgent()) {
     return;
   }
--- a/src/cornelshore/dissemination/outreach.hpp
+++ b/src/cornelshore/dissemination/outreach.hpp
@@ -39,7 +39,7 @@
     asksPerAnswer_ = 1;
     awaited_.clear();
     answered_.clear();
-    due_ = aNow;
+    due_ = aAnswers == 0 ? std::nullopt : std::optional(aNow);
   }
 
   /** @brief Number of peers to ask now: those missing, times a factor that
--- a/src/cornelshore/dissemination/partners.cpp
+++ b/src/cornelshore/dissemination/partners.cpp
@@ -137,6 +137,20 @@
   return ranked;
 }
 
+std::vector<NodeId>
+Partners::PickFurtherForAgent(TimePoint aNow,
+                              const Ledger& aLedger,
+                              const Outreach& aOutreach,
+                              std::size_t aCount) const
+{
+  auto peers = RankForAgent(aNow, aLedger);
+  std::erase_if(peers, [&](NodeId aPeer) {
+    return aOutreach.HasAsked(aPeer) || IsSilent(aNow, aPeer);
+  });
+  peers.resize(std::min(peers.size(), aCount));
+  return peers;
+}
+
 std::vector<NodeId>
 Partners::TakeLaggards(ConfigVersion aVersion, std::size_t aMost)
 {
--- a/src/cornelshore/dissemination/partners.hpp
+++ b/src/cornelshore/dissemination/partners.hpp
@@ -50,6 +50,9 @@
              const Address& aAddress,
              const Header& aHeader);
 
+  /** @brief Records a new record of a peer, which the peer has made. */
+  void Renewed(NodeId aPeer) { awaitedSince_.erase(aPeer); }
+
   /** @brief Records that an answer is awaited from a peer. */
   void Asked(TimePoint aNow, NodeId aPeer);
 
@@ -87,6 +90,14 @@
   [[nodiscard]] std::vector<NodeId> PickForAgent(TimePoint aNow,
                                                  const Ledger& aLedger) const;
 
+  /** @brief The next balancers of its order that answer and that the outreach
+   * has not asked. */
+  [[nodiscard]] std::vector<NodeId> PickFurtherForAgent(
+    TimePoint aNow,
+    const Ledger& aLedger,
+    const Outreach& aOutreach,
+    std::size_t aCount) const;
+
   /** @brief Whether a peer has left a message without an answer for longer than
    * the timeout. */
   [[nodiscard]] bool IsSilent(TimePoint aNow, NodeId aPeer) const;
--- a/test/cornelshore/dissemination/node_losses.cpp
+++ b/test/cornelshore/dissemination/node_losses.cpp
@@ -130,6 +130,55 @@
   }
 }
 
+// A balancer knows nobody for a while, beside seeds that are down; rounds must
+// go on once it knows others.
+TEST(NodeLosses, ABalancerThatWasAloneTakesPartOnceOthersAreUp)
+{
+  Fleet fleet(3);
+  Fill(fleet, 3, 2, 0);
+  for (std::size_t index = 0; index < 4; ++index) {
+    fleet.Members()[index].up_ = false;
+  }
+  fleet.RunFor(std::chrono::minutes(5));
+  for (std::size_t index = 0; index < 4; ++index) {
+    fleet.Restart(index);
+  }
+  fleet.Feed(0, ConfigAccepted{ { 1 }, "version 1" });
+  fleet.Feed(0, ControlConfirmed{ { 1 }, 1 });
+  fleet.RunFor(std::chrono::seconds(30));
+  const auto begin = fleet.Now();
+  ASSERT_EQ(fleet.At(4).Config().value_, 1U);
+  EXPECT_EQ(fleet.At(4).Peers().size(), 5U);
+  fleet.RunFor(std::chrono::seconds(10));
+  ASSERT_TRUE(fleet.At(4).ConfirmedAt());
+  EXPECT_GT(*fleet.At(4).ConfirmedAt(), begin);
+}
+
+// A process that was silent and has started again is used as soon as its new
+// record is known, though it has sent no message here.
+TEST(NodeLosses, ARestartedPeerIsNoLongerSilent)
+{
+  constexpr std::size_t kRestarted = kControl;
+  auto fleet = RunningFleet(1, 3, 0);
+  fleet.Members()[kRestarted].up_ = false;
+  fleet.RunFor(std::chrono::seconds(20));
+  ASSERT_TRUE(fleet.At(0).IsSilent(fleet.Now(), Fleet::IdAt(kRestarted)));
+  Message news;
+  news.header_.kind_ = MessageKind::Push;
+  news.header_.role_ = membership::NodeRole::Control;
+  PeerUpdate update;
+  update.record_ = { Fleet::IdAt(kRestarted),
+                     Incarnation{ 9 },
+                     1,
+                     membership::NodeRole::Balancer,
+                     {},
+                     Fleet::AddressAt(kRestarted),
+                     false };
+  news.peers_.push_back(update);
+  fleet.Feed(0, Received{ Fleet::IdAt(1), Fleet::AddressAt(1), news });
+  EXPECT_FALSE(fleet.At(0).IsSilent(fleet.Now(), Fleet::IdAt(kRestarted)));
+}
+
 // An agent that receives a packet routed by a newer version requests it from
 // the balancer that relayed the packet, whatever partners it has.
 TEST(NodeLosses, AnAgentRequestsTheVersionThatAPacketWasRoutedBy)
--- a/test/cornelshore/dissemination/outreach.cpp
+++ b/test/cornelshore/dissemination/outreach.cpp
@@ -42,6 +42,13 @@
   EXPECT_EQ(outreach.TakeDue(now), 1U);
 }
 
+TEST(Outreach, AsksNobodyWhenNoAnswerIsNeeded)
+{
+  Outreach outreach(8);
+  outreach.Start(kStart, 0);
+  EXPECT_FALSE(outreach.Due());
+}
+
 TEST(Outreach, AsksInPlaceOfThoseThatDidNotAnswer)
 {
   Outreach outreach(64);
