--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -34,7 +34,12 @@
       std::move(aHosts),
       { aSettings.maxPeers_, aSettings.peerRefresh_ * kRefreshesPerPeerLife })
   , confirmation_(aSettings.confirmationLife_)
-  , partners_(aSettings.self_, aSettings.dataCentre_, aSettings.seed_)
+  , partners_(aSettings.self_,
+              aSettings.dataCentre_,
+              aSettings.seed_,
+              AnswerTimeoutOf(aSettings.round_))
+  , roundOutreach_(kMaxRoundWidth, AnswerTimeoutOf(aSettings.round_))
+  , configOutreach_(kMaxConfigWidth, AnswerTimeoutOf(aSettings.round_))
   , budget_(aSettings.bytesPerSecond_, aSettings.burstBytes_)
   , nextSeed_(aSettings.self_.value_)
 {
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -67,8 +67,8 @@
   ConfirmationTracker confirmation_;
   SyncTracker syncTracker_;
   Partners partners_;
-  Outreach roundOutreach_{ kMaxRoundWidth };
-  Outreach configOutreach_{ kMaxConfigWidth };
+  Outreach roundOutreach_;
+  Outreach configOutreach_;
   Rumors rumors_;
   Transfers transfers_;
   ByteBudget budget_;
--- a/src/cornelshore/dissemination/outreach.hpp
+++ b/src/cornelshore/dissemination/outreach.hpp
@@ -12,9 +12,14 @@
 
 namespace cornelshore::dissemination {
 
-/** @brief Time in which a live peer answers; several round trips, and the time
- * that a message queues on a slow link. */
-inline constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
+/** @brief Time in which a live peer answers. At 1 s a round it exceeds a round
+ * trip between regions, which would otherwise be taken for silence each time.
+ */
+[[nodiscard]] constexpr Duration
+AnswerTimeoutOf(Duration aRound) noexcept
+{
+  return aRound * 3 / 10;
+}
 
 /**
  * @brief Decides how many peers to ask until enough of them have answered.
@@ -26,9 +31,13 @@
 class Outreach
 {
 public:
-  /** @param aMaxWidth Most peers asked at a time. */
-  explicit Outreach(std::size_t aMaxWidth) noexcept
+  /**
+   * @param aMaxWidth Most peers asked at a time.
+   * @param aTimeout Wait for answers before further peers are asked.
+   */
+  Outreach(std::size_t aMaxWidth, Duration aTimeout) noexcept
     : maxWidth_(aMaxWidth)
+    , timeout_(aTimeout)
   {
   }
 
@@ -51,7 +60,7 @@
     }
     const auto width = std::min(maxWidth_, missing_ * asksPerAnswer_);
     asksPerAnswer_ = std::min(maxWidth_, 2 * asksPerAnswer_);
-    due_ = aNow + kAnswerTimeout;
+    due_ = aNow + timeout_;
     return width;
   }
 
@@ -84,6 +93,7 @@
 
 private:
   std::size_t maxWidth_;
+  Duration timeout_;
   std::size_t missing_{}; ///< Answers that are still to come.
   std::size_t asksPerAnswer_{ 1 };
   absl::flat_hash_set<NodeId> awaited_;
--- a/src/cornelshore/dissemination/partners.cpp
+++ b/src/cornelshore/dissemination/partners.cpp
@@ -185,7 +185,7 @@
 Partners::IsSilent(TimePoint aNow, NodeId aPeer) const
 {
   const auto found = awaitedSince_.find(aPeer);
-  return found != awaitedSince_.end() && aNow - found->second >= kAnswerTimeout;
+  return found != awaitedSince_.end() && aNow - found->second >= answerTimeout_;
 }
 
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/partners.hpp
+++ b/src/cornelshore/dissemination/partners.hpp
@@ -37,10 +37,16 @@
   static constexpr std::size_t kMaxAttached = 1024;
   static constexpr std::size_t kAgentPartners = 3;
 
-  Partners(NodeId aSelf, DataCentreId aDataCentre, std::uint64_t aSeed) noexcept
+  /** @param aAnswerTimeout Time after which a peer that has not answered is
+   * silent. */
+  Partners(NodeId aSelf,
+           DataCentreId aDataCentre,
+           std::uint64_t aSeed,
+           Duration aAnswerTimeout) noexcept
     : self_(aSelf)
     , dataCentre_(aDataCentre)
     , random_(aSeed)
+    , answerTimeout_(aAnswerTimeout)
   {
   }
 
@@ -138,6 +144,7 @@
   NodeId self_;
   DataCentreId dataCentre_;
   Random random_;
+  Duration answerTimeout_;
   /** Peers whose answer is awaited, and since when. */
   absl::flat_hash_map<NodeId, TimePoint> awaitedSince_;
   absl::flat_hash_map<NodeId, AttachedAgent> attached_;
--- a/test/cornelshore/dissemination/outreach.cpp
+++ b/test/cornelshore/dissemination/outreach.cpp
@@ -6,10 +6,11 @@
 namespace {
 
 constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(300);
 
 TEST(Outreach, AsksNobodyFurtherWhileAllAnswer)
 {
-  Outreach outreach(8);
+  Outreach outreach(8, kAnswerTimeout);
   EXPECT_FALSE(outreach.Due());
   outreach.Start(kStart, 2);
   EXPECT_EQ(outreach.TakeDue(kStart), 2U);
@@ -29,7 +30,7 @@
 // Load pattern: most of a fleet is lost, so most of the peers asked are dead.
 TEST(Outreach, AsksTwiceAsManyAfterEachTimeoutUpToALimit)
 {
-  Outreach outreach(8);
+  Outreach outreach(8, kAnswerTimeout);
   outreach.Start(kStart, 1);
   auto now = kStart;
   for (const std::size_t expected : { 1U, 2U, 4U, 8U, 8U }) {
@@ -44,14 +45,14 @@
 
 TEST(Outreach, AsksNobodyWhenNoAnswerIsNeeded)
 {
-  Outreach outreach(8);
+  Outreach outreach(8, kAnswerTimeout);
   outreach.Start(kStart, 0);
   EXPECT_FALSE(outreach.Due());
 }
 
 TEST(Outreach, AsksInPlaceOfThoseThatDidNotAnswer)
 {
-  Outreach outreach(64);
+  Outreach outreach(64, kAnswerTimeout);
   outreach.Start(kStart, 6);
   EXPECT_EQ(outreach.TakeDue(kStart), 6U);
   for (std::uint64_t peer = 1; peer <= 6; ++peer) {
@@ -63,5 +64,12 @@
   EXPECT_EQ(outreach.TakeDue(kStart + kAnswerTimeout), 2U);
 }
 
+// A round trip between regions takes 190 ms; it is no silence at 1 s a round.
+TEST(Outreach, WaitsLongerThanARoundTripBetweenRegions)
+{
+  EXPECT_GT(AnswerTimeoutOf(std::chrono::seconds(1)),
+            std::chrono::milliseconds(190));
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
