Push configurations without awaiting answers

Change: pushes go to six peers that answer, once, as before; the rounds, which look for further peers until one answers, bring the configuration to survivors of a mass loss.

--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -36,8 +36,7 @@
   };
   return std::min({ state_->nextRound_,
                     orRound(state_->spreadAt_),
-                    orRound(state_->roundOutreach_.Due()),
-                    orRound(state_->configOutreach_.Due()) });
+                    orRound(state_->roundOutreach_.Due()) });
 }
 
 const membership::View&
--- a/src/cornelshore/dissemination/node_spread.cpp
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kUrgentFanout = 5;
-/** Peers that must answer a push of a configuration. */
 constexpr std::size_t kConfigFanout = 6;
 constexpr std::size_t kMaxPushedAgents = 64;
 constexpr std::size_t kMaxRepeatedPushes = 64;
@@ -20,7 +19,6 @@
 {
   Release(aNow);
   Spread(aNow);
-  ContinueConfigOutreach(aNow);
   ContinueRoundOutreach(aNow);
   std::vector<Action> actions;
   if (InForce() != announcedConfig_) {
@@ -109,28 +107,10 @@
 void
 Node::State::SpreadConfig(TimePoint aNow)
 {
-  configOutreach_.Start(aNow, kConfigFanout);
-  ContinueConfigOutreach(aNow);
-  PushToLaggards(aNow);
-}
-
-void
-Node::State::ContinueConfigOutreach(TimePoint aNow)
-{
-  const auto count = configOutreach_.TakeDue(aNow);
-  if (count == 0) {
-    return;
-  }
-  const auto peers =
-    partners_.PickFurther(aNow, ledger_, configOutreach_, count);
-  if (peers.empty()) {
-    configOutreach_.Stop();
-  }
-  for (const auto peer : peers) {
-    configOutreach_.Asked(peer);
-    partners_.Asked(aNow, peer);
-    PushConfig(aNow, peer, *AddressOf(peer), MessageKind::Round);
+  for (const auto peer : partners_.Pick(aNow, ledger_, kConfigFanout)) {
+    PushConfig(aNow, peer, *AddressOf(peer));
   }
+  PushToLaggards(aNow);
 }
 
 void
@@ -138,18 +118,14 @@
 {
   for (const auto agent :
        partners_.TakeLaggards(config_.Version(), kMaxPushedAgents)) {
-    PushConfig(
-      aNow, agent, partners_.Attached().at(agent).address_, MessageKind::Push);
+    PushConfig(aNow, agent, partners_.Attached().at(agent).address_);
   }
 }
 
 void
-Node::State::PushConfig(TimePoint aNow,
-                        NodeId aTo,
-                        const Address& aAddress,
-                        MessageKind aKind)
+Node::State::PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress)
 {
-  Packer packer(HeaderFor(aNow, aTo, aKind));
+  Packer packer(HeaderFor(aNow, aTo, MessageKind::Push));
   AddNewestDelta(packer);
   SendTo(aNow, aTo, aAddress, std::move(packer).Finish(), Priority::Urgent);
 }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -39,7 +39,6 @@
               aSettings.seed_,
               AnswerTimeoutOf(aSettings.round_))
   , roundOutreach_(kMaxRoundWidth, AnswerTimeoutOf(aSettings.round_))
-  , configOutreach_(kMaxConfigWidth, AnswerTimeoutOf(aSettings.round_))
   , budget_(aSettings.bytesPerSecond_, aSettings.burstBytes_)
   , nextSeed_(aSettings.self_.value_)
 {
@@ -251,7 +250,6 @@
   if (!IsAgent() || message.header_.role_ != NodeRole::Agent) {
     partners_.Heard(aNow, aEvent.from_, aEvent.address_, message.header_);
     roundOutreach_.Answered(aEvent.from_);
-    configOutreach_.Answered(aEvent.from_);
   }
   newestKnownConfig_ = std::max(newestKnownConfig_, message.header_.config_);
   Adopt(aNow, aEvent);
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -31,9 +31,6 @@
 /** Most peers that a node starts rounds with at a time. */
 inline constexpr std::size_t kMaxRoundWidth = 8;
 
-/** Most peers that a node pushes a configuration to at a time. */
-inline constexpr std::size_t kMaxConfigWidth = 64;
-
 /** @brief State of a node and its event handlers. */
 struct Node::State
 {
@@ -68,7 +65,6 @@
   SyncTracker syncTracker_;
   Partners partners_;
   Outreach roundOutreach_;
-  Outreach configOutreach_;
   Rumors rumors_;
   Transfers transfers_;
   ByteBudget budget_;
@@ -97,14 +93,7 @@
   void Spread(TimePoint aNow);
   void SpreadRecords(TimePoint aNow, const std::vector<NodeId>& aSubjects);
   void SpreadConfig(TimePoint aNow);
-  /** @brief Sends the configuration; a `Round` is answered. */
-  void PushConfig(TimePoint aNow,
-                  NodeId aTo,
-                  const Address& aAddress,
-                  MessageKind aKind);
-  /** @brief Pushes the configuration to further peers in place of those that
-   * did not answer in time. */
-  void ContinueConfigOutreach(TimePoint aNow);
+  void PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress);
   void PushToLaggards(TimePoint aNow);
   void AddNewestDelta(Packer& aPacker) const;
   /** @brief Interval of joining rounds; grows to the normal one when joining
