--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -426,10 +426,7 @@
 void
 Agent::StartRun(const HostReport& aReport)
 {
-  const auto isFirstReport = aReport.sequence_ <= 1;
-  const auto startedLater = aReport.startMillis_ >= settings_.startMillis_;
-  sawInstanceStart_ =
-    host_ || endedInstance_ || (isFirstReport && startedLater);
+  sawInstanceStart_ = host_ || endedInstance_ || aReport.sequence_ <= 1;
   if (sawInstanceStart_) {
     UnassignFlows();
   }
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -94,8 +94,7 @@
 struct AgentSettings
 {
   ServiceId service_;
-  /** Wall clock at the agent's start, ms since 1970; a host that started
-   * earlier may hold flows that an earlier run of the agent passed to it. */
+  /** Wall clock at the agent's start, ms since 1970; 0: not known. */
   std::uint64_t startMillis_{};
   /** Maximum lifetime of a flow; until then an agent that started after its
    * host may not know all flows of the host. */
@@ -317,7 +316,7 @@
   /** Last report of the last instance that ended. */
   std::optional<HostReport> endedInstance_;
   TimePoint lastReportAt_{};
-  /** The instance started after this agent, which passed all its flows. */
+  /** This agent received the instance's first report. */
   bool sawInstanceStart_{};
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
