Log what a balancer and an agent know when a flow is lost or probed

Cause: the logs of the incident could not tell its hypotheses apart: they did not say when a balancer counted as synchronised and with how many hosts, what an agent knew of its host's flows, or how long and in which state a search ended in a reset. Change: host_records_synchronised at balancers, knows_all_flows on upstream_ready, flow_probed at agents, hosts on all lines of a balancer's decisions, and searched_ms, sync_age_ms, uptime_ms on resets of lost flows. No decision is changed. Measured: test_relay and test_role pass.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -205,6 +205,7 @@
   } else if (MayHold(aNow, aKey) && (aPacket.service_ == settings_.service_ ||
                                      aPacket.service_ == kAnyService)) {
     probes_[aKey] = { aBalancer, aNow, aPacket.purpose_ == Purpose::Direct };
+    EmitDecision(aNow, FlowEvent::Probed, FlowReason::None, aKey, aOut);
   } else {
     Deny(aNow, aKey, aBalancer, std::move(aPacket), aOut);
     return;
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -189,6 +189,13 @@
   /** @brief Whether the last report is recent enough for new flows. */
   [[nodiscard]] bool HostAlive(TimePoint aNow) const noexcept;
 
+  /** @brief Whether every flow of the host passed through this agent, so that
+   * a flow it does not know is not the host's. */
+  [[nodiscard]] bool KnowsAllFlows(TimePoint aNow) const noexcept
+  {
+    return !MayHoldUnseenFlows(aNow) && unassigned_.empty();
+  }
+
   [[nodiscard]] std::size_t Flows() const noexcept { return flows_.size(); }
   [[nodiscard]] std::uint32_t Busy() const noexcept { return busy_; }
   [[nodiscard]] std::uint64_t Count(AgentCount aCount) const noexcept
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -186,6 +186,7 @@
   decision.offers_ = aFlow.offers_;
   decision.waited_ = aNow - aFlow.since_;
   decision.version_ = routes_.Version();
+  decision.hosts_ = hosts_.All().size();
   if (const auto* host = hosts_.Find(aFlow.host_)) {
     decision.load_ = host->load_;
     decision.reportAge_ =
@@ -386,7 +387,7 @@
 {
   if (aFlow.phase_ == Phase::Searching) {
     if (IsLost(aNow, aFlow)) {
-      ResetLost(aKey, aOut);
+      ResetLost(aNow, aKey, aOut);
     } else if (!aFlow.searchesAllHosts_) {
       RetryNearbyHosts(aNow, aKey, aFlow, aOut);
     }
@@ -405,6 +406,7 @@
 void
 Balancer::Tick(TimePoint aNow, Actions& aOut)
 {
+  startedAt_ = startedAt_.value_or(aNow);
   if (std::exchange(resumePending_, false)) {
     Resume(aNow, aOut);
   }
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -48,12 +48,21 @@
   { ResetReason::Lost, "lost" },
 } };
 
+/** @brief What a balancer knew when it gave a search up, for the log. */
+struct SearchSummary
+{
+  Duration searched_{}; ///< Since the search began.
+  Duration syncAge_{};  ///< Since the host records matched a peer's.
+  Duration uptime_{};   ///< Since the balancer's first tick.
+};
+
 /** @brief Send a reset to a flow's caller, from the shared service port. */
 struct ToCaller
 {
   FlowKey key_;
   ResetReason reason_{ ResetReason::NoRoute };
   std::string packet_;
+  std::optional<SearchSummary> search_{}; ///< Of a lost flow.
 };
 
 /** @brief Subscribe to a host agent's load reports. */
@@ -351,7 +360,7 @@
                   Actions& aOut);
   void NoteDenied(TimePoint aNow, const FlowKey& aKey, Flow& aFlow);
   void SendWaiting(Flow& aFlow, Actions& aOut);
-  void ResetLost(const FlowKey& aKey, Actions& aOut);
+  void ResetLost(TimePoint aNow, const FlowKey& aKey, Actions& aOut);
   void ScheduleAt(TimePoint aDue, const FlowKey& aKey, Flow& aFlow);
   /** @brief Whether no host that could hold the flow does. */
   [[nodiscard]] bool IsLost(TimePoint aNow, const Flow& aFlow) const;
@@ -411,6 +420,7 @@
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
   TimePoint lastPacket_{};
+  std::optional<TimePoint> startedAt_; ///< First tick.
   std::optional<TimePoint> lastSyncedAt_;
   std::array<std::uint64_t, kBalancerCountNames.size()> counts_{};
 };
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -126,7 +126,7 @@
   }
   aFlow.packets_.push_back(std::move(aPacket));
   if (IsLost(aNow, aFlow)) {
-    ResetLost(aKey, aOut);
+    ResetLost(aNow, aKey, aOut);
     return;
   }
   std::erase_if(aFlow.asked_, [&](HostId aHost) {
@@ -210,15 +210,20 @@
 }
 
 void
-Balancer::ResetLost(const FlowKey& aKey, Actions& aOut)
+Balancer::ResetLost(TimePoint aNow, const FlowKey& aKey, Actions& aOut)
 {
   const auto found = flows_.find(aKey);
+  SearchSummary search;
+  search.searched_ = aNow - found->second.since_;
+  search.syncAge_ = aNow - lastSyncedAt_.value_or(aNow);
+  search.uptime_ = aNow - startedAt_.value_or(aNow);
   const auto segment = codec_.parse_(found->second.packets_.back());
   Increment(BalancerCount::Lost);
   aOut.emplace_back(
     ToCaller{ aKey,
               ResetReason::Lost,
-              codec_.reset_(aKey, segment ? segment->acknowledged_ : 0) });
+              codec_.reset_(aKey, segment ? segment->acknowledged_ : 0),
+              search });
   StopSearch(aKey);
   flows_.erase(found);
 }
--- a/src/cornelshore/relay/decision.hpp
+++ b/src/cornelshore/relay/decision.hpp
@@ -23,13 +23,14 @@
   Found,      ///< Balancer: a host reported that it holds the flow.
   Taken,      ///< Agent: the opening was passed to the host.
   Refused,    ///< Agent: the opening was not passed to the host.
+  Probed,     ///< Agent: a packet of an unknown flow was passed to the host.
   Returned,   ///< Agent: the host returned a packet.
   Denied,     ///< Agent: the host does not hold the packet's flow.
   Closed,     ///< Agent: both ends have finished, or one reset the flow.
 };
 
 /** @brief Names of `FlowEvent`, as the logs write them. */
-inline constexpr std::array<EnumName<FlowEvent>, 11> kFlowEventNames{ {
+inline constexpr std::array<EnumName<FlowEvent>, 12> kFlowEventNames{ {
   { FlowEvent::Opened, "flow_opened" },
   { FlowEvent::Declined, "flow_declined" },
   { FlowEvent::Unanswered, "flow_unanswered" },
@@ -38,6 +39,7 @@
   { FlowEvent::Found, "flow_found" },
   { FlowEvent::Taken, "flow_taken" },
   { FlowEvent::Refused, "flow_refused" },
+  { FlowEvent::Probed, "flow_probed" },
   { FlowEvent::Returned, "flow_returned" },
   { FlowEvent::Denied, "flow_denied" },
   { FlowEvent::Closed, "flow_closed" },
@@ -84,6 +86,7 @@
   HostLoad load_;          ///< Load of the host at the decision.
   Duration reportAge_{};   ///< Age of the host's last report.
   ConfigVersion version_;  ///< Configuration in force at the process.
+  std::size_t hosts_{};    ///< Hosts known to a balancer; 0 at an agent.
 };
 
 } // namespace cornelshore::relay
--- a/src/cornelshore/role/flow_log.cpp
+++ b/src/cornelshore/role/flow_log.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-std::string
-MillisOf(Duration aTime)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
-}
-
 Log
 LineOf(const relay::FlowDecision& aDecision)
 {
@@ -44,6 +37,9 @@
   with("host_slots", std::to_string(aDecision.load_.slots_));
   with("report_age_ms", MillisOf(aDecision.reportAge_));
   with("config_version", std::to_string(aDecision.version_.value_));
+  if (aDecision.hosts_ > 0) {
+    with("hosts", std::to_string(aDecision.hosts_));
+  }
   return line;
 }
 
--- a/src/cornelshore/role/host_dump.cpp
+++ b/src/cornelshore/role/host_dump.cpp
@@ -1,5 +1,8 @@
 #include <cornelshore/role/host_dump.hpp>
 
+#include <chrono>
+#include <string>
+
 #include <absl/strings/str_format.h>
 
 namespace cornelshore::role::internal {
@@ -10,6 +13,13 @@
   return absl::StrFormat("%016x", aValue);
 }
 
+std::string
+MillisOf(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 Dump
 DumpHosts(const dissemination::Node& aNode)
 {
--- a/src/cornelshore/role/host_dump.hpp
+++ b/src/cornelshore/role/host_dump.hpp
@@ -15,6 +15,9 @@
 /** @brief A 64-bit id as 16 hexadecimal digits. */
 [[nodiscard]] std::string HexOf(std::uint64_t aValue);
 
+/** @brief A duration in whole milliseconds. */
+[[nodiscard]] std::string MillisOf(Duration aTime);
+
 } // namespace cornelshore::role::internal
 
 #endif
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -153,27 +153,29 @@
     const auto before = flows_.Host();
     const auto outcome = flows_.OnReport(aNow, aEvent.report_);
     if (outcome == relay::ReportOutcome::Taken) {
-      LogReportChange(before, aEvent.report_, aOut);
+      LogReportChange(aNow, before, aEvent.report_, aOut);
       Announce(aNow, aOut);
     }
     aOut.emplace_back(ReportResult{ aEvent.token_, outcome });
   }
 
-  static void LogReportChange(const std::optional<relay::HostReport>& aBefore,
-                              const relay::HostReport& aReport,
-                              Actions& aOut)
+  void LogReportChange(TimePoint aNow,
+                       const std::optional<relay::HostReport>& aBefore,
+                       const relay::HostReport& aReport,
+                       Actions& aOut) const
   {
     const auto same = aBefore && aBefore->instance_ == aReport.instance_ &&
                       aBefore->leaving_ == aReport.leaving_;
     if (same) {
       return;
     }
-    aOut.emplace_back(
-      Log{ Severity::Info,
-           aReport.leaving_ ? "upstream_leaving" : "upstream_ready",
-           { { "instance", aReport.instance_ },
-             { "sequence", std::to_string(aReport.sequence_) },
-             { "slots", std::to_string(aReport.slots_) } } });
+    aOut.emplace_back(Log{
+      Severity::Info,
+      aReport.leaving_ ? "upstream_leaving" : "upstream_ready",
+      { { "instance", aReport.instance_ },
+        { "sequence", std::to_string(aReport.sequence_) },
+        { "slots", std::to_string(aReport.slots_) },
+        { "knows_all_flows", flows_.KnowsAllFlows(aNow) ? "yes" : "no" } } });
   }
 
   void Handle(TimePoint aNow, UpstreamInstanceEnded& aEvent, Actions& aOut)
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -47,8 +47,9 @@
     for (auto& action : node_.On(aNow, aEvent)) {
       std::visit([&](auto& aAction) { Execute(aNow, aAction, aOut); }, action);
     }
-    if (const auto inStep = node_.ConfirmedAt()) {
-      flows_.NoteSynced(*inStep);
+    if (const auto syncedAt = node_.ConfirmedAt()) {
+      flows_.NoteSynced(*syncedAt);
+      LogFirstSync(aNow, aOut);
     }
   }
 
@@ -122,6 +123,19 @@
     }
   }
 
+  void LogFirstSync(TimePoint aNow, Actions& aOut)
+  {
+    if (std::exchange(loggedFirstSync_, true)) {
+      return;
+    }
+    aOut.emplace_back(
+      Log{ Severity::Info,
+           "host_records_synchronised",
+           { { "hosts", std::to_string(flows_.Hosts()) },
+             { "peers", std::to_string(node_.Dump(aNow).peers_) },
+             { "uptime_ms", internal::MillisOf(aNow - startedAt_) } } });
+  }
+
   /** Logs each reset up to a rate limit and counts the suppressed ones. */
   void LogReset(TimePoint aNow, const relay::ToCaller& aReset, Actions& aOut)
   {
@@ -140,7 +154,7 @@
       return;
     }
     ++resetLogs_;
-    aOut.emplace_back(Log{
+    Log line{
       Severity::Warning,
       "flow_reset",
       { { "caller", ToString(aReset.key_.caller_) },
@@ -148,7 +162,17 @@
         { "reason",
           std::string(NameIn(relay::kResetReasonNames, aReset.reason_)) },
         { "config_version", std::to_string(flows_.Routes().Version().value_) },
-        { "hosts", std::to_string(flows_.Hosts()) } } });
+        { "hosts", std::to_string(flows_.Hosts()) } }
+    };
+    if (const auto& search = aReset.search_) {
+      line.fields_.emplace_back("searched_ms",
+                                internal::MillisOf(search->searched_));
+      line.fields_.emplace_back("sync_age_ms",
+                                internal::MillisOf(search->syncAge_));
+      line.fields_.emplace_back("uptime_ms",
+                                internal::MillisOf(search->uptime_));
+    }
+    aOut.emplace_back(std::move(line));
   }
 
   void Handle(TimePoint aNow, NodeMessage& aEvent, Actions& aOut)
@@ -245,6 +269,8 @@
   std::optional<TimePoint> configuredAt_;
   std::optional<TimePoint> stopRequestedAt_;
   bool ready_{};
+  TimePoint startedAt_{};
+  bool loggedFirstSync_{};
   std::uint64_t unexpectedMessages_{};
   internal::FlowLog log_;
   TimePoint resetLogWindowStart_{};
@@ -368,6 +394,7 @@
   parts->hooks_ = hooks_;
   parts->address_ = node_.address_;
   parts->stopLimit_ = stopLimit_;
+  parts->startedAt_ = aNow;
   Actions none;
   parts->Feed(aNow, dissemination::SeedsChanged{ seeds_ }, none);
   return std::unique_ptr<RelayBalancer>(new RelayBalancer(std::move(parts)));
