Tell sustained misdirection from single broadcasts in the flow judge

Cause: a search sends one packet to all hosts of a service; when the flow's own host gets its copy first and the caller then pauses for 2 s, the judge counts the other copies as misdirected, though nothing was withheld.

--- a/examples/standin/flow_judge.cpp
+++ b/examples/standin/flow_judge.cpp
@@ -195,7 +195,7 @@
 }
 
 /** Whether three packets or more reached other hosts with none at the flow's
- * own host in between, and for how long the longest such run lasted. */
+ * own host in between, and the longest time from first to last of them. */
 std::pair<bool, Micros>
 LongestRun(const OpenFlow& aFlow)
 {
@@ -230,6 +230,7 @@
   std::size_t resetsInTouch_{};
   std::size_t misdirected_{};
   std::size_t misdirectedInTouch_{};
+  std::size_t sustained_{};
   std::size_t threeElsewhere_{};
   Micros longestElsewhere_{};
   std::size_t silent_{};
@@ -262,6 +263,11 @@
               << " time=" << TimeOf(reset)
               << " in_touch=" << (inTouch ? "yes" : "no") << '\n';
   }
+  const auto [three, longest] = LongestRun(aOpen);
+  aOutcome.threeElsewhere_ += three ? 1 : 0;
+  aOutcome.longestElsewhere_ = std::max(aOutcome.longestElsewhere_, longest);
+  const auto sustained = longest >= kMisdirectedTimeout;
+  aOutcome.sustained_ += sustained ? 1 : 0;
   if (const auto from = MisdirectedFrom(aOpen, aOpen.foreign_)) {
     auto inTouch = aOpen.foreign_;
     std::erase_if(inTouch, [&](const Arrival& aArrival) {
@@ -272,11 +278,9 @@
     aOutcome.misdirectedInTouch_ += counts ? 1 : 0;
     std::cout << "broken=misdirected caller=" << aName
               << " host=" << aOpen.host_ << " time=" << TimeOf(*from)
-              << " in_touch=" << (counts ? "yes" : "no") << '\n';
+              << " in_touch=" << (counts ? "yes" : "no")
+              << " sustained=" << (sustained ? "yes" : "no") << '\n';
   }
-  const auto [three, longest] = LongestRun(aOpen);
-  aOutcome.threeElsewhere_ += three ? 1 : 0;
-  aOutcome.longestElsewhere_ = std::max(aOutcome.longestElsewhere_, longest);
 }
 
 Outcome
@@ -319,11 +323,13 @@
             << " resets_in_touch=" << outcome.resetsInTouch_
             << " misdirected=" << outcome.misdirected_
             << " misdirected_in_touch=" << outcome.misdirectedInTouch_
+            << " misdirected_sustained=" << outcome.sustained_
             << " three_elsewhere=" << outcome.threeElsewhere_
             << " longest_elsewhere_ms="
             << outcome.longestElsewhere_ / kMicrosPerMilli
             << " silent=" << outcome.silent_
             << " longest_silent_ms=" << outcome.longestSilentMillis_
             << std::endl;
-  return outcome.resets_ + outcome.misdirected_ > 0 ? 1 : 0;
+  return outcome.resets_ + outcome.misdirected_ + outcome.sustained_ > 0 ? 1
+                                                                         : 0;
 }
