Reproduce the incident in a fleet in virtual time

Callers saw open flows reset, or without answers, when all processes restarted beside living hosts. No test ran the three roles together.

--- /dev/null
+++ b/test/cornelshore/role/relay_scenario.hpp
@@ -0,0 +1,66 @@
+#ifndef CORNELSHORE_TEST_ROLE_RELAY_SCENARIO_HPP
+#define CORNELSHORE_TEST_ROLE_RELAY_SCENARIO_HPP
+
+#include <functional>
+#include <iostream>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <cornelshore/role/relay_fleet.hpp>
+
+namespace cornelshore::role {
+
+using Fleet = RelayFleet;
+using Scenario = std::function<void(Fleet&)>;
+
+/** @brief Time of the fault in each scenario, since the fleet's start. */
+inline constexpr Duration kFaultAt = std::chrono::seconds{ 9 };
+
+/** @brief Runs a scenario on each seed, and prints what each run counted. */
+inline void
+RunSeeds(const RelayFleetShape& aShape,
+         Duration aLength,
+         const Scenario& aScenario)
+{
+  for (std::uint64_t seed = 1; seed <= FleetSeeds(); ++seed) {
+    Fleet fleet(aShape, seed);
+    aScenario(fleet);
+    fleet.RunTo(aLength);
+    const auto faults = fleet.Faults();
+    std::cout << "seed " << seed << ": " << fleet.Summary() << "\n";
+    EXPECT_GT(fleet.Totals().answered_, 0U);
+    for (const auto& fault : faults) {
+      ADD_FAILURE() << "seed " << seed << ": " << fault;
+    }
+  }
+}
+
+inline std::vector<std::size_t>
+Of(Fleet& aFleet, const std::vector<Fleet::Role>& aRoles)
+{
+  std::vector<std::size_t> all;
+  for (const auto role : aRoles) {
+    const auto some = aFleet.Of(role);
+    all.insert(all.end(), some.begin(), some.end());
+  }
+  return all;
+}
+
+/** @brief Kills processes of the roles at once; each starts within a second. */
+inline void
+KillAll(Fleet& aFleet, const std::vector<Fleet::Role>& aRoles)
+{
+  for (const auto process : Of(aFleet, aRoles)) {
+    aFleet.Restart(process,
+                   aFleet.Draw(Fleet::Millis(100), Fleet::Millis(1000)));
+  }
+}
+
+inline const std::vector<Fleet::Role> kAll{ Fleet::Role::Control,
+                                            Fleet::Role::Balancer,
+                                            Fleet::Role::Agent };
+
+} // namespace cornelshore::role
+
+#endif
