Count settling from the first contact with control

When all balancers and agents restart and cannot reach control for some seconds, balancers took themselves to be synchronised two rounds after their start: they knew no host and agreed on it. To callers, the host of an open flow then did not exist, and the flow could be reset.

Cause: equal records of two processes that have just started did not count for two rounds of the process's own start, which says nothing about what the process could have received by then.

The two rounds now begin when a message of a control VM arrives or a configuration comes in force, which shows that others have reached control. While others have a configuration and the process has none in force, it has not settled either. Where no configuration exists, a message of a control VM is enough, so that a first start waits no longer than before.

Tried and rejected: counting from the moment at which a configuration came in force, alone.

A fleet that restarts while all of control is lost settles two rounds after its agents' configuration came in force, which is later than two rounds after the start.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -25,7 +25,8 @@
 constexpr std::uint64_t kSampleOneIn = 8;
 constexpr std::size_t kRumorsPerAnswer = 6;
 /** Two processes that have just started hold the same few records, so they do
- * not count as synchronised with each other during these rounds. A fleet that
+ * not count as synchronised with each other until this many rounds after they
+ * reached a control VM, which has its host records from its disk. A fleet that
  * starts as a whole waits as long. */
 constexpr int kSettlingRounds = 2;
 constexpr Duration kRequestRetryInterval = std::chrono::milliseconds(300);
@@ -278,9 +279,16 @@
 Node::State::CountsAsSync(TimePoint aNow, const Header& aTheirs) const
 {
   const auto newcomer = aTheirs.syncAge_ >= kNeverSynced;
-  const auto settling =
-    startedAt_ && aNow - *startedAt_ < settings_.round_ * kSettlingRounds;
-  return !newcomer || !settling || IsAgent();
+  return !newcomer || HasSettled(aNow) || IsAgent();
+}
+
+bool
+Node::State::HasSettled(TimePoint aNow) const
+{
+  const bool awaitsConfig =
+    !configActive_ && newestKnownConfig_ != ConfigVersion{};
+  return !awaitsConfig && reachedControlAt_ &&
+         aNow - *reachedControlAt_ >= settings_.round_ * kSettlingRounds;
 }
 
 void
--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -35,7 +35,6 @@
 void
 Node::State::Handle(TimePoint aNow, const Tick& /*aEvent*/)
 {
-  startedAt_ = startedAt_.value_or(aNow);
   if (aNow < nextRound_) {
     return;
   }
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -224,8 +224,8 @@
 {
   if (config_.Accept(aEvent.version_, aEvent.bytes_)) {
     configActive_ = true;
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
   }
-  static_cast<void>(aNow);
 }
 
 void
@@ -252,6 +252,9 @@
     roundOutreach_.Answered(aEvent.from_);
   }
   newestKnownConfig_ = std::max(newestKnownConfig_, message.header_.config_);
+  if (message.header_.role_ == NodeRole::Control) {
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
+  }
   Adopt(aNow, aEvent);
   for (const auto& update : message.hosts_) {
     const bool fromRepair = message.header_.kind_ != MessageKind::Push &&
@@ -308,6 +311,7 @@
                   activePeers >= kActivationPeers ||
                   (activePeers > 0 && waited);
   if (configActive_) {
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
     activeVersions_.clear();
   }
 }
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -147,6 +147,8 @@
   void AddSample(TimePoint aNow, bool aUnknownToSender, Packer& aPacker);
   /** @brief Whether equal digests with this sender count as synchronised. */
   [[nodiscard]] bool CountsAsSync(TimePoint aNow, const Header& aTheirs) const;
+  /** @brief Whether control's host records may have arrived since the start. */
+  [[nodiscard]] bool HasSettled(TimePoint aNow) const;
   void NoteSynced(TimePoint aNow, const Received& aEvent);
 
   /** Copy of another node's records that a node takes after its start. */
@@ -164,12 +166,14 @@
   Snapshot snapshot_;
   std::uint64_t selfSequence_{};
   bool selfGone_{};
-  std::optional<TimePoint> startedAt_;
   bool wasConfirmed_{};        ///< At the last event; a rise is pushed.
   bool comparisonTruncated_{}; ///< The last one omitted differences.
   bool joined_{};              ///< Has synchronised once.
   bool repairing_{};           ///< The last comparison found many differences.
   bool configActive_{};        ///< The stored configuration is in force.
+  /** When the first message of a control VM arrived, or a configuration came in
+   * force, which shows that others have reached one. */
+  std::optional<TimePoint> reachedControlAt_;
   std::uint64_t round_{};
   bool joiningRoundDue_{}; ///< The current round is a joining round.
   TimePoint renewAt_;
