Bring host records back at control's start

When all processes restart at one moment while the hosts live on, balancers knew a host only once its agent had announced it, up to 4 s later. Until then they agreed on too few hosts and counted as synchronised, and an open flow whose host they did not know could be reset.

Cause: host records live in the memory of processes only, and the absence of a record is taken for the absence of a host.

A dissemination node now takes HostsRecovered, the records of an earlier run. A host that is not gone comes back as starting, with sequence 0 of its incarnation: older than each record that its agent made and than each tombstone, and never of an equal version with other contents. Tombstones come back with their age. Records that have reached a tombstone's life are dropped. Nothing is pushed.

This also brings hosts back when control and balancers restart and only agents run on: an agent sends its record only when the balancer's list has an older one. Before, no balancer knew a host as ready 6 s later.

--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -36,6 +36,24 @@
   HostRecord record_;
 };
 
+/**
+ * @brief Records that this process held in an earlier run; only at control
+ * VMs, at their start.
+ *
+ * They say which hosts exist and where, not in what state they are. A host that
+ * is not gone becomes known as starting, with sequence 0 of its incarnation:
+ * each record that its agent makes, and each tombstone, is newer.
+ */
+struct HostsRecovered
+{
+  /** Ages at the time of storing: of a tombstone as ever, of another record the
+   * time since an agent or another process last confirmed it. A record that has
+   * reached a tombstone's life is dropped: if the host has left, the tombstone
+   * may have expired. */
+  std::vector<HostUpdate> hosts_;
+  Duration age_{}; ///< Time since the records were stored.
+};
+
 /** @brief This process's own peer record: leaving, or another address. */
 struct SelfAnnounced
 {
@@ -77,6 +95,7 @@
 
 using Event = std::variant<Received,
                            HostAnnounced,
+                           HostsRecovered,
                            SelfAnnounced,
                            ConfigAccepted,
                            ControlConfirmed,
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -208,6 +208,24 @@
   TakeHost(aNow, { aEvent.record_, {} }, false);
 }
 
+void
+Node::State::Handle(TimePoint aNow, const HostsRecovered& aEvent)
+{
+  for (auto update : aEvent.hosts_) {
+    update.age_ += aEvent.age_;
+    auto& record = update.record_;
+    if (record.state_ != HostState::Gone) {
+      record.state_ = HostState::Starting;
+      record.sequence_ = 0;
+      record.held_.reset();
+    }
+    if (update.age_ < settings_.tombstoneLife_ &&
+        ledger_.Merge(aNow, update) == MergeOutcome::Changed) {
+      changedHosts_.push_back(record);
+    }
+  }
+}
+
 void
 Node::State::Handle(TimePoint aNow, const SelfAnnounced& aEvent)
 {
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -38,6 +38,7 @@
 
   void Handle(TimePoint aNow, const Received& aEvent);
   void Handle(TimePoint aNow, const HostAnnounced& aEvent);
+  void Handle(TimePoint aNow, const HostsRecovered& aEvent);
   void Handle(TimePoint aNow, const SelfAnnounced& aEvent);
   void Handle(TimePoint aNow, const ConfigAccepted& aEvent);
   void Handle(TimePoint aNow, const ControlConfirmed& aEvent);
