Add a file for the host records of a control VM

Host records are lost when all processes restart, as no disk holds them.

On reading, its size is looked at first (new hook size_), single entries that make no sense are left out and counted, and a damaged, torn, too large or newer file is an error that callers can ignore.

--- a/fuzz/storage.cpp
+++ b/fuzz/storage.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include <cornelshore/storage/frame.hpp>
+#include <cornelshore/storage/hosts_format.hpp>
 
 namespace {
 
@@ -29,6 +30,24 @@
   return segment;
 }
 
+/** Reads the input as stored host records, damaged and under a right checksum;
+ * what is read is written and read again the same. */
+void
+TryHosts(std::string_view aInput)
+{
+  static_cast<void>(DecodeHosts(aInput));
+  const auto stored = DecodeHosts(
+    MakeFrame(internal::kHostsSeed, 0, { FrameKind::Header, 0, aInput }));
+  if (!stored.ok()) {
+    return;
+  }
+  const auto bytes = EncodeHosts(*stored);
+  const auto again = bytes.ok() ? DecodeHosts(*bytes) : bytes.status();
+  if (!again.ok() || again->hosts_ != stored->hosts_ || again->refused_ != 0) {
+    std::abort();
+  }
+}
+
 } // namespace
 
 extern "C" int
@@ -36,6 +55,7 @@
 {
   const std::string_view input(reinterpret_cast<const char*>(aData), aSize);
   static_cast<void>(ScanFrames(input, 0, kSeed));
+  TryHosts(input);
   if (aSize < 3) {
     return 0;
   }
--- a/src/cornelshore/storage/file_hooks.cpp
+++ b/src/cornelshore/storage/file_hooks.cpp
@@ -191,13 +191,24 @@
   return text.ok() && !text->empty() ? HashText(*text) : 0;
 }
 
+absl::StatusOr<std::uint64_t>
+Size(const std::string& aPath)
+{
+  std::error_code error;
+  const auto size = std::filesystem::file_size(aPath, error);
+  if (error) {
+    return StatusOfErrno("size of file", error.value());
+  }
+  return std::uint64_t{ size };
+}
+
 } // namespace
 
 FileHooks
 SystemFiles()
 {
-  return { List,  Read,   Create, Append,     Overwrite, Sync,
-           Close, Rename, Remove, SyncFolder, Lock,      BootId };
+  return { List,   Read,   Create,     Append, Overwrite, Sync, Close,
+           Rename, Remove, SyncFolder, Lock,   BootId,    Size };
 }
 
 } // namespace cornelshore::storage
--- a/src/cornelshore/storage/file_hooks.hpp
+++ b/src/cornelshore/storage/file_hooks.hpp
@@ -13,7 +13,7 @@
 namespace cornelshore::storage {
 
 /**
- * @brief File operations that the log uses.
+ * @brief File operations of the data folder.
  *
  * Errors: `ResourceExhausted` for a full disk, `DataLoss` for a failed sync,
  * `NotFound` for a missing file or folder, `FailedPrecondition` for a lock that
@@ -43,6 +43,8 @@
   std::function<absl::StatusOr<int>(const std::string&)> lock_;
   /** Identifies the current boot of the VM; 0 when unknown. */
   std::function<std::uint64_t()> bootId_;
+  /** Size of a file, in bytes. */
+  std::function<absl::StatusOr<std::uint64_t>(const std::string&)> size_;
 };
 
 /** @brief File operations of the operating system. */
--- a/src/cornelshore/storage/fwd.hpp
+++ b/src/cornelshore/storage/fwd.hpp
@@ -5,6 +5,7 @@
 
 struct FileHooks;
 struct Recovered;
+struct StoredHosts;
 class Log;
 
 } // namespace cornelshore::storage
--- a/test/cornelshore/storage/fake_files.hpp
+++ b/test/cornelshore/storage/fake_files.hpp
@@ -66,6 +66,7 @@
     hooks.syncFolder_ = [this](const std::string&) { return SyncFolder(); };
     hooks.lock_ = [](const std::string&) { return absl::StatusOr<int>(0); };
     hooks.bootId_ = [this] { return boot_; };
+    hooks.size_ = [this](const std::string& aPath) { return Size(aPath); };
     return hooks;
   }
 
@@ -101,6 +102,15 @@
     return found->second->cached_;
   }
 
+  absl::StatusOr<std::uint64_t> Size(const std::string& aPath)
+  {
+    const auto content = Read(aPath);
+    if (!content.ok()) {
+      return content.status();
+    }
+    return std::uint64_t{ content->size() };
+  }
+
   absl::StatusOr<int> Create(const std::string& aPath)
   {
     if (full_) {
