Keep host records on control's disks

A control process now stores its host records with KeepHosts and gets them back with HostsRecovered at its start, before it receives a message. It stores them when a host is new, restarts, goes, or is confirmed again by its agent after a recovery, at most once a second and beside decisions, on a thread of its own; at a planned stop; and every ten minutes, as the age of what is stored must tell for how long the process was down and not for how long no host came or went. Changes of buckets, slots and sequences store nothing.

A host that no agent confirms is known from run to run for at most a tombstone's life, six hours; else a host that ended without notice would stay for ever.

event=host_records_recovered names the records and their age; a file that cannot be read or written is logged and never ends the process.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -16,6 +16,8 @@
 #include <cornelshore/daemon/operator_port.hpp>
 #include <cornelshore/daemon/targets_json.hpp>
 #include <cornelshore/role/control.hpp>
+#include <cornelshore/storage/hosts_file.hpp>
+#include <cornelshore/storage/hosts_keeper.hpp>
 #include <cornelshore/storage/log.hpp>
 #include <cornelshore/wire/role_hooks.hpp>
 #include <platform/api.hpp>
@@ -260,15 +262,24 @@
   return Refused(name);
 }
 
+storage::StoredAt
+PresentMoment()
+{
+  static const auto bootId = storage::SystemFiles().bootId_();
+  return { bootId, Now(), WallMillis() };
+}
+
 /** Carries out a control process's actions. */
 class Carrier
 {
 public:
   Carrier(SendRing& aOut,
           const std::unique_ptr<StorageSide>& aStorage,
+          storage::HostsKeeper& aHosts,
           WaitingCalls& aCalls)
     : out_(aOut)
     , storage_(aStorage)
+    , hosts_(aHosts)
     , calls_(aCalls)
   {
   }
@@ -283,6 +294,11 @@
     diskHangs_ |= !storage_->Persist(std::move(aAction));
   }
 
+  void operator()(role::KeepHosts& aAction)
+  {
+    hosts_.Keep({ std::move(aAction.hosts_), PresentMoment(), 0 });
+  }
+
   void operator()(role::Log& aAction) { WriteLog(aAction); }
   void operator()(role::Ended&) { ended_ = true; }
   void operator()(consensus::ReplicaFaulted& aAction)
@@ -311,6 +327,7 @@
 private:
   SendRing& out_;
   const std::unique_ptr<StorageSide>& storage_;
+  storage::HostsKeeper& hosts_;
   WaitingCalls& calls_;
   bool diskHangs_{};
   bool ended_{};
@@ -511,6 +528,38 @@
     .Build(Now());
 }
 
+/** Host records of an earlier run; nothing when there are none to be read. */
+std::optional<dissemination::HostsRecovered>
+RecoverHosts(const std::string& aFolder)
+{
+  auto stored = storage::ReadHosts(aFolder);
+  if (absl::IsNotFound(stored.status())) {
+    return std::nullopt;
+  }
+  if (!stored.ok()) {
+    log::Write(log::Level::Warning,
+               log::Event("host_records_not_recovered")
+                 .With("why", std::string(stored.status().message())));
+    return std::nullopt;
+  }
+  if (stored->refused_ != 0) {
+    log::Write(log::Level::Warning,
+               log::Event("host_records_refused")
+                 .With("records", std::uint64_t{ stored->refused_ }));
+  }
+  const auto age = storage::TimeBetween(stored->at_, PresentMoment());
+  return dissemination::HostsRecovered{ std::move(stored->hosts_), age };
+}
+
+void
+ReportHostsNotKept(const absl::Status& aStatus)
+{
+  log::Write(log::Level::Error,
+             log::Event("host_records_not_kept")
+               .With("why", std::string(aStatus.message()))
+               .With("remedy", "check the disk of data_folder"));
+}
+
 } // namespace
 
 absl::Status
@@ -533,7 +582,9 @@
             NameIn(consensus::kVerificationNames, recovered->verification_)));
   WaitingCalls calls;
   std::unique_ptr<StorageSide> storage;
-  Carrier carrier(aRuntime.Sender().AddRing(), storage, calls);
+  const auto& folder = aRuntime.Settings().control_.dataFolder_;
+  storage::HostsKeeper hosts(folder, ReportHostsNotKept);
+  Carrier carrier(aRuntime.Sender().AddRing(), storage, hosts, calls);
   std::unique_ptr<ControlDecider> decider;
   decider = std::make_unique<ControlDecider>(
     aRuntime, *std::move(role), [&](role::ControlAction& aAction) {
@@ -559,11 +610,15 @@
     }
   }
   storage->Start();
+  if (auto recoveredHosts = RecoverHosts(folder)) {
+    decider->Feed(*std::move(recoveredHosts));
+  }
   aRuntime.Start(
     [&](role::NodeMessage aMessage) { received.Push(std::move(aMessage)); },
     [&] { received.Push(role::StopRequested{}); });
   decider->Run();
   port.Stop();
+  hosts.Stop();
   storage->Stop();
   aRuntime.Stop();
   if (carrier.Fault() == consensus::Fault::None) {
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cornelshore/admission/validate.hpp>
 #include <cornelshore/role/address_book.hpp>
 #include <cornelshore/role/figures.hpp>
@@ -23,6 +25,29 @@
 /** Interval between confirmations of the configuration in force. */
 constexpr Duration kConfirmInterval = std::chrono::milliseconds{ 250 };
 
+/** Shortest interval between writes of the host records. */
+constexpr Duration kKeepHostsInterval = std::chrono::seconds{ 1 };
+
+/** Longest one: much shorter than the life of a tombstone. */
+constexpr Duration kKeepHostsRefreshInterval = std::chrono::minutes{ 10 };
+
+/** What matters of a host's record after a restart. */
+struct KeptHost
+{
+  Incarnation incarnation_;
+  bool gone_{};
+  bool confirmed_{}; ///< By its agent, since the record was recovered.
+
+  bool operator==(const KeptHost&) const noexcept = default;
+};
+
+KeptHost
+KeptHostOf(const HostRecord& aRecord)
+{
+  const bool gone = aRecord.state_ == HostState::Gone;
+  return { aRecord.incarnation_, gone, gone || aRecord.sequence_ != 0 };
+}
+
 /** Remedy for an operator when a replica has stopped participating. */
 std::string
 RemedyOf(consensus::Fault aFault)
@@ -107,7 +132,48 @@
       SendToNode{ aAction.address_, std::move(aAction.message_) });
   }
 
-  void Execute(TimePoint, dissemination::HostsChanged&, Actions&) {}
+  void Execute(TimePoint aNow, dissemination::HostsChanged& aAction, Actions&)
+  {
+    for (const auto& record : aAction.records_) {
+      const auto host = KeptHostOf(record);
+      auto& kept = keptHosts_[record.id_];
+      hostsChanged_ |= kept != host;
+      kept = host;
+      if (host.confirmed_) {
+        unconfirmedSince_.erase(record.id_);
+      } else {
+        unconfirmedSince_.emplace(record.id_, aNow);
+      }
+    }
+  }
+
+  void KeepHostRecords(TimePoint aNow, Actions& aOut)
+  {
+    keptAt_ = aNow;
+    hostsChanged_ = false;
+    keptHosts_.clear();
+    KeepHosts keep;
+    for (auto& record : node_.Hosts().All()) {
+      keptHosts_[record.id_] = KeptHostOf(record);
+      auto age = node_.Hosts().AgeOf(aNow, record.id_);
+      const auto unconfirmed = unconfirmedSince_.find(record.id_);
+      if (unconfirmed != unconfirmedSince_.end()) {
+        age = aNow - unconfirmed->second;
+      }
+      record.held_.reset();
+      keep.hosts_.push_back({ record, age });
+    }
+    aOut.emplace_back(std::move(keep));
+  }
+
+  void KeepHostRecordsWhenDue(TimePoint aNow, Actions& aOut)
+  {
+    const auto interval =
+      hostsChanged_ ? kKeepHostsInterval : kKeepHostsRefreshInterval;
+    if (aNow - keptAt_ >= interval) {
+      KeepHostRecords(aNow, aOut);
+    }
+  }
 
   void Execute(TimePoint aNow, dissemination::PeersChanged&, Actions& aOut)
   {
@@ -268,8 +334,30 @@
     FeedReplica(aNow, consensus::TrustDisk{}, aOut);
   }
 
+  void Handle(TimePoint aNow,
+              dissemination::HostsRecovered& aEvent,
+              Actions& aOut)
+  {
+    FeedNode(aNow, aEvent, aOut);
+    for (const auto& host : aEvent.hosts_) {
+      const auto unconfirmed = unconfirmedSince_.find(host.record_.id_);
+      if (unconfirmed != unconfirmedSince_.end()) {
+        unconfirmed->second = aNow - host.age_ - aEvent.age_;
+      }
+    }
+    const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aEvent.age_);
+    aOut.emplace_back(Log{ Severity::Info,
+                           "host_records_recovered",
+                           { { "hosts", std::to_string(node_.Hosts().size()) },
+                             { "age_ms", std::to_string(age.count()) } } });
+  }
+
   void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
   {
+    if (hostsChanged_) {
+      KeepHostRecords(aNow, aOut);
+    }
     FeedNode(aNow, dissemination::SelfAnnounced{ self_, true }, aOut);
     aOut.emplace_back(Ended{});
   }
@@ -283,6 +371,7 @@
       nextConfirmAt_ = aNow + kConfirmInterval;
       Confirm(aNow, aOut);
       WatchAdmission(aNow, aOut);
+      KeepHostRecordsWhenDue(aNow, aOut);
     }
     if (node_.NextTimer() <= aNow) {
       FeedNode(aNow, dissemination::Tick{}, aOut);
@@ -370,6 +459,10 @@
   TimePoint nextConfirmAt_{};
   std::optional<TimePoint> awaitsAdmissionSince_;
   TimePoint admissionLogDue_{};
+  absl::flat_hash_map<HostId, KeptHost> keptHosts_;
+  absl::flat_hash_map<HostId, TimePoint> unconfirmedSince_;
+  bool hostsChanged_{}; ///< Since the last `KeepHosts`.
+  TimePoint keptAt_{};
   consensus::Standing standing_;
   bool wasCurrent_{};
   std::uint64_t unexpectedMessages_{};
@@ -521,6 +614,7 @@
   auto parts = std::make_unique<Parts>(std::move(*node), std::move(replica_));
   parts->hooks_ = hooks_;
   parts->self_ = node_.address_;
+  parts->keptAt_ = aNow - kKeepHostsInterval;
   parts->members_.insert(members_.begin(), members_.end());
   Actions none;
   parts->FeedNode(aNow, dissemination::SeedsChanged{ seeds_ }, none);
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -59,6 +59,7 @@
                                   ShowRequested,
                                   MembershipChangeRequested,
                                   TrustDiskRequested,
+                                  dissemination::HostsRecovered,
                                   StopRequested,
                                   Tick>;
 
@@ -90,9 +91,22 @@
   };
 };
 
+/**
+ * @brief Store the known host records, tombstones included, in place of those
+ * stored before; see `dissemination::HostsRecovered`.
+ *
+ * At most once a second while hosts come and go, else every ten minutes, so
+ * that the age of what is stored tells for how long this process was down.
+ */
+struct KeepHosts
+{
+  std::vector<dissemination::HostUpdate> hosts_;
+};
+
 /** @brief Output actions of a control process, executed in order. */
 using ControlAction = std::variant<SendToNode,
                                    consensus::Persist,
+                                   KeepHosts,
                                    ApplyResult,
                                    ShowResult,
                                    MembershipChangeResult,
--- a/test/system/control.sh
+++ b/test/system/control.sh
@@ -34,7 +34,21 @@
   done
 }
 
+# Guards against host records that are lost with the process: a control VM that
+# is killed knows its hosts again before it has received a message.
+recovered_hosts() { # INDEX COUNT
+  grep -qE "event=host_records_recovered hosts=$2 age_ms=[0-9]+" "$work/control-$1.log"
+}
+control_knows_hosts() { # COUNT
+  local offset
+  for offset in 11 21 31; do
+    [ "$(ctl hosts --to "$(at "$offset")" --json 2>/dev/null | grep -o '"state":"ready"' | wc -l)" -ge "$1" ] || return 1
+  done
+}
+
 start_cluster
+wait_until 60 "every control process knows 4 hosts" control_knows_hosts 4
+sleep 3 # longer than the interval between writes of the host records
 start_callers
 for i in 1 2 3; do
   echo "event=kill_in_mid_write control=control-$i"
@@ -45,6 +59,7 @@
   apply_one
   check_versions
   start_process "control-$i"
+  wait_until 20 "control-$i knows its hosts after a kill" recovered_hosts "$i" 4
   apply_one
   wait_until 60 "version $accepted in force everywhere" everywhere
   check_versions
@@ -99,5 +114,16 @@
 collect_runs 1 2 3 4
 print_runs
 [ "$(most_runs)" -eq 1 ] || fail "an id ran more or less than once"
+
+# Guards against balancers that take the absence of records for the absence of
+# hosts when all processes restart and agents come back later than they do.
+echo "event=restart_all_processes"
+for i in 1 2 3 4; do kill -STOP "${pids[agent-$i]}"; done
+for i in 1 2 3; do end "balancer-$i" KILL || true; done
+for i in 1 2 3; do start_process "control-$i"; done
+for i in 1 2 3; do start_process "balancer-$i"; done
+wait_until 20 "every balancer knows the hosts whose agents are away" hosts_in_state starting 4
+for i in 1 2 3 4; do kill -CONT "${pids[agent-$i]}"; done
+wait_until 60 "the hosts are ready again" hosts_in_state ready 4
 echo "changes_accepted=$accepted"
 echo "event=passed"
