--- a/src/cornelshore/storage/hosts_file.cpp
+++ b/src/cornelshore/storage/hosts_file.cpp
@@ -9,8 +9,14 @@
 
 namespace {
 
-constexpr const char* kHostsName = "/hosts";
-constexpr const char* kTemporaryName = "/hosts.tmp";
+constexpr const char* kHostsName = "hosts";
+constexpr const char* kTemporarySuffix = ".tmp";
+
+std::string
+PathOf(const std::string& aFolder)
+{
+  return absl::StrCat(aFolder, "/", kHostsName);
+}
 
 absl::Status
 WriteAndSync(const std::string& aPath,
@@ -40,10 +46,11 @@
   if (!bytes.ok()) {
     return bytes.status();
   }
-  const auto temporary = aFolder + kTemporaryName;
+  const auto path = PathOf(aFolder);
+  const auto temporary = absl::StrCat(path, kTemporarySuffix);
   auto status = WriteAndSync(temporary, *bytes, aHooks);
   if (status.ok()) {
-    status = aHooks.rename_(temporary, aFolder + kHostsName);
+    status = aHooks.rename_(temporary, path);
   }
   if (!status.ok()) {
     static_cast<void>(aHooks.remove_(temporary));
@@ -55,7 +62,7 @@
 absl::StatusOr<StoredHosts>
 ReadHosts(const std::string& aFolder, const FileHooks& aHooks)
 {
-  const auto path = aFolder + kHostsName;
+  const auto path = PathOf(aFolder);
   const auto size = aHooks.size_(path);
   if (!size.ok()) {
     return size.status();
