--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -208,6 +208,24 @@
   TakeHost(aNow, { aEvent.record_, {} }, false);
 }
 
+void
+Node::State::Handle(TimePoint aNow, const HostsRecovered& aEvent)
+{
+  for (auto update : aEvent.hosts_) {
+    update.age_ += aEvent.age_;
+    auto& record = update.record_;
+    if (record.state_ != HostState::Gone) {
+      record.state_ = HostState::Starting;
+      record.sequence_ = 0;
+      record.held_.reset();
+    }
+    if (update.age_ < settings_.tombstoneLife_ &&
+        ledger_.Merge(aNow, update) == MergeOutcome::Changed) {
+      changedHosts_.push_back(record);
+    }
+  }
+}
+
 void
 Node::State::Handle(TimePoint aNow, const SelfAnnounced& aEvent)
 {
@@ -224,8 +242,8 @@
 {
   if (config_.Accept(aEvent.version_, aEvent.bytes_)) {
     configActive_ = true;
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
   }
-  static_cast<void>(aNow);
 }
 
 void
@@ -252,6 +270,9 @@
     roundOutreach_.Answered(aEvent.from_);
   }
   newestKnownConfig_ = std::max(newestKnownConfig_, message.header_.config_);
+  if (message.header_.role_ == NodeRole::Control) {
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
+  }
   Adopt(aNow, aEvent);
   for (const auto& update : message.hosts_) {
     const bool fromRepair = message.header_.kind_ != MessageKind::Push &&
@@ -308,6 +329,7 @@
                   activePeers >= kActivationPeers ||
                   (activePeers > 0 && waited);
   if (configActive_) {
+    reachedControlAt_ = reachedControlAt_.value_or(aNow);
     activeVersions_.clear();
   }
 }
