--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -265,8 +265,8 @@
 storage::StoredAt
 PresentMoment()
 {
-  static const auto bootId = storage::SystemFiles().bootId_();
-  return { bootId, Now(), WallMillis() };
+  static const auto kBootId = storage::SystemFiles().bootId_();
+  return { kBootId, Now(), WallMillis() };
 }
 
 /** Carries out a control process's actions. */
