Tell a host's first report from its second by the host's age

Callers saw open flows reset when the agent beside a host that had just started was restarted in a planned way. Cause: the agent took a report counted 1 for the host's first and its own table for complete, but a host that counts from 0 sends 1 second; an earlier run of the agent had passed flows after 0. The new run denied them, and all other agents as well. Change: 0 is a first report, and 1 only from a host younger than half an interval of its reports, by the clock of the VM that both run on; otherwise the agent asks its host about unknown flows. Class: the absence of knowledge taken for knowledge of absence.

--- a/src/cornelshore/daemon/relay_agent_process.cpp
+++ b/src/cornelshore/daemon/relay_agent_process.cpp
@@ -164,6 +164,7 @@
       .WithHooks(wire::RoleHooks())
       .WithCodec(platform::SegmentCodec())
       .WithHostSilence(settings.relay_.reportInterval_ * kReportsMissed)
+      .WithReportInterval(settings.relay_.reportInterval_)
       .WithStart(WallMillis())
       .Build(Now());
   if (!role.ok()) {
--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -416,7 +416,7 @@
     return ReportOutcome::Late;
   }
   if (!last || !IsSameRun(aReport, *last)) {
-    StartRun(aReport);
+    StartRun(aNow, aReport);
   }
   endedInstance_.reset();
   host_ = aReport;
@@ -425,26 +425,43 @@
 }
 
 void
-Agent::StartRun(const HostReport& aReport)
+Agent::StartRun(TimePoint aNow, const HostReport& aReport)
 {
-  sawInstanceStart_ = host_ || endedInstance_ || aReport.sequence_ <= 1;
+  sawInstanceStart_ = host_ || endedInstance_ || IsFirstReport(aNow, aReport);
   if (sawInstanceStart_) {
     UnassignFlows();
   }
 }
 
 bool
-Agent::StartsInTheFuture(TimePoint aNow, const HostReport& aReport) const
+Agent::IsFirstReport(TimePoint aNow, const HostReport& aReport) const
+{
+  if (aReport.sequence_ != 1) {
+    return aReport.sequence_ == 0;
+  }
+  const auto now = WallMillis(aNow);
+  const std::chrono::milliseconds age{ now - aReport.startMillis_ };
+  return now == 0 ||
+         (aReport.startMillis_ <= now && age < settings_.reportInterval_ / 2);
+}
+
+std::uint64_t
+Agent::WallMillis(TimePoint aNow) const
 {
   if (settings_.startMillis_ == 0) {
-    return false;
+    return 0;
   }
-  const auto age =
+  const auto uptime =
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow - start_);
-  const auto latest = settings_.startMillis_ +
-                      static_cast<std::uint64_t>(age.count()) +
-                      static_cast<std::uint64_t>(kMaxClockStep.count());
-  return aReport.startMillis_ > latest;
+  return settings_.startMillis_ + static_cast<std::uint64_t>(uptime.count());
+}
+
+bool
+Agent::StartsInTheFuture(TimePoint aNow, const HostReport& aReport) const
+{
+  const auto now = WallMillis(aNow);
+  const auto step = static_cast<std::uint64_t>(kMaxClockStep.count());
+  return now != 0 && aReport.startMillis_ > now + step;
 }
 
 bool
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -99,6 +99,8 @@
   /** Maximum lifetime of a flow; until then an agent that started after its
    * host may not know all flows of the host. */
   Duration flowTimeout_{ std::chrono::seconds{ 70 } };
+  /** Interval of the host's reports. */
+  Duration reportInterval_{ std::chrono::milliseconds{ 1200 } };
   /** A host without a report for this long gets no new flows. */
   Duration hostReportTimeout_{ std::chrono::milliseconds{ 3600 } };
   /** Requests in progress or expected per slot from which openings are
@@ -275,7 +277,15 @@
                        bool aReset,
                        Actions& aOut);
   void Forget(const FlowKey& aKey);
-  void StartRun(const HostReport& aReport);
+  void StartRun(TimePoint aNow, const HostReport& aReport);
+  /** @brief Whether no earlier report can have reached an earlier run of the
+   * agent, which would have passed flows to the host. Hosts count from 0 or
+   * from 1, so the second report of the former is the one that the latter
+   * send within half an interval of their start. */
+  [[nodiscard]] bool IsFirstReport(TimePoint aNow,
+                                   const HostReport& aReport) const;
+  /** @brief Wall clock, as far as the agent's start told it; 0: not known. */
+  [[nodiscard]] std::uint64_t WallMillis(TimePoint aNow) const;
   [[nodiscard]] bool StartsInTheFuture(TimePoint aNow,
                                        const HostReport& aReport) const;
   /**
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -352,6 +352,13 @@
   return *this;
 }
 
+RelayAgent::Builder&
+RelayAgent::Builder::WithReportInterval(Duration aInterval)
+{
+  reportInterval_ = aInterval;
+  return *this;
+}
+
 RelayAgent::Builder&
 RelayAgent::Builder::WithStart(std::uint64_t aMillis)
 {
@@ -370,6 +377,7 @@
   settings.service_ = service_;
   settings.hostReportTimeout_ = hostReportTimeout_;
   settings.startMillis_ = startMillis_;
+  settings.reportInterval_ = reportInterval_;
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        relay::Agent(settings, codec_, aNow));
   parts->hooks_ = hooks_;
--- a/src/cornelshore/role/relay_agent.hpp
+++ b/src/cornelshore/role/relay_agent.hpp
@@ -108,6 +108,8 @@
   Builder& WithHostSilence(Duration aSilence);
   /** @brief Wall clock at the start of this process, in ms since 1970. */
   Builder& WithStart(std::uint64_t aMillis);
+  /** @brief Interval of the host's reports. */
+  Builder& WithReportInterval(Duration aInterval);
 
   /** @return The agent, or `InvalidArgument` naming the setting. */
   [[nodiscard]] absl::StatusOr<std::unique_ptr<RelayAgent>> Build(
@@ -117,6 +119,7 @@
   ServiceId service_;
   relay::Codec codec_;
   Duration hostReportTimeout_{ std::chrono::milliseconds{ 3600 } };
+  Duration reportInterval_{ std::chrono::milliseconds{ 1200 } };
   std::uint64_t startMillis_{};
 };
 
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -484,6 +484,37 @@
   EXPECT_TRUE(agent_.Load(silent).accepts_);
 }
 
+// Failure guarded against: the agent beside a host that counts its reports from
+// 0 was restarted, took report 1 for the host's first, and denied open flows.
+TEST_F(AgentTest, TakesASecondReportThatIsCountedOneForNoStart)
+{
+  auto settings = SettingsOf();
+  settings.startMillis_ = 1700;
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  agent_.OnReport(kStart + milliseconds{ 500 }, ReportOf(1));
+  EXPECT_EQ(HoldingOf(kStart + milliseconds{ 500 }, 1), Holding::Unsure);
+
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  auto first = ReportOf(1);
+  first.startMillis_ = 1900;
+  agent_.OnReport(kStart + milliseconds{ 500 }, first);
+  EXPECT_EQ(HoldingOf(kStart + milliseconds{ 500 }, 1), Holding::No);
+
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  agent_.OnReport(kStart + milliseconds{ 500 }, ReportOf(0));
+  EXPECT_EQ(HoldingOf(kStart + milliseconds{ 500 }, 1), Holding::No);
+}
+
+// The wall clock stepped back since the host started: its age is not known.
+TEST_F(AgentTest, TakesAReportOfAHostThatStartsLaterForNoStart)
+{
+  auto settings = SettingsOf();
+  settings.startMillis_ = 400;
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  agent_.OnReport(kStart + milliseconds{ 500 }, ReportOf(1));
+  EXPECT_EQ(HoldingOf(kStart + milliseconds{ 500 }, 1), Holding::Unsure);
+}
+
 // Another writer's report names a start far in the future. It ended all flows
 // of the real host, whose own reports were late from then on.
 TEST_F(AgentTest, RefusesAStartInTheFuture)
