Announce an agent at its start, before its host reports to it

Callers saw open flows reset in the second after all processes had restarted. Cause: an agent became known only with its host's next report, up to 1.2 s after its start; until then balancers that agreed on the other hosts took themselves to be synchronised, and all known hosts denied the flows of the missing one. Change: an agent announces its host as starting with its first tick. Balancers search for flows there, offer none until the agent reports that the host accepts them, and hold openings of a service whose only hosts are starting. The fleet in virtual time keeps host records on the disks of its control VMs as the daemon does. This and the host records on control's disks mend the class together: before, processes that had just started took their agreement for completeness.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -140,7 +140,7 @@
   retryBudget_.First();
   if (!hosts_.Pick(aNow, flow.service_, aKey, flow.tried_)) {
     Increment(BalancerCount::NoHost);
-    if (!lastSyncedAt_) {
+    if (!lastSyncedAt_ || hosts_.AwaitsHostOf(aNow, flow.service_)) {
       Hold(aNow, aKey, std::move(flow.packets_.front()), aOut);
       return;
     }
@@ -354,6 +354,9 @@
 Balancer::OnLoad(TimePoint aNow, HostId aHost, const HostLoad& aLoad)
 {
   hosts_.OnLoad(aNow, aHost, aLoad);
+  if (aLoad.accepts_ && !held_.empty()) {
+    ScheduleResume();
+  }
 }
 
 void
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -28,18 +28,20 @@
 bool
 HostTable::Update(TimePoint aNow, const std::vector<HostRecord>& aRecords)
 {
-  auto started = false;
+  auto changed = false;
   for (const auto& record : aRecords) {
     auto& host = hosts_[record.id_];
     if (host.record_.incarnation_ != record.incarnation_) {
       host = {};
       host.firstSeenAt_ = aNow;
       watchAt_ = aNow;
-      started = true;
+      changed = true;
     }
+    changed |= record.state_ == HostState::Ready &&
+               host.record_.state_ == HostState::Starting;
     host.record_ = record;
   }
-  return started;
+  return changed;
 }
 
 void
@@ -95,16 +97,28 @@
 bool
 HostTable::AcceptsFlows(TimePoint aNow, const KnownHost& aHost) const
 {
-  if (aHost.record_.state_ != HostState::Ready) {
+  const auto state = aHost.record_.state_;
+  if (state != HostState::Ready && state != HostState::Starting) {
     return false;
   }
   if (!aHost.lastReportAt_) {
-    return AwaitsFirstLoad(aNow, aHost);
+    return state == HostState::Ready && AwaitsFirstLoad(aNow, aHost);
   }
   return aHost.load_.accepts_ &&
          aNow - *aHost.lastReportAt_ < settings_.loadValidity_;
 }
 
+bool
+HostTable::AwaitsHostOf(TimePoint aNow, ServiceId aService) const
+{
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& aRow) {
+    const auto& host = aRow.second;
+    return host.record_.service_ == aService &&
+           host.record_.state_ == HostState::Starting &&
+           aNow - host.firstSeenAt_ < settings_.firstReportTimeout_;
+  });
+}
+
 double
 HostTable::Cost(TimePoint aNow, const KnownHost& aHost)
 {
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -33,6 +33,12 @@
   Duration watchInterval_{ std::chrono::seconds{ 1 } };
   /** Retry interval until a host's first load report; several round trips. */
   Duration firstWatchInterval_{ std::chrono::milliseconds{ 200 } };
+  /** A host that was unsure of a flow is taken to be so of others for this
+   * long. */
+  Duration unsureTimeout_{ std::chrono::seconds{ 10 } };
+  /** A host whose agent has just started is expected to report to it within
+   * this time. */
+  Duration firstReportTimeout_{ std::chrono::milliseconds{ 1500 } };
   /** Cost added to a host in another data centre, as a share of its slots. */
   double remotePenalty_{ 0.3 };
   /** Load of an open flow without a request, in busy slots. */
@@ -72,7 +78,8 @@
 
   HostTable(HostTableSettings aSettings, std::uint64_t aSeed);
 
-  /** @brief Applies new host records; true when a host is new or restarted. */
+  /** @brief Applies new host records; true when a host is new, restarted or has
+   * become ready. */
   bool Update(TimePoint aNow, const std::vector<HostRecord>& aRecords);
 
   /** @brief Handles a load report; ignored for an unknown host. */
@@ -120,6 +127,10 @@
   [[nodiscard]] std::optional<HostId> PickFreeSlot(TimePoint aNow,
                                                    ServiceId aService);
 
+  /** @brief Whether the agent of a host of the service has just started and the
+   * host's first report to it is still expected. */
+  [[nodiscard]] bool AwaitsHostOf(TimePoint aNow, ServiceId aService) const;
+
   /** @brief Agents whose watch is due for renewal; marks them as renewed. */
   [[nodiscard]] std::vector<Address> TakeDueWatches(TimePoint aNow);
 
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -202,6 +202,9 @@
 
   void Handle(TimePoint aNow, Tick&, Actions& aOut)
   {
+    if (!announcedState_) {
+      Announce(aNow, aOut);
+    }
     if (node_.NextTimer() <= aNow) {
       Feed(aNow, dissemination::Tick{}, aOut);
     }
@@ -223,15 +226,19 @@
     }
   }
 
+  /** Announces the host's state when it has changed. An agent whose host has
+   * not reported yet is announced too: the host may hold flows of an earlier
+   * run. */
   void Announce(TimePoint aNow, Actions& aOut)
   {
     const auto& host = flows_.Host();
-    auto state = HostState::Gone;
+    auto state = hostReported_ ? HostState::Gone : HostState::Starting;
     if (host) {
       state = host->leaving_ ? HostState::Leaving : HostState::Ready;
+      hostReported_ = true;
       record_.slots_ = host->slots_;
     }
-    if (announcedState_ == state || (!host && !announcedState_)) {
+    if (announcedState_ == state) {
       return;
     }
     announcedState_ = state;
@@ -247,6 +254,7 @@
   HostRecord record_;
   internal::FlowLog log_;
   std::optional<HostState> announcedState_;
+  bool hostReported_{}; ///< A host has reported to this run of the agent.
   relay::LoadReports reports_{ relay::LoadReportsSettings{} };
   std::uint64_t unexpectedMessages_{};
 };
--- a/test/cornelshore/relay/host_table.cpp
+++ b/test/cornelshore/relay/host_table.cpp
@@ -49,6 +49,27 @@
   return table;
 }
 
+// Failure guarded against: a balancer did not know the host beside an agent
+// that had just started, and offered nothing once the host reported.
+TEST(HostTable, AHostIsOfferedFlowsOnceItsAgentHeardFromIt)
+{
+  HostTable table(HostTableSettings{}, 1);
+  auto record = RecordOf(1, kHere);
+  record.state_ = HostState::Starting;
+  EXPECT_TRUE(table.Update(kStart, { record }));
+  EXPECT_EQ(table.Near(kService, KeyOf(1), 0).size(), 1U);
+  EXPECT_FALSE(table.Pick(kStart, kService, KeyOf(1), {}));
+  EXPECT_TRUE(table.AwaitsHostOf(kStart, kService));
+  EXPECT_FALSE(
+    table.AwaitsHostOf(kStart + std::chrono::seconds{ 2 }, kService));
+  table.OnLoad(kStart, HostId{ 1 }, { 0, 0, 2, true, false });
+  EXPECT_TRUE(table.Pick(kStart, kService, KeyOf(1), {}));
+  record.state_ = HostState::Ready;
+  record.sequence_ = 2;
+  EXPECT_TRUE(table.Update(kStart, { record }));
+  EXPECT_FALSE(table.Update(kStart, { record }));
+}
+
 TEST(HostTable, BalancersOfADataCentreAgreeOnTheHostsNearAFlow)
 {
   const auto one = LargeTable(1);
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -339,6 +339,8 @@
   struct Disk
   {
     consensus::DurableState replica_;
+    std::vector<dissemination::HostUpdate> hosts_;
+    TimePoint hostsKeptAt_;
   };
 
   struct Process
@@ -528,7 +530,8 @@
       first.push_back({ IdAt(index), Incarnation{ 1 } });
     }
     for (std::size_t index = 0; index < shape_.control_; ++index) {
-      disks_.push_back({ consensus::BootstrapState(first[index], first) });
+      disks_.push_back(
+        { consensus::BootstrapState(first[index], first), {}, {} });
       disks_.back().replica_.hard_.durabilityProven_ = true;
     }
   }
@@ -601,6 +604,12 @@
     }
     Note(aIndex, "started");
     ScheduleTick(aIndex);
+    if (process.role_ == Role::Control && !disks_[aIndex].hosts_.empty()) {
+      const auto& disk = disks_[aIndex];
+      Feed(
+        aIndex,
+        dissemination::HostsRecovered{ disk.hosts_, now_ - disk.hostsKeptAt_ });
+    }
   }
 
   std::unique_ptr<Control> BuildControl(
@@ -732,6 +741,21 @@
       });
   }
 
+  void Execute(std::size_t aFrom, KeepHosts& aKeep)
+  {
+    After(kSyncDelay,
+          [this,
+           aFrom,
+           run = processes_[aFrom].run_,
+           hosts = std::move(aKeep.hosts_),
+           at = now_] {
+            if (processes_[aFrom].run_ == run) {
+              disks_[aFrom].hosts_ = hosts;
+              disks_[aFrom].hostsKeptAt_ = at;
+            }
+          });
+  }
+
   void Execute(std::size_t, ApplyResult& aResult)
   {
     applied_ |= aResult.status_ == consensus::ProposalStatus::Decided;
