Send a flow's packets to unsure hosts last, few at a time

Callers saw packets of an open flow reach other hosts for 2 s and more, and none its own. Cause: agents that restarted beside living hosts passed each packet of a search on to their hosts, and a balancer sent it to all hosts near the flow at once: before agents that do know had answered, while the own host's agent was still away, and again in each later search. On thin links each new host began the queries anew at the same host. Change: an agent passes on only packets marked as probes and answers a search with unsure; a balancer probes once every other host has denied the flow and its records are synchronised (two hosts earlier), one host first and few at a time, within 1.5 s, charged to the byte budget as a whole, and not while an agent is away for up to 8 s; near hosts that were unsure are queried by key. The flow's own host gets the packet once more when it is found. A host that returned a packet of a flow gets no other for a flow's life. New hosts join queries that are under way. Two tests that demanded a packet to an unsure host at once demand it after the others' denials now.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -19,11 +19,6 @@
  * peer's last retransmission arrives within this time. */
 constexpr Duration kClosedFlowRetention = std::chrono::seconds{ 4 };
 
-/** How long a host is sent no further packet of a flow that it returned. It
- * could hold the flow later only after an opening, which passes through its
- * agent; the retention bounds the memory of such flows. */
-constexpr Duration kReturnedFlowRetention = std::chrono::seconds{ 20 };
-
 /** Maximum time from the sending of a report to its arrival: the host regards a
  * report without an answer after this time as lost. */
 constexpr Duration kMaxReportDelay = std::chrono::seconds{ 1 };
@@ -50,6 +45,12 @@
   return aPurpose == Purpose::Open || aPurpose == Purpose::ForceOpen;
 }
 
+bool
+IsSearching(Purpose aPurpose) noexcept
+{
+  return aPurpose == Purpose::Search || aPurpose == Purpose::Probe;
+}
+
 } // namespace
 
 Agent::Agent(AgentSettings aSettings, Codec aCodec, TimePoint aStart)
@@ -198,12 +199,16 @@
     }
     flow.callerFinished_ |= aSegment.finishing_;
     CloseIfFinished(aNow, aKey, flow, aSegment.reset_, aOut);
-    if (aPacket.purpose_ == Purpose::Search) {
+    if (IsSearching(aPacket.purpose_)) {
       SendAnswer(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
     mark = kHeldMark;
   } else if (MayHold(aNow, aKey) && (aPacket.service_ == settings_.service_ ||
                                      aPacket.service_ == kAnyService)) {
+    if (aPacket.purpose_ == Purpose::Search) {
+      SendAnswer(aNow, aBalancer, aKey, Verdict::Unsure, aOut);
+      return;
+    }
     probes_[aKey] = { aBalancer, aNow, aPacket.purpose_ == Purpose::Direct };
     EmitDecision(aNow, FlowEvent::Probed, FlowReason::None, aKey, aOut);
   } else {
@@ -273,7 +278,7 @@
             Actions& aOut)
 {
   Increment(AgentCount::Unknown);
-  const auto searched = aPacket.purpose_ == Purpose::Search;
+  const auto searched = IsSearching(aPacket.purpose_);
   if (!searched) {
     EmitDecision(aNow, FlowEvent::Denied, FlowReason::None, aKey, aOut);
   }
@@ -591,7 +596,7 @@
   absl::erase_if(probes_, [&](const auto& aRow) {
     const auto& probe = aRow.second;
     return aNow - probe.since_ >
-           (probe.returned_ ? kReturnedFlowRetention : kClosedFlowRetention);
+           (probe.returned_ ? settings_.flowTimeout_ : kClosedFlowRetention);
   });
   const auto idle = routes_.FlowIdleTimeout();
   const auto life = idle > Duration::zero()
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -234,8 +234,10 @@
   {
     Address balancer_; ///< Notified when the host answers.
     TimePoint since_;
-    bool direct_{};   ///< The balancer believes that the host holds the flow.
-    bool returned_{}; ///< The host returned the packet.
+    bool direct_{}; ///< The balancer believes that the host holds the flow.
+    /** The host returned the packet. It is sent no further one of the flow: it
+     * could hold the flow later only after an opening, which passes here. */
+    bool returned_{};
   };
 
   void Open(TimePoint aNow,
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -297,6 +297,9 @@
     case Verdict::Unknown:
       OnDenied(aNow, aHost, aAnswer, flow, aOut);
       return;
+    case Verdict::Unsure:
+      OnUnsure(aNow, aHost, aAnswer.key_, flow, aOut);
+      return;
   }
 }
 
@@ -391,6 +394,10 @@
   if (aFlow.phase_ == Phase::Searching) {
     if (IsLost(aNow, aFlow)) {
       ResetLost(aNow, aKey, aOut);
+    } else if (aFlow.allAnswered_ && !aFlow.asked_.empty()) {
+      RetryNearbyHosts(aNow, aKey, aFlow, aOut);
+    } else if (aFlow.allAnswered_ || aFlow.waitsForUnresponsive_) {
+      Decide(aNow, aKey, aFlow, aOut);
     } else if (!aFlow.searchesAllHosts_) {
       RetryNearbyHosts(aNow, aKey, aFlow, aOut);
     }
@@ -452,7 +459,7 @@
       aOut.emplace_back(std::move(query));
     }
     for (auto& unresolved : due.unresolved_) {
-      WaitForUnresponsive(unresolved);
+      WaitForUnresponsive(aNow, unresolved, aOut);
     }
   }
   nextTimer_ = std::min(
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -141,6 +141,14 @@
   /** Minimum search time before a flow that every host denies is reset: a host
    * that has just joined may not be known here yet. */
   Duration minSearchTime_{ std::chrono::milliseconds{ 100 } };
+  /** Time for which a search waits for hosts that do not answer before it sends
+   * packets to several hosts that are unsure: an agent that restarts in a
+   * planned way is back within it, and its host may hold the flow. */
+  Duration unresponsiveWait_{ std::chrono::seconds{ 8 } };
+  /** Time from its first one within which packets of a flow are sent to unsure
+   * hosts. Packets that reach other hosts for longer, and none its own, break
+   * the flow; a search that has not ended by then goes on without packets. */
+  Duration maxProbeTime_{ std::chrono::milliseconds{ 1500 } };
   /** Maximum fleet size in which all hosts are queried for a flow that no
    * nearby host holds: two queries to this many hosts take 1 s of a link of
    * 20 Mbit/s. In larger fleets such a flow stalls until its caller gives up.
@@ -260,10 +268,17 @@
     std::uint32_t unanswered_{}; ///< Offers without an answer.
     TimePoint due_;
     TimePoint searchingSince_;
-    TimePoint searchedAt_; ///< Hosts added since then were not asked.
-    /** Nearby hosts that have not denied the flow, or unresponsive hosts. */
+    /** Nearby hosts that have not answered, or unresponsive hosts. */
     std::vector<HostId> asked_;
-    bool askedTwice_{}; ///< The nearby hosts were asked a second time.
+    std::vector<HostId> unsure_;  ///< Hosts that need a packet to tell.
+    std::vector<HostId> probed_;  ///< Sent one, and have not denied the flow.
+    std::size_t probes_{};        ///< Hosts sent a packet since `since_`.
+    std::size_t paidProbes_{};    ///< Hosts that the byte budget allowed.
+    std::size_t awaitedProbes_{}; ///< Of the last batch.
+    TimePoint firstProbeAt_;
+    TimePoint probeDue_; ///< Until then the last batch may answer.
+    bool allAnswered_{}; ///< Every known host denied it or is unsure.
+    bool askedTwice_{};  ///< The nearby hosts were asked a second time.
     bool waitsForUnresponsive_{}; ///< All responsive hosts denied it.
     bool searchesAllHosts_{};     ///< All hosts are queried.
     bool denied_{};               ///< All hosts denied it.
@@ -346,18 +361,49 @@
                         const FlowKey& aKey,
                         Flow& aFlow,
                         Actions& aOut);
-  /** @brief Limits the search to the hosts that did not answer. */
-  void WaitForUnresponsive(const FarSearch::Unresolved& aUnresolved);
+  /** @brief Limits the search to the hosts that did not answer or are unsure.
+   */
+  void WaitForUnresponsive(TimePoint aNow,
+                           const FarSearch::Unresolved& aUnresolved,
+                           Actions& aOut);
+  /** @brief Extends a search to hosts added since the last one was. */
   void ResumeSearch(TimePoint aNow,
                     const FlowKey& aKey,
                     Flow& aFlow,
+                    const std::vector<HostId>& aNewHosts,
                     Actions& aOut);
+  /** @brief Hosts added since searches were last extended to new ones. */
+  [[nodiscard]] std::vector<HostId> TakeNewHosts(TimePoint aNow);
+  /** @brief Handles the answer of a host that needs a packet to tell. */
+  void OnUnsure(TimePoint aNow,
+                HostId aHost,
+                const FlowKey& aKey,
+                Flow& aFlow,
+                Actions& aOut);
+  /**
+   * @brief Takes the next step of a search once hosts have answered.
+   *
+   * A packet passed on by an unsure agent reaches a host that may not hold the
+   * flow. More than two of them are therefore sent packets only once every
+   * other host has denied the flow, few at first, and only for a short time.
+   */
+  void Decide(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
+  /** @brief Whether packets were sent to unsure hosts for too long. */
+  [[nodiscard]] bool HasProbedTooLong(TimePoint aNow, const Flow& aFlow) const;
+  /** @brief Sends the flow's last packet to the next unsure hosts, nearby ones
+   * first: one host, then another, then twice as many each time. The byte
+   * budget is charged for all of them before the first, so that none is left
+   * out. */
+  void Probe(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   /** @brief Sends the flow's last packet to the hosts; false: byte budget
    * exhausted. */
   bool SendSearch(TimePoint aNow,
+                  Purpose aPurpose,
                   const std::vector<HostId>& aHosts,
                   Flow& aFlow,
                   Actions& aOut);
+  /** @brief Removes hosts that are gone from the search. */
+  void DropGoneHosts(Flow& aFlow) const;
   void NoteDenied(TimePoint aNow, const FlowKey& aKey, Flow& aFlow);
   void SendWaiting(Flow& aFlow, Actions& aOut);
   void ResetLost(TimePoint aNow, const FlowKey& aKey, Actions& aOut);
@@ -416,6 +462,7 @@
   /** Hosts, routes or records have changed: earlier denials may be outdated
    * until the next tick. */
   bool resumePending_{};
+  TimePoint newHostsSince_{}; ///< Searches go on to hosts added since then.
   std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Timers of flows.
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -21,6 +21,13 @@
  * them would fill a link. */
 constexpr std::size_t kMaxProbedUnresponsive = 4;
 
+/** Hosts that may be sent a packet of a flow before every other host has denied
+ * it. A flow counts as sent elsewhere from three hosts on. */
+constexpr std::size_t kMaxEarlyProbes = 2;
+
+/** Most hosts sent a packet of a flow at a time. */
+constexpr std::size_t kMaxProbesAtOnce = 8;
+
 constexpr std::uint64_t kMaxLinkBytesPerSecond = 1'250'000;
 constexpr std::uint32_t kSearchShareOfLink = 8;
 constexpr std::uint32_t kBurstSeconds = 2;
@@ -50,9 +57,15 @@
 {
   Increment(BalancerCount::Searched);
   aFlow.phase_ = Phase::Searching;
-  aFlow.since_ = aFlow.searchingSince_ = aFlow.searchedAt_ = aNow;
+  aFlow.since_ = aFlow.searchingSince_ = aNow;
   aFlow.searchesAllHosts_ = aFlow.denied_ = false;
   aFlow.askedTwice_ = aFlow.waitsForUnresponsive_ = aFlow.unsent_ = false;
+  aFlow.allAnswered_ = false;
+  aFlow.unsure_.clear();
+  aFlow.probed_.clear();
+  aFlow.probes_ = aExcept ? 1 : 0;
+  aFlow.awaitedProbes_ = aFlow.paidProbes_ = 0;
+  aFlow.probeDue_ = aFlow.firstProbeAt_ = aNow;
   EmitDecision(aNow, FlowEvent::Searched, aKey, aFlow, aOut);
   aFlow.asked_ = hosts_.Near(aFlow.service_, aKey, kExtraNearbyHosts);
   if (aExcept) {
@@ -72,8 +85,12 @@
                          Flow& aFlow,
                          Actions& aOut)
 {
-  if (searchBudget_.HasShareLeft(aNow, settings_.searchReserve_) &&
-      SendSearch(aNow, aFlow.asked_, aFlow, aOut)) {
+  const auto unsure =
+    std::any_of(aFlow.asked_.begin(), aFlow.asked_.end(), [&](HostId aHost) {
+      return hosts_.WasUnsure(aNow, aHost);
+    });
+  if (!unsure && searchBudget_.HasShareLeft(aNow, settings_.searchReserve_) &&
+      SendSearch(aNow, Purpose::Search, aFlow.asked_, aFlow, aOut)) {
     return;
   }
   aFlow.unsent_ = true;
@@ -97,6 +114,7 @@
 
 bool
 Balancer::SendSearch(TimePoint aNow,
+                     Purpose aPurpose,
                      const std::vector<HostId>& aHosts,
                      Flow& aFlow,
                      Actions& aOut)
@@ -109,7 +127,7 @@
     return false;
   }
   for (const auto host : aHosts) {
-    Send(host, Purpose::Search, kAnyService, packet, aOut);
+    Send(host, aPurpose, kAnyService, packet, aOut);
   }
   return true;
 }
@@ -129,30 +147,146 @@
     ResetLost(aNow, aKey, aOut);
     return;
   }
-  std::erase_if(aFlow.asked_, [&](HostId aHost) {
-    const auto* host = hosts_.Find(aHost);
-    return host == nullptr || host->record_.state_ == HostState::Gone;
-  });
+  DropGoneHosts(aFlow);
+  if (!aFlow.probed_.empty() && aFlow.unsure_.empty()) {
+    SendSearch(aNow, Purpose::Probe, aFlow.probed_, aFlow, aOut);
+    return;
+  }
+  if (aFlow.allAnswered_ && HasProbedTooLong(aNow, aFlow)) {
+    near_.Add(aNow,
+              aKey,
+              AcknowledgedBy(aFlow),
+              hosts_.Near(aFlow.service_, aKey, kExtraNearbyHosts));
+    nextTimer_ = std::min(nextTimer_, near_.Next());
+    return;
+  }
+  if (aFlow.allAnswered_ && aFlow.asked_.empty()) {
+    Decide(aNow, aKey, aFlow, aOut);
+    return;
+  }
   const auto manyUnresponsive =
     aFlow.waitsForUnresponsive_ && aFlow.asked_.size() > kMaxProbedUnresponsive;
   if (!aFlow.searchesAllHosts_ && (aFlow.asked_.empty() || manyUnresponsive)) {
     SearchAllHosts(aNow, aKey, aFlow);
-  } else if (!aFlow.searchesAllHosts_ && !near_.IsQueued(aKey)) {
+  } else if (aFlow.searchesAllHosts_ && !aFlow.allAnswered_) {
+    if (!aFlow.denied_) {
+      QueueQuery(aNow, aKey, aFlow);
+    }
+  } else if (!near_.IsQueued(aKey)) {
     AskNearbyHosts(aNow, aKey, aFlow, aOut);
-  } else if (aFlow.searchesAllHosts_ && !aFlow.denied_) {
-    QueueQuery(aNow, aKey, aFlow);
   }
 }
 
+void
+Balancer::DropGoneHosts(Flow& aFlow) const
+{
+  for (auto* hosts : { &aFlow.asked_, &aFlow.unsure_, &aFlow.probed_ }) {
+    std::erase_if(*hosts, [&](HostId aHost) {
+      const auto* host = hosts_.Find(aHost);
+      return host == nullptr || host->record_.state_ == HostState::Gone;
+    });
+  }
+}
+
+void
+Balancer::OnUnsure(TimePoint aNow,
+                   HostId aHost,
+                   const FlowKey& aKey,
+                   Flow& aFlow,
+                   Actions& aOut)
+{
+  if (aFlow.phase_ == Phase::Searching && std::erase(aFlow.asked_, aHost) > 0) {
+    hosts_.NoteUnsure(aNow, aHost);
+    aFlow.unsure_.push_back(aHost);
+    Decide(aNow, aKey, aFlow, aOut);
+  }
+}
+
+void
+Balancer::Decide(TimePoint aNow,
+                 const FlowKey& aKey,
+                 Flow& aFlow,
+                 Actions& aOut)
+{
+  if (aNow < aFlow.probeDue_ || aFlow.denied_) {
+    return;
+  }
+  const auto allAsked =
+    aFlow.allAnswered_ || Hosts() > settings_.maxSearchedHosts_;
+  const auto few = aFlow.probes_ + aFlow.unsure_.size() <= kMaxEarlyProbes;
+  const auto waited = aFlow.waitsForUnresponsive_ &&
+                      aNow - aFlow.since_ >= settings_.unresponsiveWait_;
+  const auto answered = aFlow.asked_.empty() || aFlow.waitsForUnresponsive_;
+  const auto complete = lastSyncedAt_ && (allAsked || waited);
+  const auto mayProbe = (few || complete) && !HasProbedTooLong(aNow, aFlow);
+  if (!aFlow.unsure_.empty() && answered) {
+    if (mayProbe) {
+      Probe(aNow, aKey, aFlow, aOut);
+    } else if (!aFlow.searchesAllHosts_ && !aFlow.waitsForUnresponsive_) {
+      SearchAllHosts(aNow, aKey, aFlow);
+    }
+  } else if (!aFlow.asked_.empty() || aFlow.searchesAllHosts_) {
+    if (aFlow.allAnswered_ && answered && aFlow.unsure_.empty() &&
+        aFlow.probed_.empty()) {
+      NoteDenied(aNow, aKey, aFlow);
+    }
+  } else {
+    SearchAllHosts(aNow, aKey, aFlow);
+  }
+}
+
+void
+Balancer::Probe(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
+{
+  const auto near = hosts_.Near(aFlow.service_, aKey, kExtraNearbyHosts);
+  auto& unsure = aFlow.unsure_;
+  const auto farHosts =
+    std::stable_partition(unsure.begin(), unsure.end(), [&](HostId aHost) {
+      return std::find(near.begin(), near.end(), aHost) != near.end();
+    });
+  aFlow.probeDue_ = aNow + settings_.openTimeout_;
+  ScheduleAt(aFlow.probeDue_, aKey, aFlow);
+  const auto& packet = aFlow.packets_.back();
+  if (aFlow.paidProbes_ == 0) {
+    const auto nearHosts = static_cast<std::size_t>(farHosts - unsure.begin());
+    const auto count = nearHosts > 0 ? nearHosts : unsure.size();
+    if (!searchBudget_.TrySpend(
+          aNow, packet.size() * count, dissemination::Priority::Normal)) {
+      Increment(BalancerCount::SearchDenied);
+      return;
+    }
+    aFlow.paidProbes_ = count;
+  }
+  const auto count =
+    std::min({ std::clamp<std::size_t>(aFlow.probes_, 1, kMaxProbesAtOnce),
+               aFlow.paidProbes_,
+               unsure.size() });
+  const auto last = unsure.begin() + static_cast<std::ptrdiff_t>(count);
+  for (auto host = unsure.begin(); host != last; ++host) {
+    Send(*host, Purpose::Probe, kAnyService, packet, aOut);
+    aFlow.probed_.push_back(*host);
+  }
+  unsure.erase(unsure.begin(), last);
+  aFlow.paidProbes_ -= count;
+  aFlow.awaitedProbes_ = count;
+  aFlow.firstProbeAt_ = aFlow.probes_ == 0 ? aNow : aFlow.firstProbeAt_;
+  aFlow.probes_ += count;
+  aFlow.unsent_ = true;
+}
+
+bool
+Balancer::HasProbedTooLong(TimePoint aNow, const Flow& aFlow) const
+{
+  return aFlow.probes_ >= kMaxEarlyProbes &&
+         aNow - aFlow.firstProbeAt_ >= settings_.maxProbeTime_;
+}
+
 void
 Balancer::RetryNearbyHosts(TimePoint aNow,
                            const FlowKey& aKey,
                            Flow& aFlow,
                            Actions& aOut)
 {
-  if (aFlow.waitsForUnresponsive_) {
-    return;
-  }
   if (near_.IsQueued(aKey)) {
     ScheduleAt(aNow + settings_.openTimeout_, aKey, aFlow);
     return;
@@ -166,7 +300,9 @@
 }
 
 void
-Balancer::WaitForUnresponsive(const FarSearch::Unresolved& aUnresolved)
+Balancer::WaitForUnresponsive(TimePoint aNow,
+                              const FarSearch::Unresolved& aUnresolved,
+                              Actions& aOut)
 {
   const auto found = flows_.find(aUnresolved.key_);
   if (found == flows_.end() || found->second.phase_ != Phase::Searching) {
@@ -176,6 +312,12 @@
   flow.searchesAllHosts_ = false;
   flow.waitsForUnresponsive_ = true;
   flow.asked_ = aUnresolved.unresponsive_;
+  flow.unsure_ = aUnresolved.unsure_;
+  if (!flow.unsure_.empty()) {
+    ScheduleAt(
+      flow.since_ + settings_.unresponsiveWait_, aUnresolved.key_, flow);
+    Decide(aNow, aUnresolved.key_, flow, aOut);
+  }
 }
 
 void
@@ -185,7 +327,10 @@
     return;
   }
   aFlow.searchesAllHosts_ = true;
-  aFlow.waitsForUnresponsive_ = false;
+  aFlow.waitsForUnresponsive_ = aFlow.allAnswered_ = false;
+  aFlow.asked_.clear();
+  aFlow.unsure_.clear();
+  aFlow.probed_.clear();
   aFlow.searchingSince_ = aNow;
   QueueQuery(aNow, aKey, aFlow);
   ScheduleAt(aNow + settings_.minSearchTime_, aKey, aFlow);
@@ -255,12 +400,14 @@
       aFlow.packets_.size() < settings_.maxBufferedPackets_) {
     aFlow.packets_.push_back(std::move(aAnswer.packet_));
   }
-  if (aFlow.searchesAllHosts_) {
-    if (far_.OnDenied(aHost, aAnswer.key_)) {
-      NoteDenied(aNow, aAnswer.key_, aFlow);
-    }
-  } else if (std::erase(aFlow.asked_, aHost) > 0 && aFlow.asked_.empty()) {
-    SearchAllHosts(aNow, aAnswer.key_, aFlow);
+  const auto probed = std::erase(aFlow.probed_, aHost);
+  if (probed > 0 && aFlow.awaitedProbes_ > 0 && --aFlow.awaitedProbes_ == 0) {
+    aFlow.probeDue_ = aNow;
+  }
+  if (probed + std::erase(aFlow.asked_, aHost) +
+        std::erase(aFlow.unsure_, aHost) >
+      0) {
+    Decide(aNow, aAnswer.key_, aFlow, aOut);
   }
 }
 
@@ -289,12 +436,17 @@
     holds.verdict_ = Verdict::Holds;
     OnTaken(aNow, holds, aHost, aFlow, aOut);
   });
-  eachFlow(findings.unsure_, [&](const FlowKey&, Flow& aFlow) {
-    SendSearch(aNow, { aHost }, aFlow, aOut);
-  });
   eachFlow(findings.denied_, [&](const FlowKey& aKey, Flow& aFlow) {
     NoteDenied(aNow, aKey, aFlow);
   });
+  for (const auto& undecided : findings.undecided_) {
+    eachFlow({ undecided.key_ }, [&](const FlowKey& aKey, Flow& aFlow) {
+      aFlow.allAnswered_ = true;
+      aFlow.unsure_ = undecided.unsure_;
+      aFlow.paidProbes_ = 0;
+      Decide(aNow, aKey, aFlow, aOut);
+    });
+  }
 }
 
 void
@@ -327,7 +479,7 @@
   for (const auto& key : findings.unsure_) {
     const auto found = flows_.find(key);
     if (found != flows_.end() && found->second.phase_ == Phase::Searching) {
-      SendSearch(aNow, { aHost }, found->second, aOut);
+      OnUnsure(aNow, aHost, key, found->second, aOut);
     }
   }
 }
@@ -355,37 +507,59 @@
       again->second.since_ = opening.since_;
     }
   }
+  const auto newHosts = TakeNewHosts(aNow);
+  far_.AddHosts(newHosts);
+  nextTimer_ = std::min(nextTimer_, far_.Next());
   for (auto& [key, flow] : flows_) {
     if (flow.phase_ == Phase::Searching) {
-      ResumeSearch(aNow, key, flow, aOut);
+      ResumeSearch(aNow, key, flow, newHosts, aOut);
     }
   }
 }
 
+std::vector<HostId>
+Balancer::TakeNewHosts(TimePoint aNow)
+{
+  std::vector<HostId> added;
+  for (const auto& [id, host] : hosts_.All()) {
+    if (host.firstSeenAt_ >= newHostsSince_ &&
+        host.record_.state_ != HostState::Gone) {
+      added.push_back(id);
+    }
+  }
+  newHostsSince_ = aNow + Duration{ 1 };
+  return added;
+}
+
 void
 Balancer::ResumeSearch(TimePoint aNow,
                        const FlowKey& aKey,
                        Flow& aFlow,
+                       const std::vector<HostId>& aNewHosts,
                        Actions& aOut)
 {
-  const auto& all = hosts_.All();
-  const auto newHosts =
-    std::any_of(all.begin(), all.end(), [&](const auto& aRow) {
-      return aRow.second.firstSeenAt_ >= aFlow.searchedAt_;
+  const auto all = aFlow.searchesAllHosts_;
+  const auto answered = aFlow.allAnswered_ || aFlow.denied_;
+  auto added = aNewHosts;
+  if (!all) {
+    const auto near = hosts_.Near(aFlow.service_, aKey, kExtraNearbyHosts);
+    std::erase_if(added, [&](HostId aHost) {
+      return std::find(near.begin(), near.end(), aHost) == near.end();
     });
-  if (newHosts && aFlow.searchesAllHosts_) {
-    aFlow.denied_ = false;
-    far_.Forget(aKey);
-    QueueQuery(aNow, aKey, aFlow);
-  } else if (newHosts) {
-    auto near = hosts_.Near(aFlow.service_, aKey, kExtraNearbyHosts);
-    std::erase_if(near, [&](HostId aHost) {
-      return hosts_.Find(aHost)->firstSeenAt_ < aFlow.searchedAt_;
-    });
-    aFlow.asked_.insert(aFlow.asked_.end(), near.begin(), near.end());
+  }
+  if (!added.empty() && (!all || answered)) {
+    for (const auto host : added) {
+      for (auto* hosts : { &aFlow.asked_, &aFlow.unsure_, &aFlow.probed_ }) {
+        std::erase(*hosts, host);
+      }
+      aFlow.asked_.push_back(host);
+    }
+    aFlow.allAnswered_ = answered;
+    aFlow.denied_ = aFlow.askedTwice_ = false;
     AskNearbyHosts(aNow, aKey, aFlow, aOut);
+  } else if (aFlow.allAnswered_) {
+    Decide(aNow, aKey, aFlow, aOut);
   }
-  aFlow.searchedAt_ = aNow + Duration{ 1 };
   if (aFlow.due_ <= aNow) {
     ScheduleAt(aNow + settings_.minSearchTime_, aKey, aFlow);
   }
--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -39,6 +39,25 @@
   EraseResolved();
 }
 
+void
+FarSearch::AddHosts(const std::vector<HostId>& aHosts)
+{
+  for (auto& [id, open] : open_) {
+    if (open.sentAt_ == TimePoint{}) {
+      continue;
+    }
+    for (const auto host : aHosts) {
+      std::erase(open.answered_, host);
+      for (auto* hosts : { &open.awaited_, &open.unsent_ }) {
+        if (std::find(hosts->begin(), hosts->end(), host) == hosts->end()) {
+          hosts->push_back(host);
+        }
+      }
+    }
+  }
+  next_ = open_.empty() ? next_ : TimePoint{};
+}
+
 void
 FarSearch::Resolve(const FlowKey& aKey)
 {
@@ -89,7 +108,10 @@
 }
 
 void
-FarSearch::ListHosts(TimePoint aNow, Open& aOpen, const HostTable& aHosts) const
+FarSearch::ListHosts(TimePoint aNow,
+                     std::uint32_t aId,
+                     Open& aOpen,
+                     const HostTable& aHosts) const
 {
   aOpen.awaited_.clear();
   for (const auto& [id, host] : aHosts.All()) {
@@ -103,6 +125,12 @@
     }
   }
   aOpen.unsent_ = aOpen.awaited_;
+  if (!aOpen.unsent_.empty()) {
+    const auto first = aId % aOpen.unsent_.size();
+    std::rotate(aOpen.unsent_.begin(),
+                aOpen.unsent_.begin() + static_cast<std::ptrdiff_t>(first),
+                aOpen.unsent_.end());
+  }
   aOpen.sentAt_ = aNow;
 }
 
@@ -137,10 +165,7 @@
     if (item.resolved_) {
       continue;
     }
-    auto unresponsive = aOpen.awaited_;
-    unresponsive.insert(
-      unresponsive.end(), item.unsure_.begin(), item.unsure_.end());
-    aOut.push_back({ item.flow_.key_, std::move(unresponsive) });
+    aOut.push_back({ item.flow_.key_, aOpen.awaited_, item.unsure_ });
     queryOf_.erase(item.flow_.key_);
   }
 }
@@ -166,7 +191,7 @@
     const auto again = open.unsent_.empty() && budget_ > 0 &&
                        aNow - open.sentAt_ >= settings_.retryInterval_;
     if (first || again) {
-      ListHosts(aNow, open, aHosts);
+      ListHosts(aNow, id, open, aHosts);
     }
     SendQuery(aNow, id, open, aHosts, due.queries_);
     if (!open.wasSentToAll_) {
@@ -186,14 +211,19 @@
 }
 
 void
-FarSearch::CollectDenied(Open& aOpen, std::vector<FlowKey>& aDenied)
+FarSearch::CollectAnswered(const Open& aOpen, Findings& aOut)
 {
   if (!aOpen.awaited_.empty() || aOpen.answered_.empty()) {
     return;
   }
   for (const auto& item : aOpen.items_) {
-    if (!item.resolved_ && item.unsure_.empty()) {
-      aDenied.push_back(item.flow_.key_);
+    if (item.resolved_) {
+      continue;
+    }
+    if (item.unsure_.empty()) {
+      aOut.denied_.push_back(item.flow_.key_);
+    } else {
+      aOut.undecided_.push_back({ item.flow_.key_, item.unsure_ });
     }
   }
 }
@@ -221,42 +251,20 @@
       findings.held_.push_back(item.flow_.key_);
     } else if (aAnswer.holdings_[index] == Holding::Unsure) {
       item.unsure_.push_back(aHost);
-      findings.unsure_.push_back(item.flow_.key_);
     }
   }
   for (const auto& key : findings.held_) {
     Resolve(key);
   }
-  CollectDenied(open, findings.denied_);
+  CollectAnswered(open, findings);
   for (const auto& key : findings.denied_) {
     Resolve(key);
   }
+  for (const auto& undecided : findings.undecided_) {
+    Resolve(undecided.key_);
+  }
   EraseResolved();
   return findings;
 }
 
-bool
-FarSearch::OnDenied(HostId aHost, const FlowKey& aKey)
-{
-  const auto place = queryOf_.find(aKey);
-  const auto found =
-    place == queryOf_.end() ? open_.end() : open_.find(place->second);
-  if (found == open_.end()) {
-    return false;
-  }
-  for (auto& item : found->second.items_) {
-    if (item.flow_.key_ == aKey) {
-      std::erase(item.unsure_, aHost);
-    }
-  }
-  std::vector<FlowKey> denied;
-  CollectDenied(found->second, denied);
-  const auto lost = std::find(denied.begin(), denied.end(), aKey);
-  if (lost == denied.end()) {
-    return false;
-  }
-  Forget(aKey);
-  return true;
-}
-
 } // namespace cornelshore::relay
--- a/src/cornelshore/relay/far_search.hpp
+++ b/src/cornelshore/relay/far_search.hpp
@@ -60,11 +60,20 @@
     Query query_;
   };
 
-  /** @brief A flow denied by all hosts except those that did not answer. */
+  /** @brief A flow that some hosts can tell only by a packet. */
+  struct Undecided
+  {
+    FlowKey key_;
+    std::vector<HostId> unsure_;
+  };
+
+  /** @brief A flow denied by all hosts except those that did not answer or are
+   * unsure. */
   struct Unresolved
   {
     FlowKey key_;
     std::vector<HostId> unresponsive_;
+    std::vector<HostId> unsure_;
   };
 
   /** @brief Queries to send and searches that timed out. */
@@ -78,8 +87,9 @@
   struct Findings
   {
     std::vector<FlowKey> held_;   ///< Held by the host that answered.
-    std::vector<FlowKey> unsure_; ///< The host needs a packet to decide.
     std::vector<FlowKey> denied_; ///< Denied by every host.
+    /** All hosts have answered, none holds the flow and some are unsure. */
+    std::vector<Undecided> undecided_;
   };
 
   explicit FarSearch(FarSearchSettings aSettings);
@@ -91,6 +101,9 @@
   /** @brief Cancels the search for a flow. */
   void Forget(const FlowKey& aKey);
 
+  /** @brief Adds new hosts to the queries that were sent already. */
+  void AddHosts(const std::vector<HostId>& aHosts);
+
   /** @brief Returns the queries that are due and the unresolved searches. */
   [[nodiscard]] Due Take(TimePoint aNow, const HostTable& aHosts);
 
@@ -100,10 +113,6 @@
   /** @brief Handles a host's answer; late and malformed ones have no effect. */
   [[nodiscard]] Findings OnAnswer(HostId aHost, const QueryAnswer& aAnswer);
 
-  /** @brief Handles the denial of a host that was unsure; true when every host
-   * has denied the flow. */
-  bool OnDenied(HostId aHost, const FlowKey& aKey);
-
 private:
   struct Flow
   {
@@ -114,7 +123,7 @@
   struct Item
   {
     Flow flow_;
-    std::vector<HostId> unsure_; ///< Hosts that are sent a packet of it.
+    std::vector<HostId> unsure_; ///< Hosts that need a packet to tell.
     bool resolved_{};
   };
 
@@ -132,16 +141,20 @@
   void StartQueries(TimePoint aNow);
   void Refill(TimePoint aNow);
   void ReportUnresolved(Open& aOpen, std::vector<Unresolved>& aOut);
-  /** @brief Lists the hosts that have not answered as those to query. */
-  void ListHosts(TimePoint aNow, Open& aOpen, const HostTable& aHosts) const;
+  /** @brief Lists the hosts that have not answered as those to query, each
+   * query beginning at another host. */
+  void ListHosts(TimePoint aNow,
+                 std::uint32_t aId,
+                 Open& aOpen,
+                 const HostTable& aHosts) const;
   /** @brief Sends the query to the next hosts, within the budget. */
   void SendQuery(TimePoint aNow,
                  std::uint32_t aId,
                  Open& aOpen,
                  const HostTable& aHosts,
                  std::vector<Outgoing>& aOut);
-  /** @brief Appends the items that every host denied. */
-  static void CollectDenied(Open& aOpen, std::vector<FlowKey>& aDenied);
+  /** @brief Adds the items that no host holds, once all have answered. */
+  static void CollectAnswered(const Open& aOpen, Findings& aOut);
   void Resolve(const FlowKey& aKey);
   void EraseResolved();
 
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -79,6 +79,22 @@
   }
 }
 
+void
+HostTable::NoteUnsure(TimePoint aNow, HostId aHost)
+{
+  if (const auto found = hosts_.find(aHost); found != hosts_.end()) {
+    found->second.unsureAt_ = aNow;
+  }
+}
+
+bool
+HostTable::WasUnsure(TimePoint aNow, HostId aHost) const
+{
+  const auto* host = Find(aHost);
+  return host != nullptr && host->unsureAt_ &&
+         aNow - *host->unsureAt_ < settings_.unsureTimeout_;
+}
+
 void
 HostTable::NoteOffered(HostId aHost)
 {
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -60,6 +60,7 @@
   TimePoint firstSeenAt_;
   TimePoint watchedAt_;
   TimePoint suspectUntil_;
+  std::optional<TimePoint> unsureAt_; ///< Last answered that it is unsure.
   Duration suspicion_{};
   std::uint32_t offered_{}; ///< Openings sent since the last load report.
 };
@@ -91,6 +92,14 @@
   /** @brief Ends the backoff of a host that answered an opening. */
   void ClearSuspicion(HostId aHost);
 
+  /** @brief Notes that a host's agent needs a packet to tell whether the host
+   * holds a flow. */
+  void NoteUnsure(TimePoint aNow, HostId aHost);
+
+  /** @brief Whether it did lately, so that a packet would tell nothing more
+   * than a query. */
+  [[nodiscard]] bool WasUnsure(TimePoint aNow, HostId aHost) const;
+
   /** @brief Counts an opening offered to a host towards its load. */
   void NoteOffered(HostId aHost);
 
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -19,15 +19,17 @@
   Open,      ///< Accept the flow, or refuse it.
   ForceOpen, ///< As `Open`, even if all slots are busy: other hosts are too.
   Direct,    ///< The balancer believes that the host holds the flow.
-  Search,    ///< Sent to several hosts; the one that holds the flow accepts it.
+  Search, ///< Sent to several hosts; an agent that knows the flow accepts it.
+  Probe,  ///< The host may hold the flow: the agent passes it on and reports.
 };
 
 /** @brief Names of `Purpose`. */
-inline constexpr std::array<EnumName<Purpose>, 4> kPurposeNames{ {
+inline constexpr std::array<EnumName<Purpose>, 5> kPurposeNames{ {
   { Purpose::Open, "open" },
   { Purpose::ForceOpen, "insist" },
   { Purpose::Direct, "direct" },
   { Purpose::Search, "search" },
+  { Purpose::Probe, "probe" },
 } };
 
 /** @brief Any service: used for open flows whose service is not known. */
@@ -64,15 +66,17 @@
   Busy,    ///< Not accepted: all slots are in use; another host may be free.
   Refused, ///< Not accepted: host leaving, full, or routed elsewhere.
   Unknown, ///< The host does not hold the flow.
+  Unsure,  ///< The agent must probe its host with a packet to tell.
 };
 
 /** @brief Names of `Verdict`. */
-inline constexpr std::array<EnumName<Verdict>, 5> kVerdictNames{ {
+inline constexpr std::array<EnumName<Verdict>, 6> kVerdictNames{ {
   { Verdict::Opened, "opened" },
   { Verdict::Holds, "holds" },
   { Verdict::Busy, "busy" },
   { Verdict::Refused, "refused" },
   { Verdict::Unknown, "unknown" },
+  { Verdict::Unsure, "unsure" },
 } };
 
 /** @brief Agent to balancer: outcome of a relayed packet. */
--- a/src/cornelshore/role/message.cpp
+++ b/src/cornelshore/role/message.cpp
@@ -22,8 +22,9 @@
 PurposeOfRelay(const relay::Message& aMessage) noexcept
 {
   if (const auto* packet = std::get_if<relay::RelayedPacket>(&aMessage)) {
-    return packet->purpose_ == relay::Purpose::Search ? TrafficPurpose::Searched
-                                                      : TrafficPurpose::Relayed;
+    const auto searched = packet->purpose_ == relay::Purpose::Search ||
+                          packet->purpose_ == relay::Purpose::Probe;
+    return searched ? TrafficPurpose::Searched : TrafficPurpose::Relayed;
   }
   if (std::holds_alternative<relay::Answer>(aMessage)) {
     return TrafficPurpose::Answer;
--- a/src/cornelshore/wire/relay_codec.cpp
+++ b/src/cornelshore/wire/relay_codec.cpp
@@ -21,7 +21,7 @@
 void
 DecodeBody(Reader& aReader, relay::RelayedPacket& aMessage)
 {
-  aMessage.purpose_ = aReader.Enumerator(relay::Purpose::Search);
+  aMessage.purpose_ = aReader.Enumerator(relay::Purpose::Probe);
   aReader.Read(aMessage.service_);
   aReader.Read(aMessage.version_);
   aMessage.packet_ = aReader.Bytes(kMostSegmentBytes);
@@ -60,7 +60,7 @@
 DecodeBody(Reader& aReader, relay::Answer& aMessage)
 {
   aReader.Read(aMessage.key_);
-  aMessage.verdict_ = aReader.Enumerator(relay::Verdict::Unknown);
+  aMessage.verdict_ = aReader.Enumerator(relay::Verdict::Unsure);
   DecodeBody(aReader, aMessage.load_);
   aMessage.packet_ = aReader.Bytes(kMostSegmentBytes);
 }
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -305,10 +305,20 @@
             Verdict::Unknown);
 }
 
-TEST_F(AgentTest, ProbesTheHostForFlowsThatMayPredateTheAgent)
+// Failure guarded against: agents that restarted passed each packet of a search
+// to their hosts, so that the packets of one flow reached several other hosts.
+TEST_F(AgentTest, PassesNoPacketOfASearchToAHostThatMayNotHoldTheFlow)
 {
   agent_.OnReport(kStart, ReportOf(40));
   const auto actions = Carry(kStart, Purpose::Search, FromCaller(1, false));
+  EXPECT_FALSE(Delivered(actions));
+  EXPECT_EQ(VerdictIn(actions), Verdict::Unsure);
+}
+
+TEST_F(AgentTest, ProbesTheHostForFlowsThatMayPredateTheAgent)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  const auto actions = Carry(kStart, Purpose::Probe, FromCaller(1, false));
   EXPECT_TRUE(Delivered(actions));
   EXPECT_EQ(VerdictIn(actions), std::nullopt);
   EXPECT_EQ(VerdictIn(HostSends(kStart, FromHostTo(1, false))), Verdict::Holds);
@@ -317,8 +327,7 @@
 TEST_F(AgentTest, DeniesAFlowWhoseProbeTheHostReturned)
 {
   agent_.OnReport(kStart, ReportOf(40));
-  auto packet =
-    *Delivered(Carry(kStart, Purpose::Search, FromCaller(1, false)));
+  auto packet = *Delivered(Carry(kStart, Purpose::Probe, FromCaller(1, false)));
   packet.returned_ = true;
   EXPECT_EQ(VerdictIn(HostSends(kStart, packet)), Verdict::Unknown);
 }
@@ -327,10 +336,11 @@
 {
   agent_.OnReport(kStart, ReportOf(40));
   const auto sent = FromCaller(1, false);
-  auto packet = *Delivered(Carry(kStart, Purpose::Search, sent));
+  auto packet = *Delivered(Carry(kStart, Purpose::Probe, sent));
   packet.returned_ = true;
   HostSends(kStart, packet);
-  for (const auto purpose : { Purpose::Search, Purpose::Direct }) {
+  for (const auto purpose :
+       { Purpose::Search, Purpose::Probe, Purpose::Direct }) {
     const auto actions = Carry(kStart, purpose, sent);
     EXPECT_FALSE(Delivered(actions));
     EXPECT_EQ(VerdictIn(actions), Verdict::Unknown);
--- a/test/cornelshore/relay/balancer_search.cpp
+++ b/test/cornelshore/relay/balancer_search.cpp
@@ -140,23 +140,160 @@
   EXPECT_EQ(SentBy(actions), 5U + WatchedIn(actions).size());
 }
 
-TEST_F(BalancerTest, SendsThePacketToAHostThatIsUnsure)
+TEST_F(BalancerTest, SendsThePacketToAHostThatIsUnsureOnceTheOthersDeniedIt)
 {
   const auto packet = FromCaller(1, kBoardAddress, false);
   const auto query = DeniedNearby(kStart, packet);
   const auto now = kStart + kGather;
-  const auto actions = Reply(now, 12, query, Holding::Unsure);
-  ASSERT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 12 });
-  EXPECT_EQ(OfferIn(actions).relayedPacket_.purpose_, Purpose::Search);
-  for (const std::uint64_t host : { 1U, 2U, 3U, 11U }) {
-    Reply(now, host, query, Holding::No);
+  EXPECT_EQ(SentBy(Reply(now, 12, query, Holding::Unsure)), 0U);
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    EXPECT_EQ(SentBy(Reply(now, host, query, Holding::No)), 0U);
   }
+  const auto actions = Reply(now, 11, query, Holding::No);
+  ASSERT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(OfferIn(actions).relayedPacket_.purpose_, Purpose::Probe);
   const auto due = kStart + milliseconds{ 200 };
   EXPECT_EQ(ResetsIn(Packet(due, packet)), 0U);
   Answer(due, 12, packet, Verdict::Unknown);
   EXPECT_EQ(ResetsIn(Packet(due, packet)), 1U);
 }
 
+/** A balancer that has just started, beside agents that have, too: nearby hosts
+ * 1 to 3 are unsure of each flow. */
+class UnsureHosts : public BalancerTest
+{
+protected:
+  /** Lets the nearby hosts answer and returns the query to all hosts. */
+  Query UnsureNearby(TimePoint aNow)
+  {
+    for (const auto host : HostsOf(Packet(aNow, packet_))) {
+      EXPECT_EQ(SentBy(Answer(aNow, host, packet_, Verdict::Unsure)), 0U);
+    }
+    Balancer::Actions actions;
+    balancer_.Tick(aNow + kGather, actions);
+    Query query;
+    EXPECT_EQ(QueriedIn(actions, &query),
+              (std::set<std::uint64_t>{ 1, 2, 3, 11, 12 }));
+    return query;
+  }
+
+  const Segment packet_ = FromCaller(1, kBoardAddress, false);
+};
+
+// Failure guarded against: packets of an open flow reached three other hosts
+// before the flow's own host was asked, and again after its answer.
+TEST_F(UnsureHosts, AreSentPacketsInTurnAndOnlyWhenAllOthersDeniedTheFlow)
+{
+  const auto query = UnsureNearby(kStart);
+  const auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    EXPECT_EQ(SentBy(Reply(now, host, query, Holding::Unsure)), 0U);
+  }
+  EXPECT_EQ(SentBy(Reply(now, 11, query, Holding::No)), 0U);
+  EXPECT_EQ(HostsOf(Packet(now, packet_)), std::set<std::uint64_t>{});
+  const auto first = HostsOf(Reply(now, 12, query, Holding::No));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(HostsOf(Packet(now, packet_)), std::set<std::uint64_t>{});
+  const auto second =
+    HostsOf(Answer(now, *first.begin(), packet_, Verdict::Unknown));
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_NE(first, second);
+  EXPECT_EQ(HostsOf(Answer(now, *second.begin(), packet_, Verdict::Holds)),
+            second);
+  EXPECT_EQ(HostsOf(Packet(now, packet_)), second);
+}
+
+// Failure guarded against: a search ended at a host that neither returned the
+// packet nor answered it.
+TEST_F(UnsureHosts, AreSentPacketsAlsoAfterOneThatStaysSilent)
+{
+  const auto query = UnsureNearby(kStart);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    Reply(now, host, query, Holding::Unsure);
+  }
+  Reply(now, 11, query, Holding::No);
+  auto probed = HostsOf(Reply(now, 12, query, Holding::No));
+  for (int step = 0; step < 3; ++step) {
+    now += milliseconds{ 100 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+    probed.merge(HostsOf(actions));
+  }
+  EXPECT_EQ(probed, (std::set<std::uint64_t>{ 1, 2, 3 }));
+  EXPECT_EQ(ResetsIn(Packet(now, packet_)), 0U);
+}
+
+TEST_F(UnsureHosts, AreSentNoPacketWhenAnotherHostHoldsTheFlow)
+{
+  const auto query = UnsureNearby(kStart);
+  const auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    Reply(now, host, query, Holding::Unsure);
+  }
+  EXPECT_EQ(HostsOf(Reply(now, 12, query, Holding::Yes)),
+            std::set<std::uint64_t>{ 12 });
+  EXPECT_EQ(HostsOf(Packet(now, packet_)), std::set<std::uint64_t>{ 12 });
+}
+
+// Failure guarded against: a balancer that knew part of the hosts sent a flow's
+// packets to all of them while the flow's own host was not known yet.
+TEST_F(UnsureHosts, AreSentNoPacketsBeforeTheRecordsWereSynchronised)
+{
+  Balancer restarted(SettingsOf(), PlainCodec());
+  restarted.UpdateRoutes(ConfigurationOf(1));
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    restarted.UpdateHosts(kStart, { RecordOf(host, kBoards) });
+  }
+  Balancer::Actions actions;
+  restarted.OnPacket(kStart, PacketOf(packet_), actions);
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    restarted.OnAnswer(
+      kStart,
+      HostId{ host },
+      { KeyFromCaller(packet_), Verdict::Unsure, { 0, 0, 4, true, false }, {} },
+      actions);
+  }
+  restarted.Tick(kStart + kGather, actions);
+  Query query;
+  ASSERT_EQ(QueriedIn(actions, &query), (std::set<std::uint64_t>{ 1, 2, 3 }));
+  actions.clear();
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    restarted.OnAnswer(kStart + kGather,
+                       HostId{ host },
+                       { query.id_, { Holding::Unsure } },
+                       actions);
+  }
+  restarted.OnPacket(kStart + milliseconds{ 200 }, PacketOf(packet_), actions);
+  EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{});
+  const auto synced = kStart + seconds{ 1 };
+  restarted.NoteSynced(synced);
+  restarted.Tick(synced, actions);
+  EXPECT_EQ(HostsOf(actions).size(), 1U);
+}
+
+// Failure guarded against: packets reached all hosts but the flow's own, whose
+// agent was restarting.
+TEST_F(UnsureHosts, AreSentPacketsLaterWhileAnotherHostDoesNotAnswer)
+{
+  const auto query = UnsureNearby(kStart);
+  auto now = kStart + kGather;
+  for (const std::uint64_t host : { 1U, 2U, 3U }) {
+    Reply(now, host, query, Holding::Unsure);
+  }
+  Reply(now, 11, query, Holding::No);
+  const auto waited = kStart + seconds{ 8 };
+  while (now + milliseconds{ 50 } < waited) {
+    now += milliseconds{ 50 };
+    Balancer::Actions actions;
+    balancer_.Tick(now, actions);
+    EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{});
+  }
+  Balancer::Actions actions;
+  balancer_.Tick(waited, actions);
+  EXPECT_EQ(HostsOf(actions).size(), 1U);
+}
+
 TEST_F(BalancerTest, ResetsAFlowOnceEveryHostDeniedItAndThoseNearItTwice)
 {
   const auto packet = FromCaller(1, kBoardAddress, false);
@@ -249,11 +386,12 @@
   Balancer::Actions actions;
   balancer_.Tick(now, actions);
   EXPECT_EQ(ResetsIn(actions), 0U);
-  balancer_.Tick(now + kGather, actions);
-  Query again;
-  EXPECT_TRUE(QueriedIn(actions, &again).contains(4));
-  actions = Reply(now + kGather, 4, again, Holding::Yes);
   EXPECT_EQ(HostsOf(actions), std::set<std::uint64_t>{ 4 });
+  now += milliseconds{ 200 };
+  balancer_.NoteSynced(now);
+  EXPECT_EQ(ResetsIn(Packet(now, packet)), 0U);
+  Answer(now, 4, packet, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(now, packet)), std::set<std::uint64_t>{ 4 });
 }
 
 TEST_F(BalancerTest, SearchesForAFlowThatOpenedAtAHostWhoseAnswerWasLost)
--- a/test/cornelshore/relay/far_search.cpp
+++ b/test/cornelshore/relay/far_search.cpp
@@ -86,15 +86,23 @@
   EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
 }
 
-TEST_F(FarSearchTest, NeverDeniesAFlowThatOneHostHoldsOrProbes)
+// Failure guarded against: a host that cannot tell was sent packets before the
+// others had answered, or counted as a host that denies the flow.
+TEST_F(FarSearchTest, NamesUnsureHostsOnceAllOthersHaveDeniedTheFlow)
 {
   search_.Add(kStart, KeyOf(1), 0);
   static_cast<void>(Asked(kStart + kGather));
-  EXPECT_EQ(Answer(1, Holding::Unsure).unsure_, std::vector{ KeyOf(1) });
-  EXPECT_TRUE(Answer(2, Holding::No).denied_.empty());
-  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
-  EXPECT_FALSE(search_.OnDenied(HostId{ 2 }, KeyOf(1)));
-  EXPECT_TRUE(search_.OnDenied(HostId{ 1 }, KeyOf(1)));
+  EXPECT_TRUE(Answer(1, Holding::Unsure).undecided_.empty());
+  EXPECT_TRUE(Answer(2, Holding::No).undecided_.empty());
+  const auto findings = Answer(3, Holding::No);
+  EXPECT_TRUE(findings.denied_.empty());
+  ASSERT_EQ(findings.undecided_.size(), 1U);
+  EXPECT_EQ(findings.undecided_.front().key_, KeyOf(1));
+  EXPECT_EQ(findings.undecided_.front().unsure_, std::vector{ HostId{ 1 } });
+}
+
+TEST_F(FarSearchTest, NeverDeniesAFlowThatOneHostHolds)
+{
 
   search_.Add(kStart + seconds{ 1 }, KeyOf(2), 0);
   static_cast<void>(Asked(kStart + seconds{ 1 } + kGather));
@@ -116,6 +124,7 @@
   now += milliseconds{ 500 };
   EXPECT_TRUE(Asked(now).empty());
   ASSERT_EQ(unresolved_.size(), 1U);
+  EXPECT_TRUE(unresolved_.front().unsure_.empty());
   EXPECT_EQ(unresolved_.front().key_, KeyOf(1));
   EXPECT_EQ(unresolved_.front().unresponsive_, std::vector{ HostId{ 3 } });
   EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
@@ -123,6 +132,36 @@
   EXPECT_EQ(Asked(now + kGather), (Agents{ 1, 2, 3 }));
 }
 
+// Failure guarded against: each host that a restarted fleet announced began the
+// queries anew at the same host, so that others were never asked.
+TEST_F(FarSearchTest, AsksANewHostWithoutAskingTheOthersAgain)
+{
+  search_.Add(kStart, KeyOf(1), 0);
+  static_cast<void>(Asked(kStart + kGather));
+  Answer(1, Holding::No);
+  hosts_.Update(kStart, { RecordOf(4) });
+  search_.AddHosts({ HostId{ 4 } });
+  EXPECT_EQ(Asked(kStart + 2 * kGather), Agents{ 4 });
+  Answer(2, Holding::No);
+  EXPECT_TRUE(Answer(3, Holding::No).denied_.empty());
+  EXPECT_EQ(Answer(4, Holding::No).denied_, std::vector{ KeyOf(1) });
+}
+
+TEST_F(FarSearchTest, BeginsEachQueryAtAnotherHost)
+{
+  std::set<std::uint32_t> first;
+  auto now = kStart;
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    now += seconds{ 1 };
+    search_.Add(now, KeyOf(port), 0);
+    const auto due = search_.Take(now + kGather, hosts_);
+    ASSERT_EQ(due.queries_.size(), 3U);
+    first.insert(due.queries_.front().agent_.ip_[15]);
+    search_.Forget(KeyOf(port));
+  }
+  EXPECT_EQ(first, (Agents{ 1, 2, 3 }));
+}
+
 TEST_F(FarSearchTest, BoundsTheConcurrentQueries)
 {
   for (std::uint16_t port = 0; port < 100; ++port) {
