Refuse the tickets of the last microsecond once an agent leaves

Cause: of several tickets issued in one microsecond the later ones bear stamps ahead of the clock; Home::Leave refused stamps up to the clock only, so that such a ticket was accepted after the stop had begun, also after Drained, and the process ended with the request open. The bound is now the last stamp issued.

Ledger.RefusesTheTicketsOfTheLastMicrosecondOnceItLeaves failed before: the second of five tickets was accepted after Drained and no reply came.

--- a/src/cornelshore/request/home.cpp
+++ b/src/cornelshore/request/home.cpp
@@ -261,7 +261,8 @@
 Home::Leave(Step& aStep, Executor& aExecutor)
 {
   leaving_ = true;
-  fence_.Raise(StampOf(aStep.now_), Reason::Leaving);
+  // Several tickets of one microsecond bear stamps ahead of the clock.
+  fence_.Raise(std::max(StampOf(aStep.now_), lastStamp_), Reason::Leaving);
   std::vector<RequestId> waiting;
   for (const auto& [id, progress] : open_) {
     if (progress.stage_ != Stage::Dispatched) {
--- a/test/cornelshore/request/ledger.cpp
+++ b/test/cornelshore/request/ledger.cpp
@@ -268,6 +268,44 @@
   EXPECT_EQ(driver.started_.size(), 1U);
 }
 
+// Guards against a request that is accepted after the stop began and is cut off
+// without an answer: several tickets of one microsecond bear stamps ahead of
+// the clock, and a bound of the clock alone does not cover them.
+TEST(Ledger, RefusesTheTicketsOfTheLastMicrosecondOnceItLeaves)
+{
+  Driver driver;
+  std::vector<Ticket> tickets;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    TicketRequest request;
+    request.id_ = { id, 0 };
+    request.work_.service_ = { 7 };
+    request.route_.balancer_ = { 1000 };
+    for (const auto& action :
+         driver.agent_.On(kStart, Received{ { 1000 }, { 1 }, request })) {
+      if (const auto* send = std::get_if<SendToBalancer>(&action)) {
+        tickets.push_back(std::get<TicketReply>(send->message_).ticket_);
+      }
+    }
+  }
+  ASSERT_EQ(tickets.size(), 5U);
+  const auto actions = driver.agent_.On(kStart, LeaveRequested{});
+  ASSERT_FALSE(actions.empty());
+  EXPECT_TRUE(std::holds_alternative<Drained>(actions.back()));
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    Submit submit;
+    submit.key_ = { { id, 0 }, tickets[id - 1] };
+    submit.work_.service_ = { 7 };
+    submit.timeLeft_ = 30s;
+    submit.route_.balancer_ = { 1000 };
+    const auto reply = driver.On(
+      kStart + 1ms, Received{ { 1000 }, { 1 }, std::move(submit) }, id);
+    ASSERT_TRUE(reply) << id;
+    EXPECT_EQ(reply->verdict_, Verdict::NotRun) << id;
+    EXPECT_EQ(reply->reason_, Reason::Leaving) << id;
+  }
+  EXPECT_TRUE(driver.offered_.empty());
+}
+
 TEST(Ledger, TellsAnotherSubmissionUnderTheSameIdSo)
 {
   Driver driver;
