Answer each HTTP call once

Cause: a connection dropped a second answer only while the first one was being written; one that came while the next call of the connection was served was sent as the answer to that call. Each call has its own answerer now, which takes one answer. Today's handlers answer once as far as read, so that this guards against a fault of theirs.

HttpServerTest.ASecondAnswerToACallReachesNoLaterCall failed before: the callers of /b and /c got 'copy'.

--- a/src/cornelshore/net/http_server.cpp
+++ b/src/cornelshore/net/http_server.cpp
@@ -38,6 +38,29 @@
          aError != http::error::partial_message;
 }
 
+/** Answers one call, once. */
+class Answerer
+{
+public:
+  using Give = std::function<void(HttpResponse)>;
+
+  explicit Answerer(Give aGive)
+    : give_(std::move(aGive))
+  {
+  }
+
+  void operator()(HttpResponse aResponse)
+  {
+    if (!given_.exchange(true)) {
+      give_(std::move(aResponse));
+    }
+  }
+
+private:
+  Give give_;
+  std::atomic<bool> given_{ false };
+};
+
 /** One connection; its calls are served one after the other. */
 class Session : public std::enable_shared_from_this<Session>
 {
@@ -95,24 +118,24 @@
     stream_.expires_never();
     std::weak_ptr<Session> weak = shared_from_this();
     pending_ = shared_from_this();
-    (*handle_)(std::move(request), [weak, keepAlive](HttpResponse aResponse) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      asio::post(self->stream_.get_executor(),
-                 [self, keepAlive, response = std::move(aResponse)]() {
-                   self->Answer(response, keepAlive);
-                 });
+    const auto answerer =
+      std::make_shared<Answerer>([weak, keepAlive](HttpResponse aResponse) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        asio::post(self->stream_.get_executor(),
+                   [self, keepAlive, response = std::move(aResponse)]() {
+                     self->Answer(response, keepAlive);
+                   });
+      });
+    (*handle_)(std::move(request), [answerer](HttpResponse aResponse) {
+      (*answerer)(std::move(aResponse));
     });
   }
 
   void Answer(const HttpResponse& aResponse, bool aKeepAlive)
   {
-    if (answering_) {
-      return;
-    }
-    answering_ = true;
     response_ = {};
     response_.version(11);
     response_.result(aResponse.status_);
@@ -126,7 +149,6 @@
                       [self = shared_from_this(),
                        aKeepAlive](beast::error_code aError, std::size_t) {
                         self->pending_.reset();
-                        self->answering_ = false;
                         if (!aError && aKeepAlive) {
                           self->Read();
                           return;
@@ -145,7 +167,6 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<Session> pending_; ///< Itself, while a call is served.
-  bool answering_{};
 };
 
 } // namespace
--- a/src/cornelshore/net/http_server.hpp
+++ b/src/cornelshore/net/http_server.hpp
@@ -49,7 +49,7 @@
 class HttpServer
 {
 public:
-  /** @brief Gives the response, once, from any thread. */
+  /** @brief Gives the response, from any thread; further ones are dropped. */
   using Reply = std::function<void(HttpResponse)>;
   /** @brief Takes a call, on a thread of the context. */
   using Handle = std::function<void(HttpRequest, Reply)>;
--- a/test/cornelshore/net/http_server.cpp
+++ b/test/cornelshore/net/http_server.cpp
@@ -22,13 +22,17 @@
 protected:
   void Listen(const HttpLimits& aLimits)
   {
-    auto server = HttpServer::Listen(
-      context_,
-      MakeIpv4(0x7F000001U, 0),
+    Listen(
       aLimits,
       [](const HttpRequest& aRequest, const HttpServer::Reply& aReply) {
         aReply({ 200, aRequest.method_ + aRequest.target_ + aRequest.body_ });
       });
+  }
+
+  void Listen(const HttpLimits& aLimits, HttpServer::Handle aHandle)
+  {
+    auto server = HttpServer::Listen(
+      context_, MakeIpv4(0x7F000001U, 0), aLimits, std::move(aHandle));
     ASSERT_TRUE(server.ok()) << server.status();
     server_ = *std::move(server);
     thread_ = std::thread([this] { context_.run(); });
@@ -105,5 +109,28 @@
   EXPECT_EQ(Exchange("PUT /a HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc"), "");
 }
 
+// Guards against a second copy of an answer, given while the next call of the
+// connection is served, that the next caller takes for its own.
+TEST_F(HttpServerTest, ASecondAnswerToACallReachesNoLaterCall)
+{
+  HttpServer::Reply earlier;
+  Listen({}, [&earlier](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+    if (earlier) {
+      earlier({ 200, "copy" });
+    }
+    aReply({ 200, aRequest.target_ });
+    aReply({ 200, "copy" });
+    earlier = std::move(aReply);
+  });
+  const auto answer =
+    Exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+             "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+             "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(answer.find("copy"), std::string::npos) << answer;
+  for (const auto* own : { "/a", "/b", "/c" }) {
+    EXPECT_NE(answer.find(own), std::string::npos) << answer;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::net
