Survive a call at the operator port that is nested too deeply

The line is answered with an error now, counted as refused, and the connection goes on.

ServerTest.OddLinesEndNothing failed before: 'terminate called after throwing an instance of Json::RuntimeError, Exceeded stackLimit in readValue()'. It also covers batches of no objects, numbers beyond each type, and keys that stand twice, beside a connection that must go on. Client.ReportsAnAnswerNestedTooDeeply covers the caller's side.

--- a/src/cornelshore/rpc/server.cpp
+++ b/src/cornelshore/rpc/server.cpp
@@ -163,11 +163,7 @@
     , tls_(std::move(aTls))
     , context_(asio::ssl::context::tls)
     , acceptor_(io_)
-    , handler_([this](const std::string& aLine) {
-      std::string response;
-      GetHandler()->HandleRequest(aLine, response);
-      return response;
-    })
+    , handler_([this](const std::string& aLine) { return Handle(aLine); })
   {
   }
 
@@ -211,6 +207,21 @@
   const Counts& Counters() const { return counts_; }
 
 private:
+  /** libjsonrpccpp lets the errors of its JSON parser through: nesting beyond
+   * its bound, or a value of another type than it expects. */
+  std::string Handle(const std::string& aLine)
+  {
+    std::string response;
+    try {
+      GetHandler()->HandleRequest(aLine, response);
+    } catch (const std::exception&) {
+      ++counts_.refused_;
+      response = R"({"jsonrpc":"2.0","id":null,"error":{"code":-32600,)"
+                 R"("message":"the line is no valid call"}})";
+    }
+    return response;
+  }
+
   void Accept()
   {
     acceptor_.async_accept(
--- a/test/cornelshore/rpc/server.cpp
+++ b/test/cornelshore/rpc/server.cpp
@@ -70,6 +70,58 @@
   EXPECT_EQ(Call(At(), {}, "echo", "{}", kPatience).code_, ErrorCode::None);
 }
 
+// Guards against one odd line that ends the process or the other connections:
+// nested beyond what the parser takes, lists where objects are due, numbers
+// beyond each type, and keys that stand twice.
+TEST_F(ServerTest, OddLinesEndNothing)
+{
+  namespace asio = boost::asio;
+  const auto nested = [](int aLevels) {
+    return R"({"jsonrpc":"2.0","id":1,"method":"echo","params":)" +
+           std::string(static_cast<std::size_t>(aLevels), '[') +
+           std::string(static_cast<std::size_t>(aLevels), ']') + "}\n";
+  };
+  const auto withId = [](const std::string& aId) {
+    return R"({"jsonrpc":"2.0","method":"echo","params":{},"id":)" + aId +
+           "}\n";
+  };
+  asio::io_context context;
+  asio::ip::tcp::socket bystander(context);
+  bystander.connect({ asio::ip::make_address("127.0.0.1"), server_.Port() });
+  for (const auto& line : { nested(16),
+                            nested(17),
+                            nested(1000),
+                            nested(100'000),
+                            std::string(100'000, '[') + "\n",
+                            std::string("[1]\n"),
+                            std::string("[[[]]]\n"),
+                            std::string("[null,{}]\n"),
+                            std::string("1e999\n"),
+                            std::string("\"x\"\n"),
+                            std::string("null\n"),
+                            withId("18446744073709551616"),
+                            withId("-9223372036854775809"),
+                            withId("1.5"),
+                            withId("1e400"),
+                            withId("{}"),
+                            withId("1,\"id\":2"),
+                            withId("1,\"method\":[]"),
+                            withId("1,\"jsonrpc\":2") }) {
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), server_.Port() });
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(line), error);
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), '\n', error);
+    EXPECT_NE(answer, "") << line.substr(0, 80);
+    const auto call = withId("7");
+    asio::write(bystander, asio::buffer(call));
+    std::string own;
+    asio::read_until(bystander, asio::dynamic_buffer(own), '\n');
+    EXPECT_NE(own.find("got"), std::string::npos) << line.substr(0, 80);
+  }
+}
+
 TEST_F(ServerTest, ClosesAConnectionWithAnEndlessLine)
 {
   namespace asio = boost::asio;
@@ -87,6 +139,24 @@
   EXPECT_EQ(server_.Counters().oversized_, 1U);
 }
 
+// Guards against an answer of the server that is nested too deeply and ends
+// the caller instead of being reported.
+TEST(Client, ReportsAnAnswerNestedTooDeeply)
+{
+  const auto deep = std::string(100'000, '[') + std::string(100'000, ']');
+  Server server({ "127.0.0.1", 0 },
+                {},
+                { "deep" },
+                [&deep](const std::string&, const std::string&) {
+                  return Reply{ ErrorCode::None, deep, "" };
+                });
+  std::string error;
+  ASSERT_TRUE(server.Start(error)) << error;
+  const auto reply =
+    Call({ "127.0.0.1", server.Port() }, {}, "deep", "{}", kPatience);
+  EXPECT_NE(reply.code_, ErrorCode::None);
+}
+
 TEST(Client, SaysThatNobodyListens)
 {
   const auto reply = Call({ "127.0.0.1", 1 }, {}, "echo", "{}", kPatience);
