Refuse an address with a zero byte in it

Cause: inet_pton reads up to a zero byte, so that '10.0.0.9\0x:80' of a heartbeat, a settings file or a command line was read as 10.0.0.9:80.

Json.RefusesOddAddresses failed before for that address and its IPv6 form. The other tests of json.cpp passed before and show that nesting, numbers beyond each type, ports and keys that stand twice are refused alone at heartbeats and desired states.

--- a/src/cornelshore/core/address.cpp
+++ b/src/cornelshore/core/address.cpp
@@ -27,6 +27,10 @@
 bool
 ParseIp(std::string_view aText, std::array<std::uint8_t, 16>& aIp)
 {
+  // inet_pton reads up to a zero byte only.
+  if (aText.find('\0') != std::string_view::npos) {
+    return false;
+  }
   if (aText.size() > 2 && aText.front() == '[' && aText.back() == ']') {
     const std::string inner(aText.substr(1, aText.size() - 2));
     return inet_pton(AF_INET6, inner.c_str(), aIp.data()) == 1;
