Bound the parts of a key in settings

Cause: toml++ bounds the nesting of values but not that of dotted keys and table names, and visits the tables by recursion: a settings or targets file with a key of 100,000 parts ended cornelshored and cornelshorectl by a segmentation fault. A key has at most 16 parts now; the error names file and line.

Settings.RefusesNestingOfAnyDepth failed before: segmentation fault (exit code 139).

--- a/src/cornelshore/settings/table.cpp
+++ b/src/cornelshore/settings/table.cpp
@@ -12,6 +12,71 @@
 namespace {
 
 constexpr std::size_t kLargestFileBytes = std::size_t{ 1 } << 20U;
+constexpr std::size_t kMaxKeyParts = 16;
+
+/** End of the text in quotes that begins at `aBegin`; the end of all text when
+ * it is not closed. */
+std::size_t
+EndOfQuoted(std::string_view aText, std::size_t aBegin)
+{
+  const auto quote = aText[aBegin];
+  const std::string triple(3, quote);
+  const bool isLong = aText.substr(aBegin, 3) == triple;
+  auto at = aBegin + (isLong ? 3 : 1);
+  while (at < aText.size()) {
+    if (quote == '"' && aText[at] == '\\') {
+      at += 2;
+    } else if (isLong && aText.substr(at, 3) == triple) {
+      const auto end = aText.find_first_not_of(quote, at);
+      return std::min({ end, at + 5, aText.size() });
+    } else if (!isLong && aText[at] == quote) {
+      return at + 1;
+    } else if (!isLong && aText[at] == '\n') {
+      return aText.size();
+    } else {
+      ++at;
+    }
+  }
+  return aText.size();
+}
+
+/**
+ * Line of the first key with more than `kMaxKeyParts` parts, 0 if there is
+ * none. The parser bounds nested values but not the tables of a dotted key, and
+ * visits them by recursion.
+ */
+std::uint32_t
+FindDeepKey(std::string_view aText)
+{
+  std::uint32_t line = 1;
+  std::size_t dots = 0;
+  for (std::size_t at = 0; at < aText.size();) {
+    const auto character = aText[at];
+    if (character == '"' || character == '\'') {
+      const auto end = EndOfQuoted(aText, at);
+      const auto quoted = aText.substr(at, end - at);
+      line += static_cast<std::uint32_t>(
+        std::count(quoted.begin(), quoted.end(), '\n'));
+      at = end;
+      continue;
+    }
+    if (character == '#') {
+      at = std::min(aText.find('\n', at), aText.size());
+      continue;
+    }
+    if (character == '.') {
+      if (++dots >= kMaxKeyParts) {
+        return line;
+      }
+    } else if (character == '\n' || std::string_view("=[]{},").find(
+                                      character) != std::string_view::npos) {
+      dots = 0;
+    }
+    line += character == '\n' ? 1 : 0;
+    ++at;
+  }
+  return 0;
+}
 
 } // namespace
 
@@ -321,6 +386,10 @@
     return absl::InvalidArgumentError(
       absl::StrCat(aFile, ": is larger than 1 MiB"));
   }
+  if (const auto line = FindDeepKey(text); line != 0) {
+    return absl::InvalidArgumentError(absl::StrCat(
+      aFile, ":", line, ": a key has more than ", kMaxKeyParts, " parts"));
+  }
   try {
     return std::make_shared<const toml::table>(toml::parse(text, aFile));
   } catch (const toml::parse_error& error) {
--- a/test/cornelshore/settings/settings.cpp
+++ b/test/cornelshore/settings/settings.cpp
@@ -288,5 +288,111 @@
   }
 }
 
+std::string
+Repeated(const std::string& aText, std::size_t aTimes)
+{
+  std::string text;
+  for (std::size_t time = 0; time < aTimes; ++time) {
+    text += aText;
+  }
+  return text;
+}
+
+// Guards against one odd entry of a settings or targets file that ends the
+// process that reads it: values, tables and dotted keys nested to any depth.
+TEST(Settings, RefusesNestingOfAnyDepth)
+{
+  for (const std::size_t levels : { 16U, 17U, 1'000U, 100'000U, 250'000U }) {
+    const auto keys = Repeated("a.", levels) + "a";
+    const std::vector<std::string> odd{
+      "a = " + std::string(levels, '[') + std::string(levels, ']') + "\n",
+      "a = " + std::string(levels, '[') + "\n",
+      "a = " + Repeated("{a=", levels) + "1" + std::string(levels, '}') + "\n",
+      keys + " = 1\n",
+      "a = { " + keys + " = 1 }\n",
+      "[" + keys + "]\nb = 1\n",
+      "[[" + keys + "]]\nb = 1\n",
+      Repeated("\"a\" . ", levels) + "a = 1\n",
+    };
+    for (const auto& text : odd) {
+      const TextFile settings(text + kGood);
+      EXPECT_FALSE(Load(settings.Path()).ok()) << levels << text.substr(0, 20);
+      const TextFile targets(text);
+      EXPECT_FALSE(LoadTargets(targets.Path()).ok())
+        << levels << text.substr(0, 20);
+    }
+  }
+}
+
+// Guards against a bound on the parts of keys that takes dots in texts,
+// comments and numbers for those of a key.
+TEST(Settings, CountsNoDotsOutsideKeys)
+{
+  const auto dots = std::string(100, '.');
+  for (const auto& more :
+       { "a = 1 # " + dots + "\n",
+         "a = \"" + dots + "\"\n",
+         "a = '" + dots + "'\n",
+         "a = \"\\\"" + dots + "\"\n",
+         "a = \"\"\"\n" + dots + "\"x\"\n" + dots + "\"\"\"\"\n",
+         "a = '''" + dots + "'x'\n" + dots + "'''\n",
+         "a = [" + Repeated("1.5, ", 100) + "1.5]\n" }) {
+    const auto error = ErrorOf(more + kGood);
+    EXPECT_EQ(error.find("parts"), std::string::npos) << more << error;
+  }
+  EXPECT_NE(ErrorOf(std::string("\n\na.") + Repeated("'.' . ", 20) + "a = 1\n")
+              .find(":3: a key has more than 16 parts"),
+            std::string::npos);
+}
+
+// Guards against numbers, ports and texts beyond their range that are taken as
+// other values or end the process instead of being named.
+TEST(Settings, NamesValuesBeyondTheirRange)
+{
+  for (const std::string number : { "-1",
+                                    "0",
+                                    "65536",
+                                    "4294967299",
+                                    "9223372036854775807",
+                                    "-9223372036854775808",
+                                    "3.0",
+                                    "3e0",
+                                    "inf",
+                                    "nan",
+                                    "\"3\"",
+                                    "[3]",
+                                    "{}",
+                                    "true",
+                                    "1979-05-27" }) {
+    EXPECT_NE(ErrorOf(Replaced("slots = 3", "slots = " + number)).find("slots"),
+              std::string::npos)
+      << number;
+  }
+  for (const auto& number : { std::string("9223372036854775808"),
+                              std::string("1e400"),
+                              std::string(100'000, '9') }) {
+    EXPECT_EQ(
+      ErrorOf(Replaced("slots = 3", "slots = " + number)).rfind(":12: ", 0), 0U)
+      << number.substr(0, 40);
+  }
+  for (const std::string address : { "127.0.0.1:65536",
+                                     "127.0.0.1:4294967297",
+                                     "127.0.0.1:-1",
+                                     "127.0.0.1:",
+                                     "127.0.0.1",
+                                     "127.0.0.1\\u0000x:4",
+                                     "[::1]",
+                                     "::1:4" }) {
+    EXPECT_NE(ErrorOf(Replaced("127.0.0.1:4", address))
+                .find("upstream_request_address"),
+              std::string::npos)
+      << address;
+  }
+  EXPECT_NE(
+    ErrorOf(Replaced("127.0.0.1:4", std::string(std::size_t{ 1 } << 16U, '1')))
+      .find("upstream_request_address"),
+    std::string::npos);
+}
+
 } // namespace
 } // namespace cornelshore::settings
