Take no odd answer for granted in cornelshorectl

Cause: the tool used the members of an answer without checking their types; the JSON library throws on that, and the tool was aborted: by an answer that is no object, a row of a list that is none, or a version that is text or negative. Rows that are no objects are printed as they are and the others go on; an answer that is no object, or a version to build on that is none, is reported as no answer.

--- a/src/cornelshore/tool/commands.cpp
+++ b/src/cornelshore/tool/commands.cpp
@@ -101,6 +101,10 @@
     return Failed(reply);
   }
   const auto result = FromJson(reply.json_);
+  if (!result.isObject()) {
+    return Fail(ExitCode::Unreachable,
+                absl::StrCat("no answer: ", aMethod, " gave no JSON object"));
+  }
   std::cout << (aOptions.json_ ? ToJsonLine(result) + "\n" : aRender(result));
   return ExitCode::Done;
 }
@@ -126,34 +130,43 @@
   return services;
 }
 
+/** A share in percent; any other value as it is. */
+Json::Value
+PercentOf(const Json::Value& aShare)
+{
+  return aShare.isNumeric() ? Json::Value(aShare.asDouble() / kSharesPerPercent)
+                            : aShare;
+}
+
 std::string
 RenderConfiguration(const Json::Value& aResult)
 {
   Json::Value rows(Json::arrayValue);
   for (const auto& service : aResult["services"]) {
-    for (const auto& target : service["classes"]) {
+    for (const auto& target : Member(service, "classes")) {
       Json::Value row;
       row["service"] = service["name"];
-      row["class"] = target["name"];
-      row["urgency"] = target["urgency"];
-      row["most_percent"] = target["most_share"].asDouble() / kSharesPerPercent;
-      row["keeps_percent"] =
-        target["keeps_share"].asDouble() / kSharesPerPercent;
-      row["repeatable"] = target["repeatable"];
+      row["class"] = Member(target, "name");
+      row["urgency"] = Member(target, "urgency");
+      row["most_percent"] = PercentOf(Member(target, "most_share"));
+      row["keeps_percent"] = PercentOf(Member(target, "keeps_share"));
+      row["repeatable"] = Member(target, "repeatable");
       rows.append(row);
     }
   }
-  return absl::StrCat("version ",
-                      aResult["version"].asUInt64(),
-                      aResult["confirmed"].asBool() ? "" : " (unconfirmed)",
-                      "\n",
-                      ToTable(rows,
-                              { "service",
-                                "class",
-                                "urgency",
-                                "most_percent",
-                                "keeps_percent",
-                                "repeatable" }));
+  const auto& confirmed = aResult["confirmed"];
+  return absl::StrCat(
+    "version ",
+    TextOf(aResult["version"]),
+    confirmed.isBool() && confirmed.asBool() ? "" : " (unconfirmed)",
+    "\n",
+    ToTable(rows,
+            { "service",
+              "class",
+              "urgency",
+              "most_percent",
+              "keeps_percent",
+              "repeatable" }));
 }
 
 std::string
@@ -175,7 +188,12 @@
   if (reply.code_ != rpc::ErrorCode::None) {
     return absl::UnavailableError(reply.message_);
   }
-  return FromJson(reply.json_)["version"].asUInt64();
+  const auto result = FromJson(reply.json_);
+  const auto& version = Member(result, "version");
+  if (version.type() == Json::realValue || !version.isUInt64()) {
+    return absl::UnavailableError("show gave no version");
+  }
+  return version.asUInt64();
 }
 
 ExitCode
@@ -208,9 +226,9 @@
                                   " to learn whether it was accepted");
   const auto code =
     Ask(aOptions, "apply", params, [](const Json::Value& aResult) {
-      return absl::StrCat(aResult["outcome"].asString(),
+      return absl::StrCat(TextOf(aResult["outcome"]),
                           ": version ",
-                          aResult["version"].asUInt64(),
+                          TextOf(aResult["version"]),
                           "\n");
     });
   if (code == ExitCode::Unreachable) {
--- a/src/cornelshore/tool/render.cpp
+++ b/src/cornelshore/tool/render.cpp
@@ -60,13 +60,29 @@
 {
   Json::Value value;
   std::istringstream stream(aText);
-  if (!Json::parseFromStream(
-        Json::CharReaderBuilder(), stream, &value, nullptr)) {
+  try {
+    if (!Json::parseFromStream(
+          Json::CharReaderBuilder(), stream, &value, nullptr)) {
+      return {};
+    }
+  } catch (const Json::Exception&) { // Nested beyond the parser's bound.
     return {};
   }
   return value;
 }
 
+const Json::Value&
+Member(const Json::Value& aObject, const std::string& aName)
+{
+  return aObject.isObject() ? aObject[aName] : Json::Value::nullSingleton();
+}
+
+std::string
+TextOf(const Json::Value& aValue)
+{
+  return CellOf(aValue);
+}
+
 std::string
 ToTable(const Json::Value& aRows, const std::vector<std::string>& aColumns)
 {
@@ -74,7 +90,7 @@
   for (const auto& column : aColumns) {
     auto width = column.size();
     for (const auto& row : aRows) {
-      width = std::max(width, CellOf(row[column]).size());
+      width = std::max(width, CellOf(Member(row, column)).size());
     }
     widths.push_back(width);
   }
@@ -84,6 +100,10 @@
   }
   out += "\n";
   for (const auto& row : aRows) {
+    if (!row.isObject()) {
+      out += "(no row: " + CellOf(row) + ")\n";
+      continue;
+    }
     for (std::size_t index = 0; index < aColumns.size(); ++index) {
       out += Padded(CellOf(row[aColumns[index]]), widths[index]);
     }
