Answer an HTTP call that its handler drops with 503

Cause: a call whose reply was dropped kept its connection for ever without an answer: control drops the oldest of more than 256 waiting calls, and the agent of segments a report when 256 wait for its deciding thread. 256 such connections later the server takes none. The answerer of a call gives 503 when its last copy goes.

HttpServerTest.AnswersACallThatItsHandlerDrops failed before: no answer within 20 s. The test's reads end after 20 s instead of never.

--- a/src/cornelshore/net/http_server.cpp
+++ b/src/cornelshore/net/http_server.cpp
@@ -38,7 +38,7 @@
          aError != http::error::partial_message;
 }
 
-/** Answers one call, once. */
+/** Answers one call, once; with 503 if nobody else did. */
 class Answerer
 {
 public:
@@ -49,6 +49,10 @@
   {
   }
 
+  ~Answerer() { (*this)({ 503, R"({"error":"not answered"})" }); }
+  Answerer(const Answerer&) = delete;
+  Answerer& operator=(const Answerer&) = delete;
+
   void operator()(HttpResponse aResponse)
   {
     if (!given_.exchange(true)) {
--- a/src/cornelshore/net/http_server.hpp
+++ b/src/cornelshore/net/http_server.hpp
@@ -49,7 +49,8 @@
 class HttpServer
 {
 public:
-  /** @brief Gives the response, from any thread; further ones are dropped. */
+  /** @brief Gives the response, from any thread; further ones are dropped. A
+   * call whose copies of it are all gone unused gets 503. */
   using Reply = std::function<void(HttpResponse)>;
   /** @brief Takes a call, on a thread of the context. */
   using Handle = std::function<void(HttpRequest, Reply)>;
--- a/test/cornelshore/net/http_server.cpp
+++ b/test/cornelshore/net/http_server.cpp
@@ -16,6 +16,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr std::chrono::seconds kPatience{ 20 };
+
 /** A server on a free port that answers with what it was asked. */
 class HttpServerTest : public testing::Test
 {
@@ -46,17 +48,18 @@
     }
   }
 
-  /** Sends bytes and reads until the server closes. */
+  /** Sends bytes and reads until the server closes or the patience is over. */
   std::string Exchange(const std::string& aBytes)
   {
     asio::io_context own;
     tcp::socket socket(own);
     socket.connect(ToEndpoint<tcp>(server_->Local()));
     asio::write(socket, asio::buffer(aBytes));
-    std::string answer;
-    boost::system::error_code ended;
-    asio::read(socket, asio::dynamic_buffer(answer), ended);
-    return answer;
+    asio::streambuf answer;
+    asio::async_read(socket, answer, [](auto, auto) {});
+    own.run_for(kPatience);
+    return { asio::buffers_begin(answer.data()),
+             asio::buffers_end(answer.data()) };
   }
 
   asio::io_context context_;
@@ -132,5 +135,19 @@
   }
 }
 
+// Guards against a call that its handler drops: unanswered, it would hold its
+// connection for ever and, often enough, all that the server takes.
+TEST_F(HttpServerTest, AnswersACallThatItsHandlerDrops)
+{
+  HttpLimits limits;
+  limits.connections_ = 2;
+  Listen(limits, [](const HttpRequest&, const HttpServer::Reply&) {});
+  for (int call = 0; call < 5; ++call) {
+    const auto answer =
+      Exchange("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_EQ(answer.rfind("HTTP/1.1 503", 0), 0U) << answer;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::net
