Answer the calls that wait when a control process stops

Cause: calls that waited for the deciding thread when it ended were dropped without an answer, connections that the kernel had accepted were reset with the listener, and an operator's call waited for its full 8 s, which the stop then waited for too.

Now the deciding thread drops the waiting calls when it ends and takes no further ones; a dropped operator's call is answered at once as unavailable, a dropped HTTP call with 503, which leaves open whether a change is accepted. HttpServer::Finish takes the connections in the kernel's queue, closes those that await their next call and waits for the others' answers, 100 ms at most. The agent of segments does the same with its host's reports.

Not covered: a connection that is made between the last look into the kernel's queue and the close of the listener is reset, and a call sent on a kept-alive connection while it is being closed gets no answer. The agent of segments was not stopped under reports in a test of its own.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t kMostAppendsASync = 256;
 constexpr std::chrono::milliseconds kFullDiskRetryInterval{ 50 };
 
+/** Maximum time in which the calls accepted before a stop get an answer. */
+constexpr std::chrono::milliseconds kFinishLimit{ 100 };
+
 /** Times of a group that forms itself: an election ends well within the time
  * in which its operators expect an acknowledgement, 5 s. */
 constexpr std::chrono::milliseconds kSelfFormingHeartbeat{ 60 };
@@ -184,6 +187,9 @@
     }
   }
 
+  /** Drops the calls; each is told that there is no answer. */
+  void Clear() { waiting_.clear(); }
+
 private:
   static constexpr std::size_t kMostWaiting = 256;
 
@@ -322,13 +328,16 @@
 rpc::Reply
 CallAndWait(ControlDecider& aDecider, WaitingCalls& aCalls, Feed aFeed)
 {
-  auto promise = std::make_shared<std::promise<rpc::Reply>>();
-  auto future = promise->get_future();
+  std::promise<rpc::Reply> promise;
+  auto future = promise.get_future();
   const auto posted =
-    aDecider.Post([&aDecider, &aCalls, promise, aFeed](auto, auto&) {
-      aDecider.Feed(aFeed(aCalls.Add([promise](const CallAnswer& aAnswer) {
-        promise->set_value(std::visit(
-          [](const auto& aKind) { return ReplyOf(aKind); }, aAnswer));
+    aDecider.Post([&aDecider,
+                   &aCalls,
+                   reply = std::make_shared<PromisedReply>(std::move(promise)),
+                   aFeed](auto, auto&) {
+      aDecider.Feed(aFeed(aCalls.Add([reply](const CallAnswer& aAnswer) {
+        reply->Give(std::visit([](const auto& aKind) { return ReplyOf(aKind); },
+                               aAnswer));
       })));
     });
   if (!posted || future.wait_for(kLongestCall) != std::future_status::ready) {
@@ -563,6 +572,10 @@
     [&](role::NodeMessage aMessage) { received.Push(std::move(aMessage)); },
     [&] { received.Push(role::StopRequested{}); });
   decider->Run();
+  calls.Clear();
+  if (*api) {
+    (*api)->Finish(kFinishLimit);
+  }
   port.Stop();
   storage->Stop();
   aRuntime.Stop();
--- a/src/cornelshore/daemon/decider.hpp
+++ b/src/cornelshore/daemon/decider.hpp
@@ -62,12 +62,12 @@
       std::make_unique<EventRing>(kRingCapacity, signal_));
   }
 
-  /** @brief Runs a function on the deciding thread; false when too many wait.
-   */
+  /** @brief Runs a function on the deciding thread; false when too many wait
+   * or `Run()` has returned. */
   bool Post(Call aCall)
   {
     const std::lock_guard lock(mutex_);
-    if (calls_.size() >= kMostCalls) {
+    if (closed_ || calls_.size() >= kMostCalls) {
       return false;
     }
     calls_.push_back(std::move(aCall));
@@ -84,7 +84,7 @@
     }
   }
 
-  /** @brief Decides until `End()`. */
+  /** @brief Decides until `End()`; drops the functions that wait then. */
   void Run()
   {
     const auto hasWork = [this] {
@@ -107,6 +107,10 @@
           hasWork, std::clamp<Duration>(left, kShortestSleep, kLongestSleep));
       }
     }
+    std::vector<Call> dropped;
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    dropped.swap(calls_);
   }
 
   /** @brief Ends `Run()`. */
@@ -185,6 +189,7 @@
   std::vector<std::unique_ptr<EventRing>> rings_;
   std::mutex mutex_;
   std::vector<Call> calls_;
+  bool closed_{}; ///< Under the mutex, as `calls_` is.
   std::atomic<bool> hasCalls_{ false };
   std::atomic<bool> ended_{ false };
   TimePoint publishAt_{};
--- a/src/cornelshore/daemon/operator_port.hpp
+++ b/src/cornelshore/daemon/operator_port.hpp
@@ -1,6 +1,7 @@
 #ifndef CORNELSHORE_DAEMON_OPERATOR_PORT_HPP
 #define CORNELSHORE_DAEMON_OPERATOR_PORT_HPP
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -30,6 +31,32 @@
 [[nodiscard]] rpc::Reply Refused(std::string aWhy);
 [[nodiscard]] rpc::Reply Unavailable(std::string aWhy);
 
+/** @brief Answer that one thread gives and another waits for; that it is
+ * unavailable if the last copy of the promise goes without one. */
+class PromisedReply
+{
+public:
+  explicit PromisedReply(std::promise<rpc::Reply> aPromise)
+    : promise_(std::move(aPromise))
+  {
+  }
+  ~PromisedReply() { Give(Unavailable("the process stops; ask another one")); }
+  PromisedReply(const PromisedReply&) = delete;
+  PromisedReply& operator=(const PromisedReply&) = delete;
+
+  /** @brief Gives the answer; further ones are dropped. */
+  void Give(rpc::Reply aReply)
+  {
+    if (!given_.exchange(true)) {
+      promise_.set_value(std::move(aReply));
+    }
+  }
+
+private:
+  std::promise<rpc::Reply> promise_;
+  std::atomic<bool> given_{ false };
+};
+
 /**
  * @brief Asks the deciding thread and waits for its answer.
  * @param aDecider Has `Post`.
@@ -39,15 +66,17 @@
 rpc::Reply
 AskDecider(Decider& aDecider, Ask aAsk)
 {
-  auto promise = std::make_shared<std::promise<std::string>>();
-  auto future = promise->get_future();
-  const auto posted = aDecider.Post([promise, aAsk](auto aNow, auto& aRole) {
-    promise->set_value(ToJson(aAsk(aNow, aRole)));
-  });
+  std::promise<rpc::Reply> promise;
+  auto future = promise.get_future();
+  const auto posted =
+    aDecider.Post([reply = std::make_shared<PromisedReply>(std::move(promise)),
+                   aAsk](auto aNow, auto& aRole) {
+      reply->Give({ rpc::ErrorCode::None, ToJson(aAsk(aNow, aRole)), "" });
+    });
   if (!posted || future.wait_for(kLongestCall) != std::future_status::ready) {
     return Unavailable("the process is too busy; retry");
   }
-  return { rpc::ErrorCode::None, future.get(), "" };
+  return future.get();
 }
 
 /** @brief Methods of one process by name. */
--- a/src/cornelshore/daemon/relay_agent_process.cpp
+++ b/src/cornelshore/daemon/relay_agent_process.cpp
@@ -25,6 +25,9 @@
 /** Missed reports after which an upstream is taken for dead. */
 constexpr int kReportsMissed = 3;
 
+/** Maximum time in which the reports accepted before a stop get an answer. */
+constexpr std::chrono::milliseconds kFinishLimit{ 100 };
+
 /** Sockets between the agent and the host beside it. */
 struct HostSide
 {
@@ -54,6 +57,9 @@
     }
   }
 
+  /** Drops the reports; their callers get 503 and call elsewhere. */
+  void Clear() { waiting_.clear(); }
+
 private:
   std::uint64_t last_{};
   std::map<std::uint64_t, Done> waiting_;
@@ -211,6 +217,8 @@
     [&] { received.Push(role::StopRequested{}); },
     SendBy::DecidingThread);
   decider->Run();
+  reports.Clear();
+  (*api)->Finish(kFinishLimit);
   port.Stop();
   aRuntime.Stop();
   return absl::OkStatus();
--- a/src/cornelshore/net/http_server.cpp
+++ b/src/cornelshore/net/http_server.cpp
@@ -3,7 +3,11 @@
 #include <cornelshore/net/http_server.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <future>
 #include <optional>
+#include <thread>
+#include <vector>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +32,9 @@
 /** Pause after the process ran out of descriptors. */
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
+/** How often `Finish` looks whether all connections have ended. */
+constexpr std::chrono::milliseconds kFinishPoll{ 1 };
+
 /** Whether the peer sent something that is no call, rather than nothing. */
 bool
 IsMalformed(beast::error_code aError)
@@ -65,32 +72,37 @@
   std::atomic<bool> given_{ false };
 };
 
+/** What the connections of one server share. */
+struct Shared
+{
+  HttpLimits limits_;
+  HttpServer::Handle handle_;
+  std::atomic<std::size_t> connections_{ 0 };
+  std::atomic<bool> finishing_{ false }; ///< No connection is kept alive.
+};
+
 /** One connection; its calls are served one after the other. */
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(tcp::socket aSocket,
-          const HttpLimits& aLimits,
-          std::shared_ptr<const HttpServer::Handle> aHandle,
-          std::shared_ptr<std::atomic<std::size_t>> aCount)
+  Session(tcp::socket aSocket, std::shared_ptr<Shared> aShared)
     : stream_(std::move(aSocket))
-    , limits_(aLimits)
-    , handle_(std::move(aHandle))
-    , count_(std::move(aCount))
+    , shared_(std::move(aShared))
   {
-    ++*count_;
+    ++shared_->connections_;
   }
 
-  ~Session() { --*count_; }
+  ~Session() { --shared_->connections_; }
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
   void Read()
   {
     parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
-    parser_->body_limit(limits_.bodyBytes_);
-    stream_.expires_after(limits_.readTimeout_);
+    parser_->header_limit(
+      static_cast<std::uint32_t>(shared_->limits_.headerBytes_));
+    parser_->body_limit(shared_->limits_.bodyBytes_);
+    stream_.expires_after(shared_->limits_.readTimeout_);
     http::async_read(
       stream_,
       buffer_,
@@ -100,6 +112,17 @@
       });
   }
 
+  /** Closes a connection that awaits its next call, unless some of it has
+   * arrived. */
+  void CloseIfIdle()
+  {
+    beast::error_code error;
+    const auto arrived = stream_.socket().available(error);
+    if (served_ && !pending_ && buffer_.size() == 0 && !error && arrived == 0) {
+      stream_.close();
+    }
+  }
+
 private:
   void OnRead(beast::error_code aError)
   {
@@ -133,27 +156,29 @@
                      self->Answer(response, keepAlive);
                    });
       });
-    (*handle_)(std::move(request), [answerer](HttpResponse aResponse) {
+    shared_->handle_(std::move(request), [answerer](HttpResponse aResponse) {
       (*answerer)(std::move(aResponse));
     });
   }
 
-  void Answer(const HttpResponse& aResponse, bool aKeepAlive)
+  void Answer(const HttpResponse& aResponse, bool aMayKeepAlive)
   {
+    const auto keepAlive = aMayKeepAlive && !shared_->finishing_;
+    served_ = true;
     response_ = {};
     response_.version(11);
     response_.result(aResponse.status_);
     response_.set(http::field::content_type, "application/json");
-    response_.keep_alive(aKeepAlive);
+    response_.keep_alive(keepAlive);
     response_.body() = aResponse.body_;
     response_.prepare_payload();
-    stream_.expires_after(limits_.readTimeout_);
+    stream_.expires_after(shared_->limits_.readTimeout_);
     http::async_write(stream_,
                       response_,
                       [self = shared_from_this(),
-                       aKeepAlive](beast::error_code aError, std::size_t) {
+                       keepAlive](beast::error_code aError, std::size_t) {
                         self->pending_.reset();
-                        if (!aError && aKeepAlive) {
+                        if (!aError && keepAlive) {
                           self->Read();
                           return;
                         }
@@ -165,12 +190,11 @@
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
-  HttpLimits limits_;
-  std::shared_ptr<const HttpServer::Handle> handle_;
-  std::shared_ptr<std::atomic<std::size_t>> count_;
+  std::shared_ptr<Shared> shared_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<Session> pending_; ///< Itself, while a call is served.
+  bool served_{};                    ///< A call before the next one.
 };
 
 } // namespace
@@ -185,10 +209,10 @@
     : context_(aContext)
     , acceptor_(aContext)
     , pause_(aContext)
-    , limits_(aLimits)
-    , handle_(std::make_shared<const Handle>(std::move(aHandle)))
-    , count_(std::make_shared<std::atomic<std::size_t>>(0))
+    , shared_(std::make_shared<Shared>())
   {
+    shared_->limits_ = aLimits;
+    shared_->handle_ = std::move(aHandle);
   }
 
   absl::Status Open(const Address& aAddress)
@@ -223,12 +247,23 @@
 
   void Close()
   {
-    stopped_ = true;
-    asio::post(context_, [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-      self->pause_.cancel();
+    asio::post(context_,
+               [self = shared_from_this()] { self->StopAccepting(); });
+  }
+
+  void Finish(Duration aLimit)
+  {
+    const auto until = std::chrono::steady_clock::now() + aLimit;
+    const auto begun = std::make_shared<std::promise<void>>();
+    asio::post(context_, [self = shared_from_this(), begun] {
+      self->BeginFinish();
+      begun->set_value();
     });
+    begun->get_future().wait_until(until);
+    while (shared_->connections_ != 0 &&
+           std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(kFinishPoll);
+    }
   }
 
   [[nodiscard]] Address Local() const
@@ -244,7 +279,10 @@
 private:
   void OnAccept(const boost::system::error_code& aError, tcp::socket aSocket)
   {
-    if (stopped_) {
+    if (!aError) {
+      Begin(std::move(aSocket));
+    }
+    if (!acceptor_.is_open()) {
       return;
     }
     if (aError) {
@@ -257,21 +295,55 @@
         });
       return;
     }
-    if (*count_ < limits_.connections_) {
-      internal::SetPeerTimeout(aSocket, limits_.peerTimeout_);
-      std::make_shared<Session>(std::move(aSocket), limits_, handle_, count_)
-        ->Read();
-    }
     Accept();
   }
 
+  void Begin(tcp::socket aSocket)
+  {
+    if (shared_->connections_ >= shared_->limits_.connections_) {
+      return;
+    }
+    internal::SetPeerTimeout(aSocket, shared_->limits_.peerTimeout_);
+    auto session = std::make_shared<Session>(std::move(aSocket), shared_);
+    std::erase_if(sessions_,
+                  [](const auto& aSession) { return aSession.expired(); });
+    sessions_.push_back(session);
+    session->Read();
+  }
+
+  void BeginFinish()
+  {
+    shared_->finishing_ = true;
+    // The kernel has accepted these; closing the listener would reset them.
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(context_);
+      acceptor_.accept(socket, error);
+      if (!error) {
+        Begin(std::move(socket));
+      }
+    }
+    StopAccepting();
+    for (const auto& weak : sessions_) {
+      if (const auto session = weak.lock()) {
+        session->CloseIfIdle();
+      }
+    }
+  }
+
+  void StopAccepting()
+  {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+  }
+
   asio::io_context& context_;
   tcp::acceptor acceptor_;
   asio::steady_timer pause_;
-  HttpLimits limits_;
-  std::shared_ptr<const Handle> handle_;
-  std::shared_ptr<std::atomic<std::size_t>> count_;
-  std::atomic<bool> stopped_{ false };
+  std::shared_ptr<Shared> shared_;
+  std::vector<std::weak_ptr<Session>> sessions_;
 };
 
 HttpServer::HttpServer(std::shared_ptr<Implementation> aImplementation)
@@ -299,6 +371,12 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
 }
 
+void
+HttpServer::Finish(Duration aLimit)
+{
+  implementation_->Finish(aLimit);
+}
+
 Address
 HttpServer::Local() const
 {
--- a/src/cornelshore/net/http_server.hpp
+++ b/src/cornelshore/net/http_server.hpp
@@ -58,7 +58,7 @@
   /**
    * @brief Listens and serves.
    *
-   * Malformed calls get 400, larger ones 413; calls after `Stop` none.
+   * Malformed calls get 400, larger ones 413; calls after `Finish` none.
    *
    * @return The server, or `Unavailable` with the address and why.
    */
@@ -72,6 +72,17 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /**
+   * @brief Answers the calls that have been accepted and ends.
+   *
+   * Accepts no further connection, closes those that await their next call and
+   * waits, while the context's threads run, until the others are answered and
+   * closed.
+   *
+   * @param aLimit Maximum wait.
+   */
+  void Finish(Duration aLimit);
+
   /** @brief Address it listens at. */
   [[nodiscard]] Address Local() const;
 
--- a/test/cornelshore/net/http_server.cpp
+++ b/test/cornelshore/net/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include <cornelshore/net/http_server.hpp>
 
+#include <chrono>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -149,5 +151,69 @@
   }
 }
 
+// Guards against calls that a stop cuts off: one that is being served, one on
+// a connection that the kernel has just accepted, and one that is half sent.
+TEST_F(HttpServerTest, FinishesTheCallsThatItHasAccepted)
+{
+  std::promise<HttpServer::Reply> slow;
+  Listen({}, [&slow](const HttpRequest& aRequest, HttpServer::Reply aReply) {
+    if (aRequest.target_ == "/slow") {
+      slow.set_value(std::move(aReply));
+    } else {
+      aReply({ 200, aRequest.target_ });
+    }
+  });
+  const auto address = ToEndpoint<tcp>(server_->Local());
+  asio::io_context own;
+  const auto connect = [&](const std::string& aBytes) {
+    tcp::socket socket(own);
+    socket.connect(address);
+    asio::write(socket, asio::buffer(aBytes));
+    return socket;
+  };
+  const auto rest = [](tcp::socket& aSocket) {
+    std::string answer;
+    boost::system::error_code ended;
+    asio::read(aSocket, asio::dynamic_buffer(answer), ended);
+    EXPECT_EQ(ended, asio::error::eof) << ended.message();
+    return answer;
+  };
+  auto idle = connect("GET /idle HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::string first;
+  asio::read_until(idle, asio::dynamic_buffer(first), "/idle");
+  auto served = connect("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto reply = slow.get_future().get();
+  auto half = connect("GET /half HTTP/1.1\r\n");
+  auto silent = connect("");
+  std::thread finishing(
+    [this] { server_->Finish(std::chrono::seconds{ 20 }); });
+  EXPECT_EQ(rest(idle), "");
+  asio::write(half, asio::buffer(std::string("Host: h\r\n\r\n")));
+  EXPECT_NE(rest(half).find("/half"), std::string::npos);
+  asio::write(silent, asio::buffer(std::string("GET /new HTTP/1.1\r\n\r\n")));
+  EXPECT_NE(rest(silent).find("/new"), std::string::npos);
+  reply = nullptr;
+  EXPECT_EQ(rest(served).rfind("HTTP/1.1 503", 0), 0U);
+  finishing.join();
+  boost::system::error_code refused;
+  tcp::socket late(own);
+  late.connect(address, refused);
+  EXPECT_TRUE(refused);
+}
+
+// Guards against a stop that waits for a peer for longer than its limit.
+TEST_F(HttpServerTest, FinishesWithinItsLimit)
+{
+  Listen({});
+  asio::io_context own;
+  tcp::socket silent(own);
+  silent.connect(ToEndpoint<tcp>(server_->Local()));
+  const auto begun = std::chrono::steady_clock::now();
+  server_->Finish(std::chrono::milliseconds{ 50 });
+  const auto took = std::chrono::steady_clock::now() - begun;
+  EXPECT_GE(took, std::chrono::milliseconds{ 45 });
+  EXPECT_LT(took, kPatience);
+}
+
 } // namespace
 } // namespace cornelshore::net
