--- a/src/cornelshore/net/http_server.hpp
+++ b/src/cornelshore/net/http_server.hpp
@@ -49,7 +49,8 @@
 class HttpServer
 {
 public:
-  /** @brief Gives the response, once, from any thread. */
+  /** @brief Gives the response, from any thread; further ones are dropped. A
+   * call whose copies of it are all gone unused gets 503. */
   using Reply = std::function<void(HttpResponse)>;
   /** @brief Takes a call, on a thread of the context. */
   using Handle = std::function<void(HttpRequest, Reply)>;
@@ -57,7 +58,7 @@
   /**
    * @brief Listens and serves.
    *
-   * Malformed calls get 400, larger ones 413; calls after `Stop` none.
+   * Malformed calls get 400, larger ones 413; calls after `Finish` none.
    *
    * @return The server, or `Unavailable` with the address and why.
    */
@@ -71,6 +72,17 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /**
+   * @brief Answers the calls that have been accepted and ends.
+   *
+   * Accepts no further connection, closes those that await their next call and
+   * waits, while the context's threads run, until the others are answered and
+   * closed.
+   *
+   * @param aLimit Maximum wait.
+   */
+  void Finish(Duration aLimit);
+
   /** @brief Address it listens at. */
   [[nodiscard]] Address Local() const;
 
