Draw the delays of restart_all.sh from its seed

Cause: bash seeds RANDOM anew in a command substitution, so that the delays were drawn anew in each run and a seed did not repeat them. Change: what is drawn goes to variables of the shell.

--- a/test/system/relay.sh
+++ b/test/system/relay.sh
@@ -7,50 +7,32 @@
 cd "$(dirname "$0")/../.."
 BASE_PORT=${BASE_PORT:-22000}
 source scripts/lib/cluster.sh
+source scripts/lib/relay.sh
 
-node_port=$(port 20) api_port=$(port 66) packet_port=$(port 72)
-ready_port=$(port 67) outbound_port=$(port 62) upstream_port=$(port 65)
-seeds="\"127.0.1.1:$api_port\", \"127.0.1.2:$api_port\", \"127.0.1.3:$api_port\""
-
-head_of_relay() { # ROLE NAME IP
-  cat <<SETTINGS
-role = "$1"
-name = "$2"
-data_centre = "dc-1"
-[node]
-address = "$3:$node_port"
-seeds = [$seeds]
-seeds_share_own_port = true
-authentication = "off"
-control_bytes_per_second = 40000
-control_burst_bytes = 1000000
-[operator]
-address = "$3:$(port 35)"
-SETTINGS
+settings_of() { # ROLE NAME IP
+  head_of_relay "$1" "$2" "$3" dc-1 3 40000 1000000
+  operator_section "$3"
 }
 
 write_member() { # INDEX BOOTSTRAP
   mkdir -p "$work/disk-$1"
   {
-    head_of_relay control "127.0.1.$1:$api_port" "127.0.1.$1"
-    printf '[control]\ndata_folder = "%s"\nbootstrap = %s\ntolerated_losses = 2\napi_address = "127.0.1.%s:%s"\nsynced_writes_last = true\n' \
-      "$work/disk-$1" "$2" "$1" "$api_port"
+    settings_of control "127.0.1.$1:$api_port" "127.0.1.$1"
+    control_section "127.0.1.$1" "$work/disk-$1" "$2"
   } >"$work/control-$1.toml"
 }
 
 write_entry() { # INDEX
   {
-    head_of_relay balancer "entry-$1" "127.0.2.$1"
-    printf '[relay]\npacket_address = "127.0.2.%s:%s"\nreadiness_address = "127.0.2.%s:%s"\nstop_limit_ms = 6000\n' \
-      "$1" "$packet_port" "$1" "$ready_port"
+    settings_of balancer "entry-$1" "127.0.2.$1"
+    balancer_section "127.0.2.$1"
   } >"$work/entry-$1.toml"
 }
 
 write_side() { # INDEX SERVICE
   {
-    head_of_relay agent "side-$1" "127.0.3.$1"
-    printf '[relay]\npacket_address = "127.0.3.%s:%s"\nreadiness_address = "127.0.3.%s:%s"\noutbound_address = "127.0.3.%s:%s"\nupstream_address = "127.0.3.%s:%s"\nreport_address = "127.0.3.%s:%s"\nreport_interval_ms = 200\nservice = "%s"\n' \
-      "$1" "$packet_port" "$1" "$ready_port" "$1" "$outbound_port" "$1" "$upstream_port" "$1" "$api_port" "$2"
+    settings_of agent "side-$1" "127.0.3.$1"
+    agent_section "127.0.3.$1" 200 "$2"
   } >"$work/side-$1.toml"
 }
 
@@ -63,13 +45,6 @@
   printf '{"version":%s,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"boards"}],"services":[{"name":"boards"},{"name":"sheets"}],"limits":{"idle-timeout-ms":15000}}' "$1"
 }
 
-call() { # IP PORT METHOD PATH BODY: status and body
-  exec 9<>"/dev/tcp/$1/$2" || return 1
-  printf '%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' "$3" "$4" "${#5}" "$5" >&9
-  timeout 3 cat <&9 || true
-  exec 9>&-
-}
-
 put_at() { # INDEX VERSION
   call "127.0.1.$1" "$api_port" PUT /cornelshore/config "$(configuration "$2")" 2>/dev/null | grep -q '^HTTP/1.1 200'
 }
@@ -84,14 +59,10 @@
   call "127.0.1.$1" "$api_port" GET /cornelshore/config "" 2>/dev/null | tr -d '\r' | tail -n 1 | grep -qF "$(configuration "$2")"
 }
 
-ready_at() { # INDEX
-  call "127.0.2.$1" "$ready_port" GET /cornelshore/ready "" 2>/dev/null | grep -q '^HTTP/1.1 200'
-}
-
 voters() { # at any member that answers
   local i state
   for i in 1 2 3 4 5; do
-    state=$(ctl state "127.0.1.$i:$(port 35)" --json 2>/dev/null) || continue
+    state=$(ctl state "127.0.1.$i:$operator_port" --json 2>/dev/null) || continue
     grep -q '"holds_lease":true' <<<"$state" || continue
     grep -o '"role":"voter"' <<<"$state" | wc -l
     return 0
--- a/test/system/restart_all.sh
+++ b/test/system/restart_all.sh
@@ -130,10 +130,9 @@
 
 # Kills the processes at the same moment and starts each again after its delay.
 restart_together() { # NAME:DELAY_MS...
-  local plan name delay names=()
-  for plan in "$@"; do names+=("${plan%:*}"); done
+  local process name delay began wait_ms names=()
+  for process in "$@"; do names+=("${process%:*}"); done
   note_disturbed unplanned
-  local began wait_ms
   began=$(now_us)
   kill_and_reap "${names[@]}"
   while read -r delay name; do
@@ -141,13 +140,13 @@
     [ $wait_ms -le 0 ] || sleep_ms $wait_ms
     start_process "$name"
     note_disturbed unplanned
-  done < <(for plan in "$@"; do echo "${plan#*:} ${plan%:*}"; done | sort -n)
+  done < <(for process in "$@"; do echo "${process#*:} ${process%:*}"; done | sort -n)
 }
 
 # Stops and starts processes in lanes side by side. In a lane a process starts
 # again as soon as it has ended, and the next is stopped half a second later.
 restart_in_turn() { # "START_MS NAME..."...
-  local lanes=("$@") stopping=() due=() lane name names rest now busy=1
+  local lanes=("$@") stopping=() due=() lane name rest now busy=1
   now=$(now_us)
   for lane in "${!lanes[@]}"; do
     due[lane]=$((now + ${lanes[lane]%% *} * 1000))
@@ -186,18 +185,23 @@
   for i in "$@"; do echo "$name-$i"; done
 }
 
-draw() { echo $(($1 + RANDOM % ($2 - $1 + 1))); } # LEAST MOST
+# Bash seeds RANDOM anew in a subshell, so that what is drawn goes to variables.
+draw() { drawn=$(($1 + RANDOM % ($2 - $1 + 1))); } # LEAST MOST
 
-plan_of() { # NAME...: each with a delay of 0.2 to 1 s, up to three agents later
-  local name late=0 delay
-  [ $((RANDOM % 2)) -eq 0 ] || late=$((1 + RANDOM % 3))
-  local first=$((1 + RANDOM % 8))
+draw_plan() { # NAME...: each with a delay of 0.2 to 1 s, up to three agents later
+  local name late=0 first
+  draw 0 1
+  [ $drawn -eq 0 ] || { draw 1 3 && late=$drawn; }
+  draw 1 8
+  first=$drawn
+  plan=()
   for name in "$@"; do
-    delay=$((200 + RANDOM % 801))
+    draw 200 1000
+    plan+=("$name:$drawn")
     if [[ $name == agent-* ]] && [ $(((${name#agent-} - first + 8) % 8)) -lt $late ]; then
-      delay=$((delay + 500 + RANDOM % 3001))
+      draw 1500 4000
+      plan[-1]="$name:$drawn"
     fi
-    echo "$name:$delay"
   done
 }
 
@@ -219,8 +223,14 @@
 
 disturb() { # VARIANT
   case $1 in
-    0) restart_together $(plan_of $processes) ;;
-    1) restart_together $(plan_of $(numbered balancer $balancers) $(numbered agent $agents)) ;;
+    0)
+      draw_plan $processes
+      restart_together "${plan[@]}"
+      ;;
+    1)
+      draw_plan $(numbered balancer $balancers) $(numbered agent $agents)
+      restart_together "${plan[@]}"
+      ;;
     2)
       local turn_of_agents turn_of_balancers
       turn_of_agents=$(numbered agent $agents | tr '\n' ' ')
@@ -231,7 +241,8 @@
       start_host $new_host 0
       sleep 0.15
       start_callers_of 3 198.18.0.1:443 60
-      sleep_ms "$(draw 200 800)"
+      draw 200 800
+      sleep_ms $drawn
       restart_in_turn "0 agent-$new_host"
       ;;
   esac
