Share the settings of relaying processes between the system tests

Cause: restart_all.sh repeated what relay.sh writes into the settings, and its calls. Change: both take them from scripts/lib/relay.sh.

--- a/test/system/restart_all.sh
+++ b/test/system/restart_all.sh
@@ -13,58 +13,42 @@
 SEED=${SEED:-4}
 ROUNDS=${ROUNDS:-2}
 source scripts/lib/cluster.sh
+source scripts/lib/relay.sh
 top=$work
 trap 'work=$top; end_all' EXIT
 
 readonly beat_ms=1200 balancers="1 2 3" agents="1 2 3 4 5 6 7 8" members="1 2 3 4 5"
-node_port=$(port 20) api_port=$(port 66) packet_port=$(port 72)
-ready_port=$(port 67) outbound_port=$(port 62) upstream_port=$(port 65)
-seeds="\"127.0.1.1:$api_port\", \"127.0.1.2:$api_port\", \"127.0.1.3:$api_port\", \"127.0.1.4:$api_port\", \"127.0.1.5:$api_port\""
 control_centres=(- a a b c d) balancer_centres=(- a a b) agent_centres=(- a a b b c c c d)
 
-head_of_relay() { # ROLE NAME IP DATA_CENTRE CONTROL_BYTES CONTROL_BURST
-  cat <<SETTINGS
-role = "$1"
-name = "$2"
-data_centre = "dc-$4"
-[node]
-address = "$3:$node_port"
-seeds = [$seeds]
-seeds_share_own_port = true
-authentication = "off"
-control_round_ms = 500
-control_bytes_per_second = $5
-control_burst_bytes = $6
-[operator]
-address = "$3:$(port 35)"
-SETTINGS
-}
-
-write_member() { # INDEX
-  mkdir -p "$work/disk-$1"
-  {
-    head_of_relay control "127.0.1.$1:$api_port" "127.0.1.$1" "${control_centres[$1]}" 400000 4000000
-    printf '[control]\ndata_folder = "%s"\nbootstrap = true\ntolerated_losses = 2\napi_address = "127.0.1.%s:%s"\nsynced_writes_last = true\n' \
-      "$work/disk-$1" "$1" "$api_port"
-  } >"$work/control-$1.toml"
-}
-
-write_balancer_of_relay() { # INDEX
-  {
-    head_of_relay balancer "balancer-$1" "127.0.2.$1" "${balancer_centres[$1]}" 40000 1000000
-    printf '[relay]\npacket_address = "127.0.2.%s:%s"\nreadiness_address = "127.0.2.%s:%s"\nstop_limit_ms = 6000\n' \
-      "$1" "$packet_port" "$1" "$ready_port"
-  } >"$work/balancer-$1.toml"
+settings_of() { # ROLE NAME IP DATA_CENTRE CONTROL_BYTES CONTROL_BURST
+  head_of_relay "$1" "$2" "$3" "dc-$4" 5 "$5" "$6"
+  echo "control_round_ms = 500"
+  operator_section "$3"
 }
 
 service_of() { [ "$1" -le 5 ] && echo boards || echo sheets; } # INDEX
 
-write_agent_of_relay() { # INDEX
-  {
-    head_of_relay agent "agent-$1" "127.0.3.$1" "${agent_centres[$1]}" 40000 1000000
-    printf '[relay]\npacket_address = "127.0.3.%s:%s"\nreadiness_address = "127.0.3.%s:%s"\noutbound_address = "127.0.3.%s:%s"\nupstream_address = "127.0.3.%s:%s"\nreport_address = "127.0.3.%s:%s"\nreport_interval_ms = %s\nservice = "%s"\n' \
-      "$1" "$packet_port" "$1" "$ready_port" "$1" "$outbound_port" "$1" "$upstream_port" "$1" "$api_port" "$beat_ms" "$(service_of "$1")"
-  } >"$work/agent-$1.toml"
+write_settings() {
+  local i
+  for i in $members; do
+    mkdir -p "$work/disk-$i"
+    {
+      settings_of control "127.0.1.$i:$api_port" "127.0.1.$i" "${control_centres[i]}" 400000 4000000
+      control_section "127.0.1.$i" "$work/disk-$i" true
+    } >"$work/control-$i.toml"
+  done
+  for i in $balancers; do
+    {
+      settings_of balancer "balancer-$i" "127.0.2.$i" "${balancer_centres[i]}" 40000 1000000
+      balancer_section "127.0.2.$i"
+    } >"$work/balancer-$i.toml"
+  done
+  for i in $agents; do
+    {
+      settings_of agent "agent-$i" "127.0.3.$i" "${agent_centres[i]}" 40000 1000000
+      agent_section "127.0.3.$i" "$beat_ms" "$(service_of "$i")"
+    } >"$work/agent-$i.toml"
+  done
 }
 
 start_host() { # INDEX FIRST_SEQ
@@ -82,13 +66,6 @@
 
 configuration='{"version":5,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"boards"},{"name":"sheets","hostname":"198.18.0.2","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"sheets"}],"services":[{"name":"boards"},{"name":"sheets"}],"limits":{"idle-timeout-ms":15000}}'
 
-call() { # IP PORT METHOD PATH BODY: status and body
-  exec 9<>"/dev/tcp/$1/$2" || return 1
-  printf '%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' "$3" "$4" "${#5}" "$5" >&9
-  timeout 3 cat <&9 || true
-  exec 9>&-
-}
-
 put_anywhere() {
   local i
   for i in $members; do
@@ -100,14 +77,14 @@
 all_ready() {
   local i
   for i in $balancers; do
-    call "127.0.2.$i" "$ready_port" GET /cornelshore/ready "" 2>/dev/null | grep -q '^HTTP/1.1 200' || return 1
+    ready_at "$i" || return 1
   done
 }
 
 hosts_known() { # COUNT: at every balancer
   local i
   for i in $balancers; do
-    [ "$(ctl hosts --to "127.0.2.$i:$(port 35)" --json 2>/dev/null | grep -o '"state":"ready"' | wc -l)" -ge "$1" ] || return 1
+    [ "$(ctl hosts --to "127.0.2.$i:$operator_port" --json 2>/dev/null | grep -o '"state":"ready"' | wc -l)" -ge "$1" ] || return 1
   done
 }
 
@@ -206,10 +183,8 @@
 }
 
 start_cluster_of_relay() { # HOSTS
-  local i
-  for i in $members; do write_member "$i"; done
-  for i in $balancers; do write_balancer_of_relay "$i"; done
-  for i in $agents; do write_agent_of_relay "$i"; done
+  local i name
+  write_settings
   for name in $processes; do "$build/cornelshored" --config "$work/$name.toml" --check >/dev/null; done
   for name in $processes; do start_process "$name"; done
   for i in $1; do
