--- a/test/system/restart_all.sh
+++ b/test/system/restart_all.sh
@@ -13,58 +13,42 @@
 SEED=${SEED:-4}
 ROUNDS=${ROUNDS:-2}
 source scripts/lib/cluster.sh
+source scripts/lib/relay.sh
 top=$work
 trap 'work=$top; end_all' EXIT
 
 readonly beat_ms=1200 balancers="1 2 3" agents="1 2 3 4 5 6 7 8" members="1 2 3 4 5"
-node_port=$(port 20) api_port=$(port 66) packet_port=$(port 72)
-ready_port=$(port 67) outbound_port=$(port 62) upstream_port=$(port 65)
-seeds="\"127.0.1.1:$api_port\", \"127.0.1.2:$api_port\", \"127.0.1.3:$api_port\", \"127.0.1.4:$api_port\", \"127.0.1.5:$api_port\""
 control_centres=(- a a b c d) balancer_centres=(- a a b) agent_centres=(- a a b b c c c d)
 
-head_of_relay() { # ROLE NAME IP DATA_CENTRE CONTROL_BYTES CONTROL_BURST
-  cat <<SETTINGS
-role = "$1"
-name = "$2"
-data_centre = "dc-$4"
-[node]
-address = "$3:$node_port"
-seeds = [$seeds]
-seeds_share_own_port = true
-authentication = "off"
-control_round_ms = 500
-control_bytes_per_second = $5
-control_burst_bytes = $6
-[operator]
-address = "$3:$(port 35)"
-SETTINGS
-}
-
-write_member() { # INDEX
-  mkdir -p "$work/disk-$1"
-  {
-    head_of_relay control "127.0.1.$1:$api_port" "127.0.1.$1" "${control_centres[$1]}" 400000 4000000
-    printf '[control]\ndata_folder = "%s"\nbootstrap = true\ntolerated_losses = 2\napi_address = "127.0.1.%s:%s"\nsynced_writes_last = true\n' \
-      "$work/disk-$1" "$1" "$api_port"
-  } >"$work/control-$1.toml"
-}
-
-write_balancer_of_relay() { # INDEX
-  {
-    head_of_relay balancer "balancer-$1" "127.0.2.$1" "${balancer_centres[$1]}" 40000 1000000
-    printf '[relay]\npacket_address = "127.0.2.%s:%s"\nreadiness_address = "127.0.2.%s:%s"\nstop_limit_ms = 6000\n' \
-      "$1" "$packet_port" "$1" "$ready_port"
-  } >"$work/balancer-$1.toml"
+settings_of() { # ROLE NAME IP DATA_CENTRE CONTROL_BYTES CONTROL_BURST
+  head_of_relay "$1" "$2" "$3" "dc-$4" 5 "$5" "$6"
+  echo "control_round_ms = 500"
+  operator_section "$3"
 }
 
 service_of() { [ "$1" -le 5 ] && echo boards || echo sheets; } # INDEX
 
-write_agent_of_relay() { # INDEX
-  {
-    head_of_relay agent "agent-$1" "127.0.3.$1" "${agent_centres[$1]}" 40000 1000000
-    printf '[relay]\npacket_address = "127.0.3.%s:%s"\nreadiness_address = "127.0.3.%s:%s"\noutbound_address = "127.0.3.%s:%s"\nupstream_address = "127.0.3.%s:%s"\nreport_address = "127.0.3.%s:%s"\nreport_interval_ms = %s\nservice = "%s"\n' \
-      "$1" "$packet_port" "$1" "$ready_port" "$1" "$outbound_port" "$1" "$upstream_port" "$1" "$api_port" "$beat_ms" "$(service_of "$1")"
-  } >"$work/agent-$1.toml"
+write_settings() {
+  local i
+  for i in $members; do
+    mkdir -p "$work/disk-$i"
+    {
+      settings_of control "127.0.1.$i:$api_port" "127.0.1.$i" "${control_centres[i]}" 400000 4000000
+      control_section "127.0.1.$i" "$work/disk-$i" true
+    } >"$work/control-$i.toml"
+  done
+  for i in $balancers; do
+    {
+      settings_of balancer "balancer-$i" "127.0.2.$i" "${balancer_centres[i]}" 40000 1000000
+      balancer_section "127.0.2.$i"
+    } >"$work/balancer-$i.toml"
+  done
+  for i in $agents; do
+    {
+      settings_of agent "agent-$i" "127.0.3.$i" "${agent_centres[i]}" 40000 1000000
+      agent_section "127.0.3.$i" "$beat_ms" "$(service_of "$i")"
+    } >"$work/agent-$i.toml"
+  done
 }
 
 start_host() { # INDEX FIRST_SEQ
@@ -82,13 +66,6 @@
 
 configuration='{"version":5,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"boards"},{"name":"sheets","hostname":"198.18.0.2","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"sheets"}],"services":[{"name":"boards"},{"name":"sheets"}],"limits":{"idle-timeout-ms":15000}}'
 
-call() { # IP PORT METHOD PATH BODY: status and body
-  exec 9<>"/dev/tcp/$1/$2" || return 1
-  printf '%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' "$3" "$4" "${#5}" "$5" >&9
-  timeout 3 cat <&9 || true
-  exec 9>&-
-}
-
 put_anywhere() {
   local i
   for i in $members; do
@@ -100,14 +77,14 @@
 all_ready() {
   local i
   for i in $balancers; do
-    call "127.0.2.$i" "$ready_port" GET /cornelshore/ready "" 2>/dev/null | grep -q '^HTTP/1.1 200' || return 1
+    ready_at "$i" || return 1
   done
 }
 
 hosts_known() { # COUNT: at every balancer
   local i
   for i in $balancers; do
-    [ "$(ctl hosts --to "127.0.2.$i:$(port 35)" --json 2>/dev/null | grep -o '"state":"ready"' | wc -l)" -ge "$1" ] || return 1
+    [ "$(ctl hosts --to "127.0.2.$i:$operator_port" --json 2>/dev/null | grep -o '"state":"ready"' | wc -l)" -ge "$1" ] || return 1
   done
 }
 
@@ -130,10 +107,9 @@
 
 # Kills the processes at the same moment and starts each again after its delay.
 restart_together() { # NAME:DELAY_MS...
-  local plan name delay names=()
-  for plan in "$@"; do names+=("${plan%:*}"); done
+  local process name delay began wait_ms names=()
+  for process in "$@"; do names+=("${process%:*}"); done
   note_disturbed unplanned
-  local began wait_ms
   began=$(now_us)
   kill_and_reap "${names[@]}"
   while read -r delay name; do
@@ -141,13 +117,13 @@
     [ $wait_ms -le 0 ] || sleep_ms $wait_ms
     start_process "$name"
     note_disturbed unplanned
-  done < <(for plan in "$@"; do echo "${plan#*:} ${plan%:*}"; done | sort -n)
+  done < <(for process in "$@"; do echo "${process#*:} ${process%:*}"; done | sort -n)
 }
 
 # Stops and starts processes in lanes side by side. In a lane a process starts
 # again as soon as it has ended, and the next is stopped half a second later.
 restart_in_turn() { # "START_MS NAME..."...
-  local lanes=("$@") stopping=() due=() lane name names rest now busy=1
+  local lanes=("$@") stopping=() due=() lane name rest now busy=1
   now=$(now_us)
   for lane in "${!lanes[@]}"; do
     due[lane]=$((now + ${lanes[lane]%% *} * 1000))
@@ -186,26 +162,29 @@
   for i in "$@"; do echo "$name-$i"; done
 }
 
-draw() { echo $(($1 + RANDOM % ($2 - $1 + 1))); } # LEAST MOST
+# Bash seeds RANDOM anew in a subshell, so that what is drawn goes to variables.
+draw() { drawn=$(($1 + RANDOM % ($2 - $1 + 1))); } # LEAST MOST
 
-plan_of() { # NAME...: each with a delay of 0.2 to 1 s, up to three agents later
-  local name late=0 delay
-  [ $((RANDOM % 2)) -eq 0 ] || late=$((1 + RANDOM % 3))
-  local first=$((1 + RANDOM % 8))
+draw_plan() { # NAME...: each with a delay of 0.2 to 1 s, up to three agents later
+  local name late=0 first
+  draw 0 1
+  [ $drawn -eq 0 ] || { draw 1 3 && late=$drawn; }
+  draw 1 8
+  first=$drawn
+  plan=()
   for name in "$@"; do
-    delay=$((200 + RANDOM % 801))
+    draw 200 1000
+    plan+=("$name:$drawn")
     if [[ $name == agent-* ]] && [ $(((${name#agent-} - first + 8) % 8)) -lt $late ]; then
-      delay=$((delay + 500 + RANDOM % 3001))
+      draw 1500 4000
+      plan[-1]="$name:$drawn"
     fi
-    echo "$name:$delay"
   done
 }
 
 start_cluster_of_relay() { # HOSTS
-  local i
-  for i in $members; do write_member "$i"; done
-  for i in $balancers; do write_balancer_of_relay "$i"; done
-  for i in $agents; do write_agent_of_relay "$i"; done
+  local i name
+  write_settings
   for name in $processes; do "$build/cornelshored" --config "$work/$name.toml" --check >/dev/null; done
   for name in $processes; do start_process "$name"; done
   for i in $1; do
@@ -219,8 +198,14 @@
 
 disturb() { # VARIANT
   case $1 in
-    0) restart_together $(plan_of $processes) ;;
-    1) restart_together $(plan_of $(numbered balancer $balancers) $(numbered agent $agents)) ;;
+    0)
+      draw_plan $processes
+      restart_together "${plan[@]}"
+      ;;
+    1)
+      draw_plan $(numbered balancer $balancers) $(numbered agent $agents)
+      restart_together "${plan[@]}"
+      ;;
     2)
       local turn_of_agents turn_of_balancers
       turn_of_agents=$(numbered agent $agents | tr '\n' ' ')
@@ -231,7 +216,8 @@
       start_host $new_host 0
       sleep 0.15
       start_callers_of 3 198.18.0.1:443 60
-      sleep_ms "$(draw 200 800)"
+      draw 200 800
+      sleep_ms $drawn
       restart_in_turn "0 agent-$new_host"
       ;;
   esac
