Take an opening on the addresses and ports of a closed flow for a new flow

Callers that use a port again within four seconds saw their flow denied four seconds later, and a leaving host got new flows. Cause: the agent keeps a closed flow for late packets and took the opening for one of its packets, so that no check of a new flow was made. Change: a closed flow is forgotten when its addresses and ports open anew.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -127,6 +127,10 @@
             RelayedPacket aPacket,
             Actions& aOut)
 {
+  if (const auto found = flows_.find(aKey);
+      found != flows_.end() && found->second.closed_) {
+    Forget(aKey);
+  }
   const auto known = flows_.contains(aKey);
   const auto obstacle =
     known ? FlowReason::None : ReasonToRefuse(aNow, aKey, aPacket);
