Probe unsure hosts once a configuration is in force

Callers whose flows live on waited a second longer after a restart of everything than the rule needs. Resets wait for synchronised records as before. Change: the condition of probes.

--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -217,7 +217,9 @@
   const auto waited = aFlow.waitsForUnresponsive_ &&
                       aNow - aFlow.since_ >= settings_.unresponsiveWait_;
   const auto answered = aFlow.asked_.empty() || aFlow.waitsForUnresponsive_;
-  const auto complete = lastSyncedAt_ && (allAsked || waited);
+  // A configuration comes from control, as the records of all hosts do.
+  const auto knowsHosts = routes_.Version().value_ != 0;
+  const auto complete = knowsHosts && (allAsked || waited);
   const auto mayProbe = (few || complete) && !HasProbedTooLong(aNow, aFlow);
   if (!aFlow.unsure_.empty() && answered) {
     if (mayProbe) {
