Wait for hosts that do not answer only while they were heard of lately

Cause: a search waited for each host that does not answer, for a time that began with the search. Change: it waits until the host has been silent for 5 s, skips silent hosts nearby, and a silent host still keeps a flow from being denied. A probe carries data, as an acknowledgement alone has no answer; one host is probed early, as two balancers may search for a flow; probes begin 200 ms after the first configuration, when control's host records have followed it; what an early probe cost no longer ends the others. An opening forgets that the host returned the former flow of its addresses.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -161,6 +161,7 @@
     expectedRequests_.emplace_back(aNow, aKey);
   }
   unassigned_.erase(aKey);
+  probes_.erase(aKey);
   auto& flow = flows_[aKey];
   flow.balancer_ = aBalancer;
   flow.openedAt_ = flow.lastPacket_ = aNow;
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -379,11 +379,12 @@
 }
 
 void
-Balancer::UpdateRoutes(const Configuration& aConfiguration)
+Balancer::UpdateRoutes(TimePoint aNow, const Configuration& aConfiguration)
 {
-  const auto first = routes_.Version().value_ == 0;
   routes_.Update(aConfiguration);
-  if (first) {
+  if (!configuredAt_) {
+    configuredAt_ = aNow;
+    resumeAgainAt_ = aNow + settings_.hostRecordsDelay_;
     ScheduleResume();
   }
 }
@@ -417,7 +418,8 @@
 Balancer::Tick(TimePoint aNow, Actions& aOut)
 {
   startedAt_ = startedAt_.value_or(aNow);
-  if (std::exchange(resumePending_, false)) {
+  if (std::exchange(resumePending_, false) || resumeAgainAt_ <= aNow) {
+    resumeAgainAt_ = resumeAgainAt_ <= aNow ? TimePoint::max() : resumeAgainAt_;
     Resume(aNow, aOut);
   }
   std::vector<std::pair<TimePoint, FlowKey>> waiting;
@@ -462,8 +464,12 @@
       WaitForUnresponsive(aNow, unresolved, aOut);
     }
   }
-  nextTimer_ = std::min(
-    { sweepAt_, hosts_.NextWatch(), near_.Next(), far_.Next(), waitingDue_ });
+  nextTimer_ = std::min({ sweepAt_,
+                          hosts_.NextWatch(),
+                          near_.Next(),
+                          far_.Next(),
+                          waitingDue_,
+                          resumeAgainAt_ });
   for (const auto& [due, key] : due_) {
     nextTimer_ = std::min(nextTimer_, due);
   }
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -141,10 +141,9 @@
   /** Minimum search time before a flow that every host denies is reset: a host
    * that has just joined may not be known here yet. */
   Duration minSearchTime_{ std::chrono::milliseconds{ 100 } };
-  /** Time for which a search waits for hosts that do not answer before it sends
-   * packets to several hosts that are unsure: an agent that restarts in a
-   * planned way is back within it, and its host may hold the flow. */
-  Duration unresponsiveWait_{ std::chrono::seconds{ 8 } };
+  /** Time after which the records of all hosts have followed the first
+   * configuration; both come from control, in joining rounds of 100 ms. */
+  Duration hostRecordsDelay_{ std::chrono::milliseconds{ 200 } };
   /** Time from its first one within which packets of a flow are sent to unsure
    * hosts. Packets that reach other hosts for longer, and none its own, break
    * the flow; a search that has not ended by then goes on without packets. */
@@ -224,7 +223,7 @@
   void NoteSynced(TimePoint aAt);
 
   /** @brief Applies a configuration; an older one is ignored. */
-  void UpdateRoutes(const Configuration& aConfiguration);
+  void UpdateRoutes(TimePoint aNow, const Configuration& aConfiguration);
 
   /** @brief Retries unanswered openings and searches, sends due queries and
    * removes expired flows. */
@@ -278,6 +277,7 @@
     TimePoint firstProbeAt_;
     TimePoint probeDue_; ///< Until then the last batch may answer.
     bool allAnswered_{}; ///< Every known host denied it or is unsure.
+    bool silentLeft_{};  ///< Except silent ones: it cannot be denied.
     bool askedTwice_{};  ///< The nearby hosts were asked a second time.
     bool waitsForUnresponsive_{}; ///< All responsive hosts denied it.
     bool searchesAllHosts_{};     ///< All hosts are queried.
@@ -388,6 +388,11 @@
    * other host has denied the flow, few at first, and only for a short time.
    */
   void Decide(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
+  /** @brief The last packet that its host answers: one with data or an end.
+   * Nothing when there is none, as an acknowledgement alone has no answer. */
+  [[nodiscard]] const std::string* ProbePacketOf(const Flow& aFlow) const;
+  /** @brief Whether control has had time to name all hosts. */
+  [[nodiscard]] bool KnowsAllHosts(TimePoint aNow) const;
   /** @brief Whether packets were sent to unsure hosts for too long. */
   [[nodiscard]] bool HasProbedTooLong(TimePoint aNow, const Flow& aFlow) const;
   /** @brief Sends the flow's last packet to the next unsure hosts, nearby ones
@@ -462,12 +467,14 @@
   /** Hosts, routes or records have changed: earlier denials may be outdated
    * until the next tick. */
   bool resumePending_{};
+  TimePoint resumeAgainAt_{ TimePoint::max() }; ///< All hosts are known then.
   TimePoint newHostsSince_{}; ///< Searches go on to hosts added since then.
   std::vector<std::pair<TimePoint, FlowKey>> due_; ///< Timers of flows.
   TimePoint nextTimer_{ TimePoint::max() };
   TimePoint sweepAt_{};
   TimePoint lastPacket_{};
-  std::optional<TimePoint> startedAt_; ///< First tick.
+  std::optional<TimePoint> startedAt_;    ///< First tick.
+  std::optional<TimePoint> configuredAt_; ///< First configuration.
   std::optional<TimePoint> lastSyncedAt_;
   std::array<std::uint64_t, kBalancerCountNames.size()> counts_{};
 };
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -22,8 +22,9 @@
 constexpr std::size_t kMaxProbedUnresponsive = 4;
 
 /** Hosts that may be sent a packet of a flow before every other host has denied
- * it. A flow counts as sent elsewhere from three hosts on. */
-constexpr std::size_t kMaxEarlyProbes = 2;
+ * it. A flow counts as sent elsewhere from three hosts on, and two balancers
+ * may search for it. */
+constexpr std::size_t kMaxEarlyProbes = 1;
 
 /** Most hosts sent a packet of a flow at a time. */
 constexpr std::size_t kMaxProbesAtOnce = 8;
@@ -60,7 +61,7 @@
   aFlow.since_ = aFlow.searchingSince_ = aNow;
   aFlow.searchesAllHosts_ = aFlow.denied_ = false;
   aFlow.askedTwice_ = aFlow.waitsForUnresponsive_ = aFlow.unsent_ = false;
-  aFlow.allAnswered_ = false;
+  aFlow.allAnswered_ = aFlow.silentLeft_ = false;
   aFlow.unsure_.clear();
   aFlow.probed_.clear();
   aFlow.probes_ = aExcept ? 1 : 0;
@@ -71,6 +72,12 @@
   if (aExcept) {
     std::erase(aFlow.asked_, *aExcept);
   }
+  const auto silent = [&](HostId aHost) {
+    return hosts_.IsSilent(aNow, aHost);
+  };
+  if (!std::all_of(aFlow.asked_.begin(), aFlow.asked_.end(), silent)) {
+    std::erase_if(aFlow.asked_, silent);
+  }
   if (aFlow.asked_.empty()) {
     SearchAllHosts(aNow, aKey, aFlow);
   } else {
@@ -148,7 +155,9 @@
     return;
   }
   DropGoneHosts(aFlow);
-  if (!aFlow.probed_.empty() && aFlow.unsure_.empty()) {
+  const auto bounded =
+    aFlow.probed_.size() <= kMaxEarlyProbes || !HasProbedTooLong(aNow, aFlow);
+  if (!aFlow.probed_.empty() && aFlow.unsure_.empty() && bounded) {
     SendSearch(aNow, Purpose::Probe, aFlow.probed_, aFlow, aOut);
     return;
   }
@@ -160,6 +169,11 @@
     nextTimer_ = std::min(nextTimer_, near_.Next());
     return;
   }
+  if (aFlow.allAnswered_ && aFlow.silentLeft_ && aFlow.unsure_.empty() &&
+      aFlow.asked_.empty()) {
+    SearchAllHosts(aNow, aKey, aFlow);
+    return;
+  }
   if (aFlow.allAnswered_ && aFlow.asked_.empty()) {
     Decide(aNow, aKey, aFlow, aOut);
     return;
@@ -214,22 +228,26 @@
   const auto allAsked =
     aFlow.allAnswered_ || Hosts() > settings_.maxSearchedHosts_;
   const auto few = aFlow.probes_ + aFlow.unsure_.size() <= kMaxEarlyProbes;
-  const auto waited = aFlow.waitsForUnresponsive_ &&
-                      aNow - aFlow.since_ >= settings_.unresponsiveWait_;
+  const auto waited =
+    aFlow.waitsForUnresponsive_ &&
+    std::all_of(aFlow.asked_.begin(), aFlow.asked_.end(), [&](HostId aHost) {
+      return hosts_.IsSilent(aNow, aHost);
+    });
   const auto answered = aFlow.asked_.empty() || aFlow.waitsForUnresponsive_;
-  // A configuration comes from control, as the records of all hosts do.
-  const auto knowsHosts = routes_.Version().value_ != 0;
-  const auto complete = knowsHosts && (allAsked || waited);
-  const auto mayProbe = (few || complete) && !HasProbedTooLong(aNow, aFlow);
+  const auto complete = KnowsAllHosts(aNow) && (allAsked || waited);
+  const auto mayProbe = (few || complete) && ProbePacketOf(aFlow) != nullptr &&
+                        !HasProbedTooLong(aNow, aFlow);
   if (!aFlow.unsure_.empty() && answered) {
     if (mayProbe) {
       Probe(aNow, aKey, aFlow, aOut);
-    } else if (!aFlow.searchesAllHosts_ && !aFlow.waitsForUnresponsive_) {
+    } else if (aFlow.waitsForUnresponsive_) {
+      ScheduleAt(aNow + settings_.openTimeout_, aKey, aFlow);
+    } else if (!aFlow.searchesAllHosts_) {
       SearchAllHosts(aNow, aKey, aFlow);
     }
   } else if (!aFlow.asked_.empty() || aFlow.searchesAllHosts_) {
     if (aFlow.allAnswered_ && answered && aFlow.unsure_.empty() &&
-        aFlow.probed_.empty()) {
+        aFlow.probed_.empty() && !aFlow.silentLeft_) {
       NoteDenied(aNow, aKey, aFlow);
     }
   } else {
@@ -248,7 +266,7 @@
     });
   aFlow.probeDue_ = aNow + settings_.openTimeout_;
   ScheduleAt(aFlow.probeDue_, aKey, aFlow);
-  const auto& packet = aFlow.packets_.back();
+  const auto& packet = *ProbePacketOf(aFlow);
   if (aFlow.paidProbes_ == 0) {
     const auto nearHosts = static_cast<std::size_t>(farHosts - unsure.begin());
     const auto count = nearHosts > 0 ? nearHosts : unsure.size();
@@ -271,15 +289,34 @@
   unsure.erase(unsure.begin(), last);
   aFlow.paidProbes_ -= count;
   aFlow.awaitedProbes_ = count;
-  aFlow.firstProbeAt_ = aFlow.probes_ == 0 ? aNow : aFlow.firstProbeAt_;
+  if (aFlow.probes_ <= kMaxEarlyProbes) {
+    aFlow.firstProbeAt_ = aNow;
+  }
   aFlow.probes_ += count;
   aFlow.unsent_ = true;
 }
 
+const std::string*
+Balancer::ProbePacketOf(const Flow& aFlow) const
+{
+  const auto found = std::find_if(
+    aFlow.packets_.rbegin(), aFlow.packets_.rend(), [&](const auto& aPacket) {
+      const auto segment = codec_.parse_(aPacket);
+      return segment && (segment->payload_ > 0 || segment->finishing_);
+    });
+  return found == aFlow.packets_.rend() ? nullptr : &*found;
+}
+
+bool
+Balancer::KnowsAllHosts(TimePoint aNow) const
+{
+  return configuredAt_ && aNow - *configuredAt_ >= settings_.hostRecordsDelay_;
+}
+
 bool
 Balancer::HasProbedTooLong(TimePoint aNow, const Flow& aFlow) const
 {
-  return aFlow.probes_ >= kMaxEarlyProbes &&
+  return aFlow.probes_ > kMaxEarlyProbes &&
          aNow - aFlow.firstProbeAt_ >= settings_.maxProbeTime_;
 }
 
@@ -316,8 +353,6 @@
   flow.asked_ = aUnresolved.unresponsive_;
   flow.unsure_ = aUnresolved.unsure_;
   if (!flow.unsure_.empty()) {
-    ScheduleAt(
-      flow.since_ + settings_.unresponsiveWait_, aUnresolved.key_, flow);
     Decide(aNow, aUnresolved.key_, flow, aOut);
   }
 }
@@ -330,6 +365,7 @@
   }
   aFlow.searchesAllHosts_ = true;
   aFlow.waitsForUnresponsive_ = aFlow.allAnswered_ = false;
+  aFlow.silentLeft_ = false;
   aFlow.asked_.clear();
   aFlow.unsure_.clear();
   aFlow.probed_.clear();
@@ -444,6 +480,7 @@
   for (const auto& undecided : findings.undecided_) {
     eachFlow({ undecided.key_ }, [&](const FlowKey& aKey, Flow& aFlow) {
       aFlow.allAnswered_ = true;
+      aFlow.silentLeft_ = undecided.silentLeft_;
       aFlow.unsure_ = undecided.unsure_;
       aFlow.paidProbes_ = 0;
       Decide(aNow, aKey, aFlow, aOut);
@@ -562,7 +599,7 @@
   } else if (aFlow.allAnswered_) {
     Decide(aNow, aKey, aFlow, aOut);
   }
-  if (aFlow.due_ <= aNow) {
+  if (aFlow.due_ < aNow) {
     ScheduleAt(aNow + settings_.minSearchTime_, aKey, aFlow);
   }
 }
--- a/src/cornelshore/relay/far_search.cpp
+++ b/src/cornelshore/relay/far_search.cpp
@@ -114,6 +114,7 @@
                      const HostTable& aHosts) const
 {
   aOpen.awaited_.clear();
+  aOpen.silent_.clear();
   for (const auto& [id, host] : aHosts.All()) {
     const auto heardAt = host.lastReportAt_.value_or(host.firstSeenAt_);
     const auto answered =
@@ -122,6 +123,9 @@
     if (host.record_.state_ != HostState::Gone && !answered &&
         aNow - heardAt < settings_.hostTimeout_) {
       aOpen.awaited_.push_back(id);
+      if (aHosts.IsSilent(aNow, id)) {
+        aOpen.silent_.push_back(id);
+      }
     }
   }
   aOpen.unsent_ = aOpen.awaited_;
@@ -213,17 +217,23 @@
 void
 FarSearch::CollectAnswered(const Open& aOpen, Findings& aOut)
 {
-  if (!aOpen.awaited_.empty() || aOpen.answered_.empty()) {
+  const auto complete = std::all_of(
+    aOpen.awaited_.begin(), aOpen.awaited_.end(), [&](HostId aHost) {
+      const auto& silent = aOpen.silent_;
+      return std::find(silent.begin(), silent.end(), aHost) != silent.end();
+    });
+  if (!complete || aOpen.answered_.empty()) {
     return;
   }
   for (const auto& item : aOpen.items_) {
     if (item.resolved_) {
       continue;
     }
-    if (item.unsure_.empty()) {
+    if (item.unsure_.empty() && aOpen.awaited_.empty()) {
       aOut.denied_.push_back(item.flow_.key_);
-    } else {
-      aOut.undecided_.push_back({ item.flow_.key_, item.unsure_ });
+    } else if (!item.unsure_.empty()) {
+      aOut.undecided_.push_back(
+        { item.flow_.key_, item.unsure_, !aOpen.awaited_.empty() });
     }
   }
 }
--- a/src/cornelshore/relay/far_search.hpp
+++ b/src/cornelshore/relay/far_search.hpp
@@ -65,6 +65,7 @@
   {
     FlowKey key_;
     std::vector<HostId> unsure_;
+    bool silentLeft_{}; ///< Silent hosts have not answered.
   };
 
   /** @brief A flow denied by all hosts except those that did not answer or are
@@ -88,7 +89,8 @@
   {
     std::vector<FlowKey> held_;   ///< Held by the host that answered.
     std::vector<FlowKey> denied_; ///< Denied by every host.
-    /** All hosts have answered, none holds the flow and some are unsure. */
+    /** All hosts that are not silent have answered, none holds the flow and
+     * some are unsure. */
     std::vector<Undecided> undecided_;
   };
 
@@ -133,8 +135,9 @@
     std::vector<HostId> unsent_; ///< Hosts that the query goes to next.
     std::vector<HostId> awaited_;
     std::vector<HostId> answered_;
-    TimePoint sentAt_;       ///< Last message; not set before the first.
-    TimePoint firstRoundAt_; ///< When the query had been sent to all hosts.
+    std::vector<HostId> silent_; ///< Awaited by denials only.
+    TimePoint sentAt_;           ///< Last message; not set before the first.
+    TimePoint firstRoundAt_;     ///< When the query had been sent to all hosts.
     bool wasSentToAll_{};
   };
 
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -124,6 +124,15 @@
          aNow - *aHost.lastReportAt_ < settings_.loadValidity_;
 }
 
+bool
+HostTable::IsSilent(TimePoint aNow, HostId aHost) const
+{
+  const auto* host = Find(aHost);
+  return host == nullptr ||
+         aNow - host->lastReportAt_.value_or(host->firstSeenAt_) >=
+           settings_.silenceTimeout_;
+}
+
 bool
 HostTable::AwaitsHostOf(TimePoint aNow, ServiceId aService) const
 {
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -33,6 +33,9 @@
   Duration watchInterval_{ std::chrono::seconds{ 1 } };
   /** Retry interval until a host's first load report; several round trips. */
   Duration firstWatchInterval_{ std::chrono::milliseconds{ 200 } };
+  /** Searches wait for a host that does not answer until it has been silent for
+   * this long: an agent that restarts is back within it. */
+  Duration silenceTimeout_{ std::chrono::seconds{ 5 } };
   /** A host that was unsure of a flow is taken to be so of others for this
    * long. */
   Duration unsureTimeout_{ std::chrono::seconds{ 10 } };
@@ -136,6 +139,10 @@
   [[nodiscard]] std::optional<HostId> PickFreeSlot(TimePoint aNow,
                                                    ServiceId aService);
 
+  /** @brief Whether nothing was heard of a host for so long that a search need
+   * not wait for it. */
+  [[nodiscard]] bool IsSilent(TimePoint aNow, HostId aHost) const;
+
   /** @brief Whether the agent of a host of the service has just started and the
    * host's first report to it is still expected. */
   [[nodiscard]] bool AwaitsHostOf(TimePoint aNow, ServiceId aService) const;
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -88,7 +88,7 @@
                              { { "version", version } } });
       return;
     }
-    flows_.UpdateRoutes(*configuration);
+    flows_.UpdateRoutes(aNow, *configuration);
     configuredAt_ = configuredAt_.value_or(aNow);
     aOut.emplace_back(
       Log{ Severity::Info,
--- a/test/cornelshore/relay/far_search.cpp
+++ b/test/cornelshore/relay/far_search.cpp
@@ -101,6 +101,23 @@
   EXPECT_EQ(findings.undecided_.front().unsure_, std::vector{ HostId{ 1 } });
 }
 
+// Failure guarded against: a host that is gone without a word held searches
+// back at unsure hosts, or counted as one that denies the flow.
+TEST_F(FarSearchTest, NamesUnsureHostsWithoutASilentOneAndDeniesNothing)
+{
+  const auto now = kStart + seconds{ 10 };
+  for (const std::uint64_t host : { 1U, 2U }) {
+    hosts_.OnLoad(now, HostId{ host }, { 0, 0, 4, true, false });
+  }
+  search_.Add(now, KeyOf(1), 0);
+  EXPECT_EQ(Asked(now + kGather), (Agents{ 1, 2, 3 }));
+  EXPECT_TRUE(Answer(1, Holding::Unsure).undecided_.empty());
+  const auto findings = Answer(2, Holding::No);
+  EXPECT_TRUE(findings.denied_.empty());
+  ASSERT_EQ(findings.undecided_.size(), 1U);
+  EXPECT_TRUE(findings.undecided_.front().silentLeft_);
+}
+
 TEST_F(FarSearchTest, NeverDeniesAFlowThatOneHostHolds)
 {
 
