Show that a withdrawn key stays out after a restart

Excluded: keys come from the key file alone, no message carries one, and each datagram and frame names its key and is opened with that file's key of that id only.

Not covered: certificates of the operator port, a key file that cannot be read at SIGHUP (the old keys stay in use then, event=keys_not_reloaded), and replays of datagrams of a key that is alive after the receiver's restart.

--- a/test/cornelshore/wire/seal.cpp
+++ b/test/cornelshore/wire/seal.cpp
@@ -149,6 +149,42 @@
   EXPECT_EQ(opens(), OpenOutcome::UnknownKey);
 }
 
+// Guards against a withdrawn key that is in use again after a restart: a peer
+// that still seals with it, datagrams recorded while it was alive, and its id
+// given to another key are all refused, as keys come from the file alone.
+TEST(Seal, AWithdrawnKeyStaysOutAfterARestart)
+{
+  const auto old = Ring(KeyLine(1, 'a'));
+  Sealer holdsOld(old, kSender, kRun);
+  const auto recorded = Sealed(holdsOld, "recorded");
+  const auto withdrawn = Ring("# 1 withdrawn\n" + KeyLine(2, 'b'));
+  const auto renamed = Ring(KeyLine(2, 'b') + KeyLine(1, 'c'));
+  Opener before(Ring(KeyLine(2, 'b') + KeyLine(1, 'a')));
+  EXPECT_EQ(before.Open(recorded, ReplayCheck::Refuse).outcome_,
+            OpenOutcome::Opened);
+  for (const auto check : { ReplayCheck::Refuse, ReplayCheck::Skip }) {
+    Opener restarted(withdrawn);
+    Opener reused(renamed);
+    for (int round = 0; round < 2; ++round) {
+      EXPECT_EQ(restarted.Open(recorded, check).outcome_,
+                OpenOutcome::UnknownKey);
+      EXPECT_EQ(restarted.Open(Sealed(holdsOld, "x"), check).outcome_,
+                OpenOutcome::UnknownKey);
+      EXPECT_EQ(reused.Open(recorded, check).outcome_, OpenOutcome::BadTag);
+      restarted.Rotate(withdrawn);
+      reused.Rotate(renamed);
+    }
+    EXPECT_EQ(restarted.Senders(), 0U);
+    EXPECT_EQ(reused.Senders(), 0U);
+  }
+  Sealer own(withdrawn, NodeId{ 43 }, kRun);
+  EXPECT_EQ(before.Open(Sealed(own, "y"), ReplayCheck::Refuse).outcome_,
+            OpenOutcome::Opened);
+  before.Rotate(withdrawn);
+  EXPECT_EQ(before.Open(recorded, ReplayCheck::Skip).outcome_,
+            OpenOutcome::UnknownKey);
+}
+
 TEST(Seal, BoundsTheSendersItKeeps)
 {
   const auto ring = Ring(KeyLine(3, 'a'));
