--- a/test/system/bad_input.sh
+++ b/test/system/bad_input.sh
@@ -34,6 +34,11 @@
   done
   printf '{"jsonrpc":"2.0","method":"state","params":[[[[[[[[[[[[1]]]]]]]]]]]],"id":{}}\n[]\n{}\n' \
     >"/dev/tcp/127.0.0.1/$(port "$offset")" 2>/dev/null || true
+  for levels in 16 17 1000 100000; do
+    nested=$(printf "%${levels}s" '' | tr ' ' '[')
+    printf '{"jsonrpc":"2.0","method":"state","params":%s%s,"id":1}\n%s\n[1]\n' "$nested" "${nested//[/]}" "$nested" \
+      >"/dev/tcp/127.0.0.1/$(port "$offset")" 2>/dev/null || true
+  done
 done
 sleep 2
 for name in $processes; do
