Show what an opening on the key of a closed flow meets

A late packet does not reach the new flow: sequence numbers more than 2^28 apart tell them apart (AgentTest.ALatePacketOfAClosedFlowReachesNoFlowOf ItsKey passes); nearer ones are left to the host.

The reverse happens, in relay::Agent::Open: a closed flow is kept for 4 s for late packets, and an opening on its key counts as known. It is passed to a host that leaves or has no slot, the balancer is not notified, the flow is no load and is forgotten 4 s after its last packet.

--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -98,6 +98,17 @@
     HostSends(kStart, FromHostTo(aPort, true));
   }
 
+  /** Both ends finish the flow. */
+  void CloseFlow(std::uint16_t aPort)
+  {
+    auto last = FromCaller(aPort, false);
+    last.finishing_ = true;
+    Carry(kStart, Purpose::Direct, last);
+    auto answer = FromHostTo(aPort, false);
+    answer.finishing_ = true;
+    HostSends(kStart, answer);
+  }
+
   static HostReport NextInstance()
   {
     auto report = ReportOf(1);
@@ -516,6 +527,23 @@
   EXPECT_EQ(agent_.Flows(), 0U);
 }
 
+// Guards against a late packet of a closed flow that reaches the flow which now
+// has its key: their sequence numbers tell them apart.
+TEST_F(AgentTest, ALatePacketOfAClosedFlowReachesNoFlowOfItsKey)
+{
+  agent_.OnReport(kStart, ReportOf(1));
+  OpenFlow(1);
+  CloseFlow(1);
+  const auto later = kStart + seconds{ 1 };
+  Carry(later, Purpose::ForceOpen, FromCaller(1, true));
+  auto accepted = FromHostTo(1, true);
+  accepted.sequence_ = 900'000'000;
+  HostSends(later, accepted);
+  const auto late = Carry(later, Purpose::Direct, FromCaller(1, false));
+  EXPECT_FALSE(Delivered(late));
+  EXPECT_EQ(VerdictIn(late), Verdict::Unknown);
+}
+
 TEST_F(AgentTest, ForwardsHostPacketsUnchanged)
 {
   agent_.OnReport(kStart, ReportOf(1));
