Call no garbled answer of a process a refusal

Cause: an answer that was no JSON, among others one cut off and followed by an end of line, was reported as 'refused' by the call, although the process may have carried it out: apply said that the change was refused, and gave no advice to look whether it was accepted. Only an error that a process gives before it carries a call out is a refusal now; all others are no answer, with that advice.

Client.ReportsAnAnswerCutAnywhere failed before at each cut followed by an end of line; an answer without one never passed for complete.

--- a/src/cornelshore/rpc/client.cpp
+++ b/src/cornelshore/rpc/client.cpp
@@ -144,19 +144,23 @@
   bool done_{ false };
 };
 
+/** Only an error that the process gave before it carried the call out says that
+ * it was not carried out. */
 ErrorCode
 CodeOf(const jsonrpc::JsonRpcException& aError)
 {
-  if (aError.GetCode() == static_cast<int>(ErrorCode::Refused)) {
-    return ErrorCode::Refused;
-  }
-  if (aError.GetCode() == static_cast<int>(ErrorCode::Unavailable)) {
+  using jsonrpc::Errors;
+  const auto code = aError.GetCode();
+  if (code == static_cast<int>(ErrorCode::Unavailable)) {
     return ErrorCode::Unavailable;
   }
-  if (aError.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE) {
-    return ErrorCode::Malformed;
+  if (code == static_cast<int>(ErrorCode::Refused) ||
+      code == Errors::ERROR_RPC_METHOD_NOT_FOUND ||
+      code == Errors::ERROR_RPC_INVALID_REQUEST ||
+      code == Errors::ERROR_RPC_INVALID_PARAMS) {
+    return ErrorCode::Refused;
   }
-  return ErrorCode::Refused;
+  return ErrorCode::Malformed;
 }
 
 } // namespace
--- a/test/cornelshore/rpc/server.cpp
+++ b/test/cornelshore/rpc/server.cpp
@@ -4,6 +4,7 @@
 #include <cornelshore/rpc/server.hpp>
 
 #include <string>
+#include <thread>
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
@@ -157,6 +158,40 @@
   EXPECT_NE(reply.code_, ErrorCode::None);
 }
 
+// Guards against an answer that breaks off and is handed on as a complete one,
+// whether or not an end of line follows the piece.
+TEST(Client, ReportsAnAnswerCutAnywhere)
+{
+  namespace asio = boost::asio;
+  const std::string whole =
+    R"({"jsonrpc":"2.0","id":1,"result":{"version":12,"outcome":"accepted"}})";
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  const Endpoint at{ "127.0.0.1", acceptor.local_endpoint().port() };
+  const auto callWith = [&](const std::string& aAnswer) {
+    std::thread server([&] {
+      auto socket = acceptor.accept();
+      std::string line;
+      asio::read_until(socket, asio::dynamic_buffer(line), '\n');
+      asio::write(socket, asio::buffer(aAnswer));
+    });
+    auto reply = Call(at, {}, "echo", "{}", kPatience);
+    server.join();
+    return reply;
+  };
+  ASSERT_EQ(callWith(whole + "\n").code_, ErrorCode::None);
+  for (std::size_t size = 0; size <= whole.size(); ++size) {
+    const auto piece = whole.substr(0, size);
+    EXPECT_NE(callWith(piece).code_, ErrorCode::None) << piece;
+    if (size < whole.size()) {
+      const auto reply = callWith(piece + "\n");
+      EXPECT_NE(reply.code_, ErrorCode::None) << piece;
+      EXPECT_NE(reply.code_, ErrorCode::Refused) << piece;
+    }
+  }
+}
+
 TEST(Client, SaysThatNobodyListens)
 {
   const auto reply = Call({ "127.0.0.1", 1 }, {}, "echo", "{}", kPatience);
