Bound the time left of a request where a balancer awaits its answer

Cause: a balancer added the time left that a caller states to the clock: the largest number overflowed into the past, so that the host counted as late at the next tick, as it did for a time left of 0 or less, and the host was avoided for all callers; a time left of years kept its place among the 16,384 awaited answers for as long, after which no result counted any more. The time is bounded by the 10 minutes for which a home retains outcomes; a request without time left is not awaited, as its home refuses it at once.

HostResults.AnOddTimeLeftCountsAgainstNoHost (for 4 of 5 values) and HostResults.ATimeLeftOfYearsTakesNoPlaceForEver failed before.

Not mended: a caller that asks for answers within a time that no host can keep still makes hosts count as late, and ids that are never answered still take the places for up to 10 minutes.

--- a/src/cornelshore/role/host_results.cpp
+++ b/src/cornelshore/role/host_results.cpp
@@ -6,6 +6,7 @@
 
 #include <cornelshore/core/hash.hpp>
 #include <cornelshore/request/balancer.hpp>
+#include <cornelshore/request/settings.hpp>
 
 namespace cornelshore::role::internal {
 
@@ -13,6 +14,9 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds{ 500 };
 
+/** Maximum time for which an answer is awaited; callers set their own. */
+constexpr Duration kMaxWait = request::AgentSettings{}.retention_;
+
 admission::HostResult
 ResultOf(const request::Outcome& aOutcome)
 {
@@ -70,13 +74,18 @@
 void
 HostResults::OnRelayed(TimePoint aNow, const request::Submit& aSubmit)
 {
+  // A home refuses these at once, whatever the state of its host.
+  if (aSubmit.timeLeft_ <= Duration::zero()) {
+    return;
+  }
   if (pending_.size() < kMaxPending) {
-    pending_.try_emplace(aSubmit.key_.id_,
-                         Pending{ aSubmit.key_.ticket_.home_.host_,
-                                  aSubmit.work_.service_,
-                                  aSubmit.work_.class_,
-                                  aNow,
-                                  aNow + aSubmit.timeLeft_ });
+    pending_.try_emplace(
+      aSubmit.key_.id_,
+      Pending{ aSubmit.key_.ticket_.home_.host_,
+               aSubmit.work_.service_,
+               aSubmit.work_.class_,
+               aNow,
+               aNow + std::min(aSubmit.timeLeft_, kMaxWait) });
   }
 }
 
--- a/test/cornelshore/role/host_results.cpp
+++ b/test/cornelshore/role/host_results.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -90,5 +91,76 @@
   }
 }
 
+// Guards against one caller's odd time left (the largest number, or none) that
+// counts as a host's late answer and turns the other callers' requests away.
+TEST(HostResults, AnOddTimeLeftCountsAgainstNoHost)
+{
+  constexpr auto kMost = std::numeric_limits<Duration::rep>::max();
+  const auto hosts = Hosts(4);
+  for (const auto timeLeft : { Duration{ kMost },
+                               Duration{ kMost / 2 },
+                               Duration::zero(),
+                               Duration{ -1 },
+                               Duration{ -kMost - 1 } }) {
+    HostResults results(1);
+    TimePoint now{ std::chrono::hours{ 1 } };
+    results.SetHosts(now, kService, hosts);
+    for (std::uint64_t number = 0; number < 4000; ++number) {
+      now += std::chrono::milliseconds{ 20 };
+      results.Tick(now);
+      request::Submit submit;
+      submit.key_ = { { 1, number },
+                      { { hosts[number % 4].id_, Incarnation{ 1 }, {} }, {} } };
+      submit.work_ = { kService, kClass, 1 };
+      submit.timeLeft_ = std::chrono::seconds{ 10 };
+      if (number % 8 == 0) {
+        submit.timeLeft_ = timeLeft;
+        results.OnRelayed(now, submit);
+        continue;
+      }
+      results.OnRelayed(now, submit);
+      request::AnswerPart answer;
+      answer.key_ = submit.key_;
+      results.OnReply(now + std::chrono::milliseconds{ 10 }, answer);
+    }
+    EXPECT_TRUE(results.Avoided().empty()) << timeLeft.count();
+  }
+}
+
+// Guards against calls with a time left of years that no host answers: they
+// must not take the places of those that are awaited.
+TEST(HostResults, ATimeLeftOfYearsTakesNoPlaceForEver)
+{
+  const auto hosts = Hosts(4);
+  HostResults results(1);
+  TimePoint now{ std::chrono::hours{ 1 } };
+  results.SetHosts(now, kService, hosts);
+  request::Submit submit;
+  submit.work_ = { ServiceId{ 9 }, kClass, 1 };
+  submit.timeLeft_ = std::chrono::hours{ 24 * 365 };
+  for (std::uint64_t number = 0; number < 200'000; ++number) {
+    submit.key_ = { { 2, number },
+                    { { HostId{ 3 }, Incarnation{ 1 }, {} }, {} } };
+    results.OnRelayed(now, submit);
+  }
+  now += std::chrono::minutes{ 10 };
+  results.Tick(now);
+  submit.work_ = { kService, kClass, 1 };
+  submit.timeLeft_ = std::chrono::milliseconds{ 100 };
+  for (std::uint64_t number = 0; number < 2000; ++number) {
+    now += std::chrono::milliseconds{ 20 };
+    results.Tick(now);
+    const auto home = HostId{ 1 + number % 4 };
+    submit.key_ = { { 1, number }, { { home, Incarnation{ 1 }, {} }, {} } };
+    results.OnRelayed(now, submit);
+    if (home != HostId{ 1 }) {
+      request::AnswerPart answer;
+      answer.key_ = submit.key_;
+      results.OnReply(now + std::chrono::milliseconds{ 10 }, answer);
+    }
+  }
+  EXPECT_EQ(results.Avoided(), std::vector<HostId>{ HostId{ 1 } });
+}
+
 } // namespace
 } // namespace cornelshore::role::internal
