--- a/test/cornelshore/settings/settings.cpp
+++ b/test/cornelshore/settings/settings.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 namespace cornelshore::settings {
@@ -329,14 +330,15 @@
 TEST(Settings, CountsNoDotsOutsideKeys)
 {
   const auto dots = std::string(100, '.');
-  for (const auto& more :
-       { "a = 1 # " + dots + "\n",
-         "a = \"" + dots + "\"\n",
-         "a = '" + dots + "'\n",
-         "a = \"\\\"" + dots + "\"\n",
-         "a = \"\"\"\n" + dots + "\"x\"\n" + dots + "\"\"\"\"\n",
-         "a = '''" + dots + "'x'\n" + dots + "'''\n",
-         "a = [" + Repeated("1.5, ", 100) + "1.5]\n" }) {
+  for (const auto& more : {
+         absl::StrCat("a = 1 # ", dots, "\n"),
+         absl::StrCat("a = \"", dots, "\"\n"),
+         absl::StrCat("a = '", dots, "'\n"),
+         absl::StrCat("a = \"\\\"", dots, "\"\n"),
+         absl::StrCat("a = \"\"\"\n", dots, "\"x\"\n", dots, "\"\"\"\"\n"),
+         absl::StrCat("a = \'\'\'", dots, "'x'\n", dots, "\'\'\'\n"),
+         absl::StrCat("a = [", Repeated("1.5, ", 100), "1.5]\n"),
+       }) {
     const auto error = ErrorOf(more + kGood);
     EXPECT_EQ(error.find("parts"), std::string::npos) << more << error;
   }
