--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -746,18 +746,18 @@
 
   void Execute(std::size_t aFrom, Log& aLog)
   {
-    static const std::set<std::string> kept{
+    static const std::set<std::string> kNotedLines{
       "host_changed",   "host_records_synchronised",
       "flow_reset",     "configuration_in_force",
       "upstream_ready", "upstream_leaving"
     };
-    if (!kept.contains(aLog.name_) ||
+    if (!kNotedLines.contains(aLog.name_) ||
         processes_[aFrom].role_ == Role::Control) {
       return;
     }
     auto text = aLog.name_;
     for (const auto& [name, value] : aLog.fields_) {
-      text += " " + name + "=" + value;
+      text.append(" ").append(name).append("=").append(value);
     }
     Note(aFrom, std::move(text));
   }
--- a/test/cornelshore/role/relay_restart.cpp
+++ b/test/cornelshore/role/relay_restart.cpp
@@ -22,12 +22,7 @@
 // without a restart.
 TEST(RelayFleet, NothingIsLostOnThinLinksWithoutARestart)
 {
-  RelayFleetShape shape;
-  shape.balancers_ = 12;
-  shape.hosts_ = { 40, 20 };
-  shape.flows_ = 900;
-  shape.linkBytesPerSecond_ = 250'000;
-  RunSeeds(shape, seconds{ 14 }, [](Fleet& aFleet) {
+  RunSeeds(ManyHostsOnThinLinks(), seconds{ 14 }, [](Fleet& aFleet) {
     aFleet.At(seconds{ 14 } - Fleet::Millis(1), [&aFleet] {
       EXPECT_EQ(aFleet.Totals().resets_, 0U);
       EXPECT_EQ(aFleet.Totals().returned_, 0U);
--- a/test/cornelshore/role/relay_scenario.hpp
+++ b/test/cornelshore/role/relay_scenario.hpp
@@ -18,6 +18,27 @@
 /** @brief Time of the fault in each scenario, since the fleet's start. */
 inline constexpr Duration kFaultAt = std::chrono::seconds{ 9 };
 
+/** @brief Five times as many hosts as in the default shape. */
+inline RelayFleetShape
+ManyHosts()
+{
+  RelayFleetShape shape;
+  shape.balancers_ = 12;
+  shape.hosts_ = { 40, 20 };
+  shape.flows_ = 900;
+  return shape;
+}
+
+/** @brief Many hosts, and balancers on links of 2 Mbit/s, the slowest in use.
+ */
+inline RelayFleetShape
+ManyHostsOnThinLinks()
+{
+  auto shape = ManyHosts();
+  shape.linkBytesPerSecond_ = 250'000;
+  return shape;
+}
+
 /** @brief Runs a scenario on each seed, and prints what each run counted. */
 inline void
 RunSeeds(const RelayFleetShape& aShape,
