Say for each broken promise what the events show

A reset names whether a record of the flow's host had reached the balancer, a series of strays whether the own agent was asked, answered or was sent a packet.

--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -291,8 +291,10 @@
     std::vector<std::string> texts;
     std::map<FaultKind, std::size_t> stories;
     for (const auto& fault : faults_) {
+      const auto evidence = EvidenceOf(fault);
+      ++evidence_[evidence];
       texts.push_back(TimeOf(fault.at_) + " " + ToString(fault.key_.caller_) +
-                      ": " + fault.what_);
+                      ": " + fault.what_ + " (" + evidence + ")");
       if (++stories[fault.kind_] <= kStories) {
         texts.back() += "\n" + StoryOf(fault);
       }
@@ -315,6 +317,9 @@
         << std::chrono::duration_cast<std::chrono::milliseconds>(
              counts_.longestSeries_)
              .count();
+    for (const auto& [evidence, count] : evidence_) {
+      out << "; " << evidence << ": " << count;
+    }
     return out.str();
   }
 
@@ -431,6 +436,8 @@
     TimePoint at_;
     FlowKey key_;
     FaultKind kind_{};
+    std::size_t process_{}; ///< That reset the flow.
+    TimePoint since_;       ///< The reset, or the first packet at another host.
     std::string what_;
   };
 
@@ -780,8 +787,9 @@
              aFrom,
              aFrom,
              NameIn(relay::kResetReasonNames, aReset.reason_));
-    After(CallerDelay(),
-          [this, key = aReset.key_, aFrom] { ReceiveReset(key, aFrom); });
+    After(CallerDelay(), [this, key = aReset.key_, aFrom, sentAt = now_] {
+      ReceiveReset(key, aFrom, sentAt);
+    });
   }
 
   void Execute(std::size_t aFrom, relay::ToHost& aPacket)
@@ -1072,7 +1080,9 @@
     }
   }
 
-  void ReceiveReset(const FlowKey& aKey, std::size_t aBalancer)
+  void ReceiveReset(const FlowKey& aKey,
+                    std::size_t aBalancer,
+                    TimePoint aSentAt)
   {
     const auto found = flows_.find(aKey);
     if (found == flows_.end() || found->second.stage_ == Stage::Ended) {
@@ -1083,6 +1093,8 @@
       ++counts_.resetsOfOpen_;
       AddFault(aKey,
                FaultKind::Reset,
+               aBalancer,
+               aSentAt,
                "open flow reset by " + NameOf(aBalancer) + ", its host " +
                  NameOf(AgentOf(flow.host_->first)) + " lives");
     }
@@ -1295,8 +1307,11 @@
     if (isNew &&
         RouteAt(processes_[AgentOf(aHost)].service_) != aKey.service_) {
       ++counts_.otherFaults_;
-      AddFault(
-        aKey, FaultKind::Opening, "opening at a host of another service");
+      AddFault(aKey,
+               FaultKind::Opening,
+               0,
+               now_,
+               "opening at a host of another service");
     }
     if (isNew && flow.openings_++ > 0) {
       ++counts_.secondOpenings_;
@@ -1305,6 +1320,8 @@
       ++counts_.otherFaults_;
       AddFault(aKey,
                FaultKind::Opening,
+               0,
+               now_,
                "opening at a host whose leaving is acknowledged");
     }
     if (!IsOpenAtLivingHost(flow) || flow.stage_ == Stage::Ended) {
@@ -1336,6 +1353,8 @@
         ++counts_.strayFaults_;
         AddFault(aKey,
                  FaultKind::Strays,
+                 0,
+                 strays.front(),
                  std::to_string(strays.size()) +
                    " packets of an open flow at other hosts and none at its "
                    "own, " +
@@ -1346,9 +1365,85 @@
     }
   }
 
-  void AddFault(const FlowKey& aKey, FaultKind aKind, std::string aWhat)
+  void AddFault(const FlowKey& aKey,
+                FaultKind aKind,
+                std::size_t aProcess,
+                TimePoint aSince,
+                std::string aWhat)
+  {
+    faults_.push_back(
+      { now_, aKey, aKind, aProcess, aSince, std::move(aWhat) });
+  }
+
+  /** What the events say about the cause of a fault. */
+  [[nodiscard]] std::string EvidenceOf(const Fault& aFault) const
+  {
+    const auto& flow = flows_.at(aFault.key_);
+    if (aFault.kind_ == FaultKind::Opening || !flow.host_) {
+      return "an agent let an opening pass";
+    }
+    const auto own = AgentOf(flow.host_->first);
+    if (aFault.kind_ == FaultKind::Strays) {
+      return EvidenceOfStrays(flow, own, aFault.since_, aFault.at_);
+    }
+    if (!KnewHost(aFault.process_, own, aFault.since_)) {
+      return "the balancer did not know the own host";
+    }
+    const auto since = aFault.at_ - std::chrono::seconds{ 5 };
+    const auto denied =
+      std::any_of(flow.seen_.begin(), flow.seen_.end(), [&](const Seen& aSeen) {
+        return aSeen.at_ >= since && aSeen.process_ == own &&
+               (aSeen.detail_ ==
+                  NameIn(relay::kHoldingNames, relay::Holding::No) ||
+                aSeen.detail_ ==
+                  NameIn(relay::kVerdictNames, relay::Verdict::Unknown));
+      });
+    return denied ? "the own agent denied the flow"
+                  : "the own host was known and did not deny the flow";
+  }
+
+  [[nodiscard]] static std::string EvidenceOfStrays(const Flow& aFlow,
+                                                    std::size_t aOwn,
+                                                    TimePoint aSince,
+                                                    TimePoint aUntil)
   {
-    faults_.push_back({ now_, aKey, aKind, std::move(aWhat) });
+    auto queried = false;
+    auto unsure = false;
+    auto sent = false;
+    for (const auto& seen : aFlow.seen_) {
+      // The packet that ended the series is on its way for less than this.
+      if (seen.at_ < aSince || seen.at_ > aUntil - Millis(5)) {
+        continue;
+      }
+      const std::string_view what(seen.what_);
+      queried |= what == "queried" && seen.other_ == aOwn;
+      sent |= what == "relayed" && seen.other_ == aOwn;
+      unsure |=
+        seen.process_ == aOwn &&
+        seen.detail_ == NameIn(relay::kHoldingNames, relay::Holding::Unsure);
+    }
+    std::string text = sent      ? "packets to the own agent did not arrive"
+                       : unsure  ? "the own agent was unsure, no packet sent"
+                       : queried ? "the own agent did not answer a query"
+                                 : "the own agent was not asked";
+    return aFlow.openings_ > 1 ? text + ", two hosts took the opening" : text;
+  }
+
+  /** Whether a record of the host reached the balancer since it started. */
+  [[nodiscard]] bool KnewHost(std::size_t aBalancer,
+                              std::size_t aAgent,
+                              TimePoint aAt) const
+  {
+    const auto agent = "agent=" + ToString(AddressAt(aAgent));
+    auto knows = false;
+    for (const auto& note : notes_) {
+      if (note.process_ != aBalancer || note.at_ > aAt) {
+        continue;
+      }
+      knows = note.what_ != "started" &&
+              (knows || note.what_.find(agent) != std::string::npos);
+    }
+    return knows;
   }
 
   // --- Stories ---
@@ -1548,6 +1643,7 @@
   bool applied_{};
   Counts counts_;
   std::vector<Fault> faults_;
+  std::map<std::string, std::size_t> evidence_;
   std::vector<Noted> notes_;
 };
 
