--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -109,7 +109,15 @@
  * @brief Control processes, balancers and agents over a network in virtual
  * time, with hosts and callers that judge what happens to open flows.
  *
- * Disks of control processes, hosts and callers outlive the processes.
+ * Disks of control processes, hosts and callers outlive the processes. Packets
+ * are lost at processes that are down and on full links of balancers; processor
+ * time is not modelled. A seed fixes every draw; figures still differ a little
+ * between runs, as absl's tables iterate in the order of memory addresses.
+ *
+ * Rule FLOW, judged at each packet: no reset of a flow that is open at a living
+ * host, and no 3 packets at other hosts and none at the own one for 2 s from
+ * one of them on. Copies of a packet that had reached the own host don't count.
+ * The rule also holds beside processes that are down, unlike the users'.
  */
 class RelayFleet
 {
