--- a/test/cornelshore/relay_restart/relay_restart.cpp
+++ b/test/cornelshore/relay_restart/relay_restart.cpp
@@ -5,8 +5,7 @@
 
 using std::chrono::seconds;
 
-// Guards against balancers that know part of the hosts resetting open flows of
-// the others, and against packets of open flows going from host to host.
+// Guards against resets by balancers that do not know the flow's host yet.
 TEST(RelayRestart, FlowsSurviveTheRestartOfAllProcessesAtOnce)
 {
   RunSeeds({}, seconds{ 20 }, [](Fleet& aFleet) {
@@ -14,8 +13,7 @@
   });
 }
 
-// Guards against flows being given up whose hosts' agents start up to 4 s
-// later than the balancers.
+// Guards against resets of flows whose agents start 4 s after the balancers.
 TEST(RelayRestart, FlowsSurviveAgentsThatStartLaterThanBalancers)
 {
   RunSeeds({}, seconds{ 24 }, [](Fleet& aFleet) {
@@ -31,8 +29,7 @@
   });
 }
 
-// Guards against few hosts, of which a flow's own is soon the only one not
-// asked, losing their flows.
+// Guards against resets once every host but the flow's own has been asked.
 TEST(RelayRestart, FlowsOfFewHostsSurviveTheRestartOfAllProcesses)
 {
   RelayFleetShape shape;
@@ -49,8 +46,7 @@
     kFirstSeed);
 }
 
-// Guards against balancers that start before control taking the few records
-// that they exchange with each other for all.
+// Guards against balancers that take each other's few records for all of them.
 TEST(RelayRestart, FlowsSurviveControlThatStartsLaterThanBalancers)
 {
   RunSeeds({}, seconds{ 22 }, [](Fleet& aFleet) {
@@ -64,8 +60,8 @@
   });
 }
 
-// Guards against a host that starts or leaves while all processes restart
-// being sent flows that it must not take, or losing those that it holds.
+// Guards against lost or misplaced flows of a host that comes or goes
+// meanwhile.
 TEST(RelayRestart, FlowsSurviveHostsThatComeAndGoDuringTheRestart)
 {
   RelayFleetShape shape;
--- a/test/cornelshore/relay_restart_first_report/relay_restart.cpp
+++ b/test/cornelshore/relay_restart_first_report/relay_restart.cpp
@@ -5,8 +5,7 @@
 
 using std::chrono::seconds;
 
-// Guards against an agent that restarts beside a new host taking the host's
-// second report, of number 1, for its first, and denying the host's flows.
+// Guards against an agent that takes a host's second report for its first.
 TEST(RelayRestartBesideANewHost, FlowsSurviveWhereReportsCountFromZero)
 {
   RelayFleetShape shape;
--- a/test/cornelshore/relay_restart_hosts/relay_restart.cpp
+++ b/test/cornelshore/relay_restart_hosts/relay_restart.cpp
@@ -5,9 +5,9 @@
 
 using std::chrono::seconds;
 
-// Guards against searches whose byte budget is used up by hosts that are
-// unsure, so that a flow's own host is sent the packet long after the others.
-TEST(RelayRestart, FlowsOfManyHostsSurviveTheRestartOfAllProcesses)
+// Guards against a byte budget used up before the flow's own host gets a
+// packet.
+TEST(RelayRestartManyHosts, FlowsOfManyHostsSurviveTheRestartOfAllProcesses)
 {
   RunSeeds(ManyHosts(), seconds{ 18 }, [](Fleet& aFleet) {
     aFleet.At(kFaultAt, [&aFleet] { KillAll(aFleet, kAll); });
--- a/test/cornelshore/relay_restart_links/relay_restart.cpp
+++ b/test/cornelshore/relay_restart_links/relay_restart.cpp
@@ -5,9 +5,8 @@
 
 using std::chrono::seconds;
 
-// Guards against searches among many hosts that begin anew with each host that
-// appears, so that a flow's own host is never asked.
-TEST(RelayRestart, FlowsOnThinLinksSurviveTheRestartOfAllProcesses)
+// Guards against searches that never get to the flow's own host on thin links.
+TEST(RelayRestartThinLinks, FlowsOnThinLinksSurviveTheRestartOfAllProcesses)
 {
   RunSeeds(ManyHostsOnThinLinks(), seconds{ 18 }, [](Fleet& aFleet) {
     aFleet.At(kFaultAt, [&aFleet] { KillAll(aFleet, kAll); });
--- a/test/cornelshore/relay_restart_turns/relay_restart.cpp
+++ b/test/cornelshore/relay_restart_turns/relay_restart.cpp
@@ -5,9 +5,8 @@
 
 using std::chrono::seconds;
 
-// Guards against hosts whose agents have just restarted being sent the packets
-// of flows whose own hosts are queried seconds later.
-TEST(RelayRestart, FlowsOnThinLinksSurvivePlannedRestartsInTurn)
+// Guards against packets to unsure hosts seconds before the flow's own host.
+TEST(RelayRestartInTurn, FlowsOnThinLinksSurvivePlannedRestartsInTurn)
 {
   RunSeeds(ManyHostsOnThinLinks(), seconds{ 19 }, [](Fleet& aFleet) {
     RollInTurn(aFleet,
--- a/test/cornelshore/role/relay_restart.cpp
+++ b/test/cornelshore/role/relay_restart.cpp
@@ -5,8 +5,7 @@
 
 using std::chrono::seconds;
 
-// Guards against faults of the fleet itself: without any restart no flow is
-// reset, and no packet reaches a host that does not hold its flow.
+// Guards against faults of the fleet itself: nothing is lost without a restart.
 TEST(RelayFleet, NothingIsLostWithoutARestart)
 {
   RunSeeds({}, seconds{ 20 }, [](Fleet& aFleet) {
@@ -18,8 +17,8 @@
   });
 }
 
-// Guards against faults of the fleet itself: no queue on a thin link fills
-// without a restart.
+// Guards against faults of the fleet itself: no queue on a link fills by
+// itself.
 TEST(RelayFleet, NothingIsLostOnThinLinksWithoutARestart)
 {
   RunSeeds(ManyHostsOnThinLinks(), seconds{ 14 }, [](Fleet& aFleet) {
@@ -31,8 +30,7 @@
   });
 }
 
-// Guards against the same losses where control lives on and its records of
-// hosts are those of agents that have ended.
+// Guards against control that keeps records of agents which have ended.
 TEST(RelayRestart, FlowsSurviveTheRestartOfAgentsAndBalancers)
 {
   RunSeeds({}, seconds{ 20 }, [](Fleet& aFleet) {
@@ -42,8 +40,7 @@
   });
 }
 
-// Guards against planned restarts, which overlap and follow one another, moving
-// open flows to other hosts.
+// Guards against planned restarts that move open flows to other hosts.
 TEST(RelayRestart, FlowsSurvivePlannedRestartsInTurn)
 {
   RunSeeds({}, seconds{ 32 }, [](Fleet& aFleet) {
