--- a/test/cornelshore/relay_restart/relay_restart.cpp
+++ b/test/cornelshore/relay_restart/relay_restart.cpp
@@ -60,8 +60,7 @@
   });
 }
 
-// Guards against lost or misplaced flows of a host that comes or goes
-// meanwhile.
+// Guards against lost or misplaced flows of a host that starts or leaves.
 TEST(RelayRestart, FlowsSurviveHostsThatComeAndGoDuringTheRestart)
 {
   RelayFleetShape shape;
--- a/test/cornelshore/relay_restart_hosts/relay_restart.cpp
+++ b/test/cornelshore/relay_restart_hosts/relay_restart.cpp
@@ -5,8 +5,7 @@
 
 using std::chrono::seconds;
 
-// Guards against a byte budget used up before the flow's own host gets a
-// packet.
+// Guards against byte budgets used up before the flow's host gets a packet.
 TEST(RelayRestartManyHosts, FlowsOfManyHostsSurviveTheRestartOfAllProcesses)
 {
   RunSeeds(ManyHosts(), seconds{ 18 }, [](Fleet& aFleet) {
--- a/test/cornelshore/role/relay_restart.cpp
+++ b/test/cornelshore/role/relay_restart.cpp
@@ -17,8 +17,7 @@
   });
 }
 
-// Guards against faults of the fleet itself: no queue on a link fills by
-// itself.
+// Guards against faults of the fleet itself: links carry the usual load.
 TEST(RelayFleet, NothingIsLostOnThinLinksWithoutARestart)
 {
   RunSeeds(ManyHostsOnThinLinks(), seconds{ 14 }, [](Fleet& aFleet) {
