--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -109,7 +109,15 @@
  * @brief Control processes, balancers and agents over a network in virtual
  * time, with hosts and callers that judge what happens to open flows.
  *
- * Disks of control processes, hosts and callers outlive the processes.
+ * Disks of control processes, hosts and callers outlive the processes. Packets
+ * are lost at processes that are down and on full links of balancers; processor
+ * time is not modelled. A seed fixes every draw; figures still differ a little
+ * between runs, as absl's tables iterate in the order of memory addresses.
+ *
+ * Rule FLOW, judged at each packet: no reset of a flow that is open at a living
+ * host, and no 3 packets at other hosts and none at the own one for 2 s from
+ * one of them on. Copies of a packet that had reached the own host don't count.
+ * The rule also holds beside processes that are down, unlike the users'.
  */
 class RelayFleet
 {
@@ -291,8 +299,10 @@
     std::vector<std::string> texts;
     std::map<FaultKind, std::size_t> stories;
     for (const auto& fault : faults_) {
+      const auto evidence = EvidenceOf(fault);
+      ++evidence_[evidence];
       texts.push_back(TimeOf(fault.at_) + " " + ToString(fault.key_.caller_) +
-                      ": " + fault.what_);
+                      ": " + fault.what_ + " (" + evidence + ")");
       if (++stories[fault.kind_] <= kStories) {
         texts.back() += "\n" + StoryOf(fault);
       }
@@ -315,6 +325,9 @@
         << std::chrono::duration_cast<std::chrono::milliseconds>(
              counts_.longestSeries_)
              .count();
+    for (const auto& [evidence, count] : evidence_) {
+      out << "; " << evidence << ": " << count;
+    }
     return out.str();
   }
 
@@ -433,6 +446,8 @@
     TimePoint at_;
     FlowKey key_;
     FaultKind kind_{};
+    std::size_t process_{}; ///< That reset the flow.
+    TimePoint since_;       ///< The reset, or the first packet at another host.
     std::string what_;
   };
 
@@ -770,18 +785,18 @@
 
   void Execute(std::size_t aFrom, Log& aLog)
   {
-    static const std::set<std::string> kept{
+    static const std::set<std::string> kNotedLines{
       "host_changed",   "host_records_synchronised",
       "flow_reset",     "configuration_in_force",
       "upstream_ready", "upstream_leaving"
     };
-    if (!kept.contains(aLog.name_) ||
+    if (!kNotedLines.contains(aLog.name_) ||
         processes_[aFrom].role_ == Role::Control) {
       return;
     }
     auto text = aLog.name_;
     for (const auto& [name, value] : aLog.fields_) {
-      text += " " + name + "=" + value;
+      text.append(" ").append(name).append("=").append(value);
     }
     Note(aFrom, std::move(text));
   }
@@ -804,8 +819,9 @@
              aFrom,
              aFrom,
              NameIn(relay::kResetReasonNames, aReset.reason_));
-    After(CallerDelay(),
-          [this, key = aReset.key_, aFrom] { ReceiveReset(key, aFrom); });
+    After(CallerDelay(), [this, key = aReset.key_, aFrom, sentAt = now_] {
+      ReceiveReset(key, aFrom, sentAt);
+    });
   }
 
   void Execute(std::size_t aFrom, relay::ToHost& aPacket)
@@ -1096,7 +1112,9 @@
     }
   }
 
-  void ReceiveReset(const FlowKey& aKey, std::size_t aBalancer)
+  void ReceiveReset(const FlowKey& aKey,
+                    std::size_t aBalancer,
+                    TimePoint aSentAt)
   {
     const auto found = flows_.find(aKey);
     if (found == flows_.end() || found->second.stage_ == Stage::Ended) {
@@ -1107,6 +1125,8 @@
       ++counts_.resetsOfOpen_;
       AddFault(aKey,
                FaultKind::Reset,
+               aBalancer,
+               aSentAt,
                "open flow reset by " + NameOf(aBalancer) + ", its host " +
                  NameOf(AgentOf(flow.host_->first)) + " lives");
     }
@@ -1319,8 +1339,11 @@
     if (isNew &&
         RouteAt(processes_[AgentOf(aHost)].service_) != aKey.service_) {
       ++counts_.otherFaults_;
-      AddFault(
-        aKey, FaultKind::Opening, "opening at a host of another service");
+      AddFault(aKey,
+               FaultKind::Opening,
+               0,
+               now_,
+               "opening at a host of another service");
     }
     if (isNew && flow.openings_++ > 0) {
       ++counts_.secondOpenings_;
@@ -1329,6 +1352,8 @@
       ++counts_.otherFaults_;
       AddFault(aKey,
                FaultKind::Opening,
+               0,
+               now_,
                "opening at a host whose leaving is acknowledged");
     }
     if (!IsOpenAtLivingHost(flow) || flow.stage_ == Stage::Ended) {
@@ -1360,6 +1385,8 @@
         ++counts_.strayFaults_;
         AddFault(aKey,
                  FaultKind::Strays,
+                 0,
+                 strays.front(),
                  std::to_string(strays.size()) +
                    " packets of an open flow at other hosts and none at its "
                    "own, " +
@@ -1370,9 +1397,85 @@
     }
   }
 
-  void AddFault(const FlowKey& aKey, FaultKind aKind, std::string aWhat)
+  void AddFault(const FlowKey& aKey,
+                FaultKind aKind,
+                std::size_t aProcess,
+                TimePoint aSince,
+                std::string aWhat)
   {
-    faults_.push_back({ now_, aKey, aKind, std::move(aWhat) });
+    faults_.push_back(
+      { now_, aKey, aKind, aProcess, aSince, std::move(aWhat) });
+  }
+
+  /** What the events say about the cause of a fault. */
+  [[nodiscard]] std::string EvidenceOf(const Fault& aFault) const
+  {
+    const auto& flow = flows_.at(aFault.key_);
+    if (aFault.kind_ == FaultKind::Opening || !flow.host_) {
+      return "an agent let an opening pass";
+    }
+    const auto own = AgentOf(flow.host_->first);
+    if (aFault.kind_ == FaultKind::Strays) {
+      return EvidenceOfStrays(flow, own, aFault.since_, aFault.at_);
+    }
+    if (!KnewHost(aFault.process_, own, aFault.since_)) {
+      return "the balancer did not know the own host";
+    }
+    const auto since = aFault.at_ - std::chrono::seconds{ 5 };
+    const auto denied =
+      std::any_of(flow.seen_.begin(), flow.seen_.end(), [&](const Seen& aSeen) {
+        return aSeen.at_ >= since && aSeen.process_ == own &&
+               (aSeen.detail_ ==
+                  NameIn(relay::kHoldingNames, relay::Holding::No) ||
+                aSeen.detail_ ==
+                  NameIn(relay::kVerdictNames, relay::Verdict::Unknown));
+      });
+    return denied ? "the own agent denied the flow"
+                  : "the own host was known and did not deny the flow";
+  }
+
+  [[nodiscard]] static std::string EvidenceOfStrays(const Flow& aFlow,
+                                                    std::size_t aOwn,
+                                                    TimePoint aSince,
+                                                    TimePoint aUntil)
+  {
+    auto queried = false;
+    auto unsure = false;
+    auto sent = false;
+    for (const auto& seen : aFlow.seen_) {
+      // The packet that ended the series is on its way for less than this.
+      if (seen.at_ < aSince || seen.at_ > aUntil - Millis(5)) {
+        continue;
+      }
+      const std::string_view what(seen.what_);
+      queried |= what == "queried" && seen.other_ == aOwn;
+      sent |= what == "relayed" && seen.other_ == aOwn;
+      unsure |=
+        seen.process_ == aOwn &&
+        seen.detail_ == NameIn(relay::kHoldingNames, relay::Holding::Unsure);
+    }
+    std::string text = sent      ? "packets to the own agent did not arrive"
+                       : unsure  ? "the own agent was unsure, no packet sent"
+                       : queried ? "the own agent did not answer a query"
+                                 : "the own agent was not asked";
+    return aFlow.openings_ > 1 ? text + ", two hosts took the opening" : text;
+  }
+
+  /** Whether a record of the host reached the balancer since it started. */
+  [[nodiscard]] bool KnewHost(std::size_t aBalancer,
+                              std::size_t aAgent,
+                              TimePoint aAt) const
+  {
+    const auto agent = "agent=" + ToString(AddressAt(aAgent));
+    auto knows = false;
+    for (const auto& note : notes_) {
+      if (note.process_ != aBalancer || note.at_ > aAt) {
+        continue;
+      }
+      knows = note.what_ != "started" &&
+              (knows || note.what_.find(agent) != std::string::npos);
+    }
+    return knows;
   }
 
   // --- Stories ---
@@ -1572,6 +1675,7 @@
   bool applied_{};
   Counts counts_;
   std::vector<Fault> faults_;
+  std::map<std::string, std::size_t> evidence_;
   std::vector<Noted> notes_;
 };
 
--- a/test/cornelshore/role/relay_restart.cpp
+++ b/test/cornelshore/role/relay_restart.cpp
@@ -5,8 +5,7 @@
 
 using std::chrono::seconds;
 
-// Guards against faults of the fleet itself: without any restart no flow is
-// reset, and no packet reaches a host that does not hold its flow.
+// Guards against faults of the fleet itself: nothing is lost without a restart.
 TEST(RelayFleet, NothingIsLostWithoutARestart)
 {
   RunSeeds({}, seconds{ 20 }, [](Fleet& aFleet) {
@@ -18,16 +17,10 @@
   });
 }
 
-// Guards against faults of the fleet itself: no queue on a thin link fills
-// without a restart.
+// Guards against faults of the fleet itself: links carry the usual load.
 TEST(RelayFleet, NothingIsLostOnThinLinksWithoutARestart)
 {
-  RelayFleetShape shape;
-  shape.balancers_ = 12;
-  shape.hosts_ = { 40, 20 };
-  shape.flows_ = 900;
-  shape.linkBytesPerSecond_ = 250'000;
-  RunSeeds(shape, seconds{ 14 }, [](Fleet& aFleet) {
+  RunSeeds(ManyHostsOnThinLinks(), seconds{ 14 }, [](Fleet& aFleet) {
     aFleet.At(seconds{ 14 } - Fleet::Millis(1), [&aFleet] {
       EXPECT_EQ(aFleet.Totals().resets_, 0U);
       EXPECT_EQ(aFleet.Totals().returned_, 0U);
@@ -36,8 +29,7 @@
   });
 }
 
-// Guards against the same losses where control lives on and its records of
-// hosts are those of agents that have ended.
+// Guards against control that keeps records of agents which have ended.
 TEST(RelayRestart, FlowsSurviveTheRestartOfAgentsAndBalancers)
 {
   RunSeeds({}, seconds{ 20 }, [](Fleet& aFleet) {
@@ -47,8 +39,7 @@
   });
 }
 
-// Guards against planned restarts, which overlap and follow one another, moving
-// open flows to other hosts.
+// Guards against planned restarts that move open flows to other hosts.
 TEST(RelayRestart, FlowsSurvivePlannedRestartsInTurn)
 {
   RunSeeds({}, seconds{ 32 }, [](Fleet& aFleet) {
