--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -144,6 +144,7 @@
       Hold(aNow, aKey, std::move(flow.packets_.front()), aOut);
       return;
     }
+    held_.erase(aKey);
     aOut.emplace_back(ToCaller{
       aKey, ResetReason::NoHost, codec_.reset_(aKey, aSegment.acknowledged_) });
     return;
