--- a/test/cornelshore/dissemination/node_recovery.cpp
+++ b/test/cornelshore/dissemination/node_recovery.cpp
@@ -99,6 +99,31 @@
   }
 }
 
+// Guards against an agent that takes a newcomer's word: it agrees with a
+// balancer that has never been synchronised itself, counts as confirmed, though
+// long ago, and concludes that no record of its earlier run exists.
+TEST(NodeRecovery, AgentsBesideBalancersThatWereNeverSynchronisedAreNotEither)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    auto fleet = RunningFleet(seed);
+    fleet.seeds_ = kControl + 3;
+    fleet.fate_ = [](std::size_t aFrom, std::size_t aTo) {
+      const bool cut = (aFrom < kControl) != (aTo < kControl);
+      return Fleet::Fate{ cut ? 0U : 1U, milliseconds(1) };
+    };
+    for (std::size_t index = kControl; index < kAll; ++index) {
+      fleet.Restart(index);
+    }
+    fleet.RunFor(seconds(6));
+    std::size_t confirmed = 0;
+    for (std::size_t agent = kFirstAgent; agent < kAll; ++agent) {
+      confirmed += fleet.At(agent).ConfirmedAt() ? 1U : 0U;
+    }
+    EXPECT_EQ(CountSynchronised(fleet), 0U) << "seed " << seed;
+    EXPECT_EQ(confirmed, 0U) << "seed " << seed;
+  }
+}
+
 /** What a control VM holds, as its disk keeps it. */
 std::vector<HostUpdate>
 RecordsOf(const Node& aNode, TimePoint aNow)
@@ -193,7 +218,9 @@
   };
   fleet.RunUntil(fleet.Now() + seconds(2), step);
   for (std::size_t index = kControl; index < kFirstAgent; ++index) {
-    EXPECT_EQ(fleet.At(index).Hosts().size(), kAgents) << "seed " << aSeed;
+    if (aWithRecords > 0) {
+      EXPECT_EQ(fleet.At(index).Hosts().size(), kAgents) << "seed " << aSeed;
+    }
   }
   fleet.RunUntil(fleet.Now() + seconds(8), step);
   EXPECT_EQ(early, 0U) << "seed " << aSeed;
@@ -222,6 +249,16 @@
   }
 }
 
+// Guards against open flows reset after a restart of all processes where no
+// control VM has records of an earlier run: at the first start of this release,
+// or with a file that cannot be read.
+TEST(NodeRecovery, NoBalancerIsSynchronisedEarlyWhereNoDiskHasRecords)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    RestartEverything(seed, 0, 0);
+  }
+}
+
 // Guards against hosts that stay out of use when control and the balancers
 // restart beside agents that run on and have no reason to announce themselves.
 TEST(NodeRecovery, HostsAreReadyAgainWhenOnlyTheirAgentsRanOn)
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -367,6 +367,22 @@
   EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, sent)));
 }
 
+// Failure guarded against: the agent denied a flow that its host may hold,
+// because the host had returned a packet of an earlier flow of the same key.
+TEST_F(AgentTest, MayHoldANewFlowOfAKeyWhoseProbeTheHostReturnedBefore)
+{
+  agent_.OnReport(kStart, ReportOf(40));
+  auto packet = *Delivered(Carry(kStart, Purpose::Probe, FromCaller(1, false)));
+  packet.returned_ = true;
+  HostSends(kStart, packet);
+  const auto later = kStart + seconds{ 10 };
+  EXPECT_EQ(agent_.OnReport(later, ReportOf(41)), ReportOutcome::Taken);
+  Carry(later, Purpose::ForceOpen, FromCaller(1, true));
+  EXPECT_EQ(agent_.OnReport(later, NextInstance()), ReportOutcome::Taken);
+  EXPECT_EQ(HoldingOf(later, 1), Holding::Unsure);
+  EXPECT_TRUE(Delivered(Carry(later, Purpose::Direct, FromCaller(1, false))));
+}
+
 TEST_F(AgentTest, ReturnsADirectPacketOfAFlowNotHeld)
 {
   agent_.OnReport(kStart, ReportOf(40));
