--- a/test/cornelshore/relay_restart/relay_restart.cpp
+++ b/test/cornelshore/relay_restart/relay_restart.cpp
@@ -31,6 +31,21 @@
   });
 }
 
+// Guards against control without host records of an earlier run, as after the
+// first start of a release that keeps them, being taken to know all hosts.
+TEST(RelayRestart, FlowsSurviveControlWithoutHostRecordsAndLateAgents)
+{
+  RunSeeds({}, seconds{ 24 }, [](Fleet& aFleet) {
+    aFleet.At(kFaultAt, [&aFleet] {
+      KillAll(aFleet, kAll);
+      aFleet.LoseHostRecords();
+      const auto agents = aFleet.Of(Fleet::Role::Agent);
+      aFleet.Restart(agents[aFleet.Randomness().Below(agents.size())],
+                     aFleet.Draw(Fleet::Millis(2500), Fleet::Millis(5000)));
+    });
+  });
+}
+
 // Guards against few hosts, of which a flow's own is soon the only one not
 // asked, losing their flows.
 TEST(RelayRestart, FlowsOfFewHostsSurviveTheRestartOfAllProcesses)
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -237,6 +237,14 @@
     Note(aProcess, "killed");
   }
 
+  /** @brief Empties the host records on the disks of the control processes. */
+  void LoseHostRecords()
+  {
+    for (auto& disk : disks_) {
+      disk.hosts_.clear();
+    }
+  }
+
   /** @brief Kills a process and starts it after a delay. */
   void Restart(std::size_t aProcess, Duration aDelay)
   {
