--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -327,6 +327,9 @@
                const FlowKey& aKey,
                Flow& aFlow,
                Actions& aOut);
+  /** @brief Hosts that a search asks first. */
+  [[nodiscard]] std::vector<HostId> NearbyHosts(const FlowKey& aKey,
+                                                const Flow& aFlow) const;
   /** @brief Starts a search among the nearby hosts, except `aExcept`. */
   void StartSearch(TimePoint aNow,
                    const FlowKey& aKey,
@@ -384,8 +387,9 @@
    * @brief Takes the next step of a search once hosts have answered.
    *
    * A packet passed on by an unsure agent reaches a host that may not hold the
-   * flow. More than two of them are therefore sent packets only once every
-   * other host has denied the flow, few at first, and only for a short time.
+   * flow. More than one of them is therefore sent packets only once every other
+   * host that was heard of lately has denied the flow, few at first, and only
+   * for a short time.
    */
   void Decide(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   /** @brief The last packet that its host answers: one with data or an end.
@@ -393,6 +397,8 @@
   [[nodiscard]] const std::string* ProbePacketOf(const Flow& aFlow) const;
   /** @brief Whether control has had time to name all hosts. */
   [[nodiscard]] bool KnowsAllHosts(TimePoint aNow) const;
+  /** @brief Whether a further packet may go to the hosts that stayed silent. */
+  [[nodiscard]] bool MayProbeAgain(TimePoint aNow, const Flow& aFlow) const;
   /** @brief Whether packets were sent to unsure hosts for too long. */
   [[nodiscard]] bool HasProbedTooLong(TimePoint aNow, const Flow& aFlow) const;
   /** @brief Sends the flow's last packet to the next unsure hosts, nearby ones
