Leave openings that two agents took out of the bounds of clocks

Operators who ask for a flow's story saw no bound on the agents' clocks. Cause: an opening that was offered twice is taken by two agents, or twice by one; the tool paired the balancer's line with the later one, so that bounds contradicted each other and none was left. Change: such openings bound nothing.

--- a/src/cornelshore/trace/clocks.cpp
+++ b/src/cornelshore/trace/clocks.cpp
@@ -12,23 +12,31 @@
 
 Clocks::Clocks(const std::vector<Line>& aLines)
 {
-  std::map<std::pair<std::string, std::string>, const Line*> taken;
+  struct Taken
+  {
+    const Line* line_{};
+    std::size_t count_{};
+  };
+  std::map<std::pair<std::string, std::string>, Taken> taken;
   const auto flowOf = [](const Line& aLine) {
     return std::pair(std::string(aLine.Field("caller")),
                      std::string(aLine.Field("service_address")));
   };
   for (const auto& line : aLines) {
     if (line.event_ == "flow_taken") {
-      taken[flowOf(line)] = &line;
+      auto& flow = taken[flowOf(line)];
+      flow.line_ = &line;
+      ++flow.count_;
     }
   }
   for (const auto& opened : aLines) {
     const auto found =
       opened.event_ == "flow_opened" ? taken.find(flowOf(opened)) : taken.end();
-    if (found == taken.end()) {
+    // Of an opening taken twice it is not known which one the balancer logged.
+    if (found == taken.end() || found->second.count_ > 1) {
       continue;
     }
-    const auto& agent = *found->second;
+    const auto& agent = *found->second.line_;
     const auto waited = (opened.Number("waited_ms") + 1) * kMicrosInMilli;
     const auto least = agent.micros_ - opened.micros_;
     const auto [row, added] = leads_.try_emplace(
--- a/test/cornelshore/trace/journal.cpp
+++ b/test/cornelshore/trace/journal.cpp
@@ -1,5 +1,7 @@
 #include <cornelshore/trace/journal.hpp>
 
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include <cornelshore/trace/clocks.hpp>
@@ -58,6 +60,27 @@
   EXPECT_FALSE(clocks.LeadOf("agent-2", "balancer-1"));
 }
 
+// Failure guarded against: an opening that two agents took gave a false bound,
+// after which no lead fitted.
+TEST(Clocks, LeavesOutAFlowThatWasTakenTwice)
+{
+  const std::string first(kTaken);
+  auto again = first;
+  again.replace(again.find("11:11:01.018"), 12, "11:11:01.219");
+  auto other = first;
+  other.replace(other.find(":1025"), 5, ":1026");
+  auto opened = std::string(kOpened);
+  opened.replace(opened.find(":1025"), 5, ":1026");
+  const Clocks clocks({ *ParseLine(kOpened),
+                        *ParseLine(first),
+                        *ParseLine(again),
+                        *ParseLine(opened),
+                        *ParseLine(other) });
+  const auto lead = clocks.LeadOf("agent-1", "balancer-1");
+  ASSERT_TRUE(lead);
+  EXPECT_EQ(lead->least_, 4'998'000);
+}
+
 TEST(Journal, TellsAFlowInOrderWhateverTheClocksSay)
 {
   Journal journal;
