Join the branches of a due search that do the same

Cause: the linter refused two equal branches in Balancer::OnDue. Change: one condition names the wait for new hosts; the decisions are the same.

--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -393,14 +393,14 @@
 void
 Balancer::OnDue(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut)
 {
+  const auto awaitsNewHosts = aFlow.allAnswered_ && !aFlow.asked_.empty();
   if (aFlow.phase_ == Phase::Searching) {
     if (IsLost(aNow, aFlow)) {
       ResetLost(aNow, aKey, aOut);
-    } else if (aFlow.allAnswered_ && !aFlow.asked_.empty()) {
-      RetryNearbyHosts(aNow, aKey, aFlow, aOut);
-    } else if (aFlow.allAnswered_ || aFlow.waitsForUnresponsive_) {
+    } else if (!awaitsNewHosts &&
+               (aFlow.allAnswered_ || aFlow.waitsForUnresponsive_)) {
       Decide(aNow, aKey, aFlow, aOut);
-    } else if (!aFlow.searchesAllHosts_) {
+    } else if (awaitsNewHosts || !aFlow.searchesAllHosts_) {
       RetryNearbyHosts(aNow, aKey, aFlow, aOut);
     }
   } else if (aFlow.phase_ == Phase::Opening && !aFlow.waits_) {
