Show in the fake fleet how replaced hosts fill thin links

Callers of large fleets get no answers while many hosts are replaced. The fleet now counts bytes by purpose, losses on links, requests and answers a second, and changes its configuration.

--- a/src/cornelshore/daemon/decider.hpp
+++ b/src/cornelshore/daemon/decider.hpp
@@ -164,6 +164,9 @@
     }
     publishAt_ = aNow + kPublishEvery;
     runtime_.LogRefused();
+    if (const auto line = runtime_.MeasureLink(aNow)) {
+      WriteLog(*line);
+    }
     if (auto* metrics = runtime_.Metrics()) {
       auto figures = role_->Figures(aNow);
       for (auto& figure : runtime_.Figures()) {
--- a/src/cornelshore/daemon/runtime.cpp
+++ b/src/cornelshore/daemon/runtime.cpp
@@ -109,6 +109,7 @@
                    ? wire::ReplayCheck::Skip
                    : wire::ReplayCheck::Refuse)
   , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+  , linkMeter_(settings_.LinkBytesPerSecond())
 {
 }
 
@@ -327,6 +328,19 @@
   return figures;
 }
 
+std::optional<role::Log>
+Runtime::MeasureLink(TimePoint aNow)
+{
+  role::LinkMeter::Totals sent{};
+  role::LinkMeter::Totals received{};
+  for (const auto& purpose : role::kTrafficPurposeNames) {
+    const auto index = static_cast<std::size_t>(purpose.value_);
+    sent.at(index) = sender_->BytesFor(purpose.value_);
+    received.at(index) = receivedBytes_.at(index).load();
+  }
+  return linkMeter_.Observe(aNow, sent, received);
+}
+
 void
 Runtime::LogRefused()
 {
--- a/src/cornelshore/daemon/runtime.hpp
+++ b/src/cornelshore/daemon/runtime.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -23,6 +24,7 @@
 #include <cornelshore/net/peer_streams.hpp>
 #include <cornelshore/net/udp_socket.hpp>
 #include <cornelshore/role/event.hpp>
+#include <cornelshore/role/link_meter.hpp>
 #include <cornelshore/settings/settings.hpp>
 #include <cornelshore/wire/seal.hpp>
 
@@ -94,6 +96,10 @@
   /** @brief Logs what was refused since the last call. */
   void LogRefused();
 
+  /** @brief A log line about the VM's link when it has been busy since the last
+   * call. */
+  [[nodiscard]] std::optional<role::Log> MeasureLink(TimePoint aNow);
+
 private:
   explicit Runtime(settings::Settings aSettings);
 
@@ -122,6 +128,7 @@
     receivedBytes_{};
   std::atomic<std::uint64_t> undecodable_{ 0 };
   std::uint64_t refusedLogged_{};
+  role::LinkMeter linkMeter_;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/test/cornelshore/relay_overload/relay_overload.cpp
@@ -0,0 +1,109 @@
+#include <cstddef>
+#include <iostream>
+
+#include <cornelshore/role/relay_scenario.hpp>
+
+namespace cornelshore::role {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kReplaced = 80;
+constexpr std::size_t kLength = 21;     ///< Seconds.
+constexpr std::size_t kFirstServed = 6; ///< Second in which all flows are open.
+constexpr std::size_t kCalmAgain = 17;  ///< Five seconds after the joins.
+constexpr std::uint64_t kBound = 5;     ///< Seconds until a change is in force.
+constexpr std::uint64_t kSpreadShare = 4;      ///< Of the link, one part.
+constexpr std::uint64_t kCalmSpreadShare = 32; ///< Of the link, one part.
+
+RelayFleetShape
+LargeFleet(std::uint64_t aLinkBytesPerSecond)
+{
+  RelayFleetShape shape;
+  shape.zones_ = 5;
+  shape.balancers_ = 91;
+  shape.hosts_ = { 163, 41 };
+  shape.spareAgents_ = kReplaced;
+  shape.flows_ = 4000;
+  shape.idleRoutes_ = 40;
+  shape.linkBytesPerSecond_ = aLinkBytesPerSecond;
+  return shape;
+}
+
+/** Replaces hosts within two seconds, while the configuration changes twice:
+ * each new one starts together with its agent, and the old one leaves 300 ms
+ * later. */
+void
+ReplaceHosts(Fleet& aFleet)
+{
+  const auto agents = aFleet.Of(Fleet::Role::Agent);
+  const auto hosts = agents.size() - kReplaced;
+  for (std::size_t index = 0; index < kReplaced; ++index) {
+    const auto agent = agents[hosts + index];
+    aFleet.At(Fleet::Millis(900), [&aFleet, agent] { aFleet.Kill(agent); });
+    const auto at = kFaultAt + aFleet.Draw(Duration{ 0 }, seconds{ 2 });
+    aFleet.At(at, [&aFleet, agent] { aFleet.Restart(agent, Duration{ 0 }); });
+    aFleet.At(at + Fleet::Millis(200),
+              [&aFleet, host = hosts + index] { aFleet.StartHost(host); });
+    aFleet.At(at + Fleet::Millis(500),
+              [&aFleet, index] { aFleet.Leave(2 * index); });
+  }
+  aFleet.At(kFaultAt - seconds{ 1 }, [&aFleet] { aFleet.Configure(); });
+  aFleet.At(kFaultAt + seconds{ 2 }, [&aFleet] { aFleet.Configure(); });
+}
+
+/** Bytes of a second that keep records and configurations in step. */
+std::uint64_t
+SpreadBytes(const RelaySecond& aSecond)
+{
+  return aSecond.Sent(TrafficPurpose::Push) +
+         aSecond.Sent(TrafficPurpose::Round) +
+         aSecond.Sent(TrafficPurpose::Snapshot) +
+         aSecond.Sent(TrafficPurpose::Config);
+}
+
+void
+ReplacesHostsBesideCallers(std::uint64_t aLinkBytesPerSecond)
+{
+  const auto shape = LargeFleet(aLinkBytesPerSecond);
+  const auto link = aLinkBytesPerSecond * shape.balancers_;
+  RunSeeds(shape, seconds{ kLength }, [&](Fleet& aFleet) {
+    ReplaceHosts(aFleet);
+    for (std::size_t at = 1; at < kLength; ++at) {
+      aFleet.At(seconds{ at }, [&aFleet, &shape, link, at] {
+        const auto second = aFleet.Second(at - 1);
+        Print(std::cout, at - 1, second, shape.balancers_);
+        if (at <= kFirstServed) {
+          return;
+        }
+        EXPECT_EQ(second.lostOnLinks_, 0U) << at - 1;
+        const auto before = aFleet.Second(at - 2);
+        EXPECT_GE((before.answered_ + second.answered_) * 100,
+                  (before.requested_ + second.requested_) * 95)
+          << at - 1;
+        EXPECT_LE(SpreadBytes(second), link / kSpreadShare) << at - 1;
+        if (at > kCalmAgain) {
+          EXPECT_LE(SpreadBytes(second), link / kCalmSpreadShare) << at - 1;
+        }
+      });
+    }
+    aFleet.At(kFaultAt + seconds{ 2 + kBound } + Fleet::Millis(1500),
+              [&aFleet] { EXPECT_EQ(aFleet.CountBehind(), 0U); });
+  });
+}
+
+// Guards against the spread of host records crowding callers out: replacing
+// many hosts at once filled thin links, and lost answers kept them full.
+TEST(RelayOverload, CallersAreServedWhileManyHostsAreReplacedOnThinLinks)
+{
+  ReplacesHostsBesideCallers(250'000);
+}
+
+// Guards against budgets that fit one bandwidth only.
+TEST(RelayOverload, CallersAreServedWhileManyHostsAreReplacedOnThinnerLinks)
+{
+  ReplacesHostsBesideCallers(125'000);
+}
+
+} // namespace
+} // namespace cornelshore::role
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -25,6 +25,7 @@
 #include <cornelshore/role/control.hpp>
 #include <cornelshore/role/relay_agent.hpp>
 #include <cornelshore/role/relay_balancer.hpp>
+#include <cornelshore/role/relay_traffic.hpp>
 #include <cornelshore/wire/message_codec.hpp>
 #include <cornelshore/wire/role_hooks.hpp>
 
@@ -101,6 +102,10 @@
   /** Bandwidth of the balancers' links, bytes a second; bytes and queues on
    * links are modelled only up to `kMaxModelledLink`. */
   std::uint64_t linkBytesPerSecond_{ 125'000'000 };
+  /** Routes beside those of the services; no caller uses them. */
+  std::size_t idleRoutes_{};
+  /** Pause of a caller between two requests, drawn from 100 ms to this. */
+  Duration maxPause_{ std::chrono::milliseconds{ 3000 } };
   /** Sequence number of a host's first report. */
   std::uint64_t firstSequence_{ 1 };
 };
@@ -184,7 +189,7 @@
       After(Draw(Millis(0), Millis(500)),
             [this, index] { CheckRotation(shape_.control_ + index); });
     }
-    Apply();
+    Configure();
     for (std::size_t line = 0; line < shape_.flows_; ++line) {
       After(Draw(Millis(4000), Millis(6000)), [this] { OpenFlow(); });
     }
@@ -210,6 +215,11 @@
   [[nodiscard]] Duration Elapsed() const { return now_ - kStart; }
   [[nodiscard]] Random& Randomness() { return random_; }
   [[nodiscard]] const Counts& Totals() const { return counts_; }
+  /** @brief Counts of a whole second since the fleet's start. */
+  [[nodiscard]] RelaySecond Second(std::size_t aSecond) const
+  {
+    return aSecond < seconds_.size() ? seconds_[aSecond] : RelaySecond{};
+  }
   [[nodiscard]] const RelayFleetShape& Shape() const { return shape_; }
 
   /** @brief Indices of the processes of a role. */
@@ -298,6 +308,26 @@
     Note(AgentOf(aHost), "host leaves");
   }
 
+  /** @brief Applies a new version of the configuration. */
+  void Configure()
+  {
+    ++version_;
+    applied_ = false;
+    Propose();
+  }
+
+  /** @brief Balancers and agents that run by an older configuration than the
+   * newest one that control accepted, and have run for two seconds. */
+  [[nodiscard]] std::size_t CountBehind() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      processes_.begin(), processes_.end(), [&](const Process& aProcess) {
+        return aProcess.up_ && aProcess.role_ != Role::Control &&
+               now_ - aProcess.startedAt_ >= Millis(2000) &&
+               aProcess.version_ < acceptedVersion_;
+      }));
+  }
+
   /** @brief Broken promises so far, each with its story. */
   [[nodiscard]] std::vector<std::string> Faults()
   {
@@ -373,6 +403,8 @@
     bool up_{};
     bool ready_{};
     std::uint64_t run_{};
+    TimePoint startedAt_{};
+    std::uint64_t version_{}; ///< Of the configuration in force.
     Incarnation incarnation_;
     TimePoint tickAt_{ TimePoint::max() };
     std::optional<Duration> startsAgainAfter_;
@@ -516,17 +548,28 @@
     return shape_.linkBytesPerSecond_ <= kMaxModelledLink;
   }
 
+  RelaySecond& CurrentSecond()
+  {
+    const auto second = static_cast<std::size_t>(
+      std::chrono::floor<std::chrono::seconds>(now_ - kStart).count());
+    if (seconds_.size() <= second) {
+      seconds_.resize(second + 1);
+    }
+    return seconds_[second];
+  }
+
   /** When bytes have passed one direction of a balancer's link; nothing: its
    * queue of half a second is full. */
   std::optional<TimePoint> PassLink(Process& aProcess,
                                     TimePoint& aFree,
                                     TimePoint aAt,
-                                    std::size_t aBytes) const
+                                    std::size_t aBytes)
   {
     if (aProcess.role_ != Role::Balancer || !ModelsLinks()) {
       return aAt;
     }
     if (aFree > aAt + Millis(500)) {
+      ++CurrentSecond().lostOnLinks_;
       return std::nullopt;
     }
     aFree = std::max(aFree, aAt) + Duration{
@@ -601,6 +644,8 @@
     process.up_ = true;
     ++process.run_;
     process.startsAgainAfter_.reset();
+    process.startedAt_ = now_;
+    process.version_ = 0;
     process.incarnation_ = Incarnation{ static_cast<std::uint64_t>(
       now_.time_since_epoch().count()) };
     process.tickAt_ = TimePoint::max();
@@ -732,6 +777,9 @@
     }
     auto& from = processes_[aFrom];
     auto& target = processes_[to];
+    if (from.role_ == Role::Balancer) {
+      CurrentSecond().AddSent(TrafficPurposeOf(aSend.message_), bytes);
+    }
     auto at = PassLink(from, from.outFree_, now_, bytes);
     if (at) {
       at = PassLink(
@@ -781,7 +829,10 @@
 
   void Execute(std::size_t, ApplyResult& aResult)
   {
-    applied_ |= aResult.status_ == consensus::ProposalStatus::Decided;
+    if (aResult.status_ == consensus::ProposalStatus::Decided) {
+      applied_ = true;
+      acceptedVersion_ = version_;
+    }
     EXPECT_TRUE(aResult.validity_.ok()) << aResult.validity_;
   }
 
@@ -802,6 +853,10 @@
         processes_[aFrom].role_ == Role::Control) {
       return;
     }
+    if (aLog.name_ == "configuration_in_force") {
+      processes_[aFrom].version_ =
+        std::strtoull(aLog.fields_.front().second.c_str(), nullptr, 10);
+    }
     auto text = aLog.name_;
     for (const auto& [name, value] : aLog.fields_) {
       text.append(" ").append(name).append("=").append(value);
@@ -866,16 +921,16 @@
   {
   }
 
-  /** Proposes the configuration until it is decided. */
-  void Apply()
+  /** Proposes the newest configuration until it is decided. */
+  void Propose()
   {
-    After(Millis(1500), [this] {
-      if (applied_) {
+    After(Millis(1500), [this, version = version_] {
+      if (applied_ || version != version_) {
         return;
       }
       consensus::Change change;
-      change.id_ = { 1, 1 };
-      change.chosen_ = ConfigVersion{ 1 };
+      change.id_ = { 1, version };
+      change.chosen_ = ConfigVersion{ version };
       for (std::size_t service = 0; service < shape_.hosts_.size(); ++service) {
         ServiceTarget target;
         target.id_ = ServiceAt(service);
@@ -888,13 +943,31 @@
         route.to_ = { { target.id_, 1 } };
         change.routes_.push_back(route);
       }
+      for (std::size_t route = 0; route < shape_.idleRoutes_; ++route) {
+        AddIdleRoute(route, version, change);
+      }
       for (const auto index : Of(Role::Control)) {
-        Feed(index, ApplyRequested{ consensus::Token{ 1 }, change });
+        Feed(index, ApplyRequested{ consensus::Token{ version }, change });
       }
-      Apply();
+      Propose();
     });
   }
 
+  /** Adds a route whose timeout differs from that of the last version. */
+  void AddIdleRoute(std::size_t aRoute,
+                    std::uint64_t aVersion,
+                    consensus::Change& aChange) const
+  {
+    Route route;
+    route.name_ = "idle-" + std::to_string(aRoute);
+    route.address_ =
+      MakeIpv4(0xC6120002U, static_cast<std::uint16_t>(8000 + aRoute));
+    route.timeout_ =
+      std::chrono::milliseconds{ 2000 + static_cast<int>(aVersion % 1000) };
+    route.to_ = { { aChange.services_.front().id_, 1 } };
+    aChange.routes_.push_back(route);
+  }
+
   static std::string ServiceName(std::size_t aService)
   {
     return "service-" + std::to_string(aService);
@@ -1045,6 +1118,7 @@
       packet.finishing_ = true;
     } else {
       --flow.requestsLeft_;
+      ++CurrentSecond().requested_;
       packet.payload_ = random_.Below(4) == 0 ? 900 : 200;
     }
     flow.request_ = packet;
@@ -1102,6 +1176,7 @@
       flow.acknowledges_ += aPacket.payload_;
       if (flow.request_) {
         ++counts_.answered_;
+        ++CurrentSecond().answered_;
         flow.next_ += flow.request_->payload_;
         flow.request_.reset();
         ++flow.sends_;
@@ -1109,7 +1184,7 @@
           flow.requestsLeft_ = 0;
         }
         After(flow.requestsLeft_ == 0 ? Millis(1)
-                                      : Draw(Millis(100), Millis(3000)),
+                                      : Draw(Millis(100), shape_.maxPause_),
               [this, key] { SendRequest(key); });
       }
     }
@@ -1680,8 +1755,11 @@
   std::map<std::pair<std::size_t, std::uint32_t>, std::vector<Flow*>> queries_;
   std::uint64_t opened_{};
   std::uint64_t sendings_{};
-  bool applied_{};
+  std::uint64_t version_{};         ///< Newest one proposed.
+  std::uint64_t acceptedVersion_{}; ///< Newest one that control accepted.
+  bool applied_{};                  ///< Whether `version_` was accepted.
   Counts counts_;
+  std::vector<RelaySecond> seconds_;
   std::vector<Fault> faults_;
   std::map<std::string, std::size_t> evidence_;
   std::vector<Noted> notes_;
