Let an agent that relays flows hold its own host's record only

Callers of large fleets got no answers while many hosts were replaced. Balancers pushed each change of a record to all agents that follow the service, twice, and answered each of their rounds with the versions of all its records, 5 KB: three fifths of the pushes and half of the rounds on links of 2 Mbit/s, and with links full agents asked ever more balancers. An agent that relays flows decides nothing by other hosts' records, so it now sends scope 0 and shares its own record only.

--- a/src/cornelshore/dissemination/ledger.cpp
+++ b/src/cornelshore/dissemination/ledger.cpp
@@ -96,6 +96,13 @@
   return digest;
 }
 
+std::uint64_t
+Ledger::DigestOf(NodeId aSubject) const
+{
+  const auto version = VersionOf(aSubject);
+  return version ? HashOf(aSubject, *version) : 0;
+}
+
 Leaf
 Ledger::LeafAt(std::uint16_t aIndex) const
 {
--- a/src/cornelshore/dissemination/ledger.hpp
+++ b/src/cornelshore/dissemination/ledger.hpp
@@ -62,6 +62,9 @@
   /** @brief Digest over one service's records, tombstones included. */
   [[nodiscard]] std::uint64_t DigestOf(ServiceId aService) const;
 
+  /** @brief Digest over one subject's record; 0 without one. */
+  [[nodiscard]] std::uint64_t DigestOf(NodeId aSubject) const;
+
   /** @brief Versions of all records of a leaf. */
   [[nodiscard]] Leaf LeafAt(std::uint16_t aIndex) const;
 
--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -133,6 +133,9 @@
     return fault("dissemination: the service of interest must be set for "
                  "agents and 0 for other roles");
   }
+  if (settings_.ownRecordOnly_ && !agent) {
+    return fault("dissemination: only an agent can hold just its own record");
+  }
   if (settings_.round_ <= Duration::zero() ||
       settings_.confirmationLife_ <= Duration::zero() ||
       settings_.peerRefresh_ <= Duration::zero()) {
--- a/src/cornelshore/dissemination/node.hpp
+++ b/src/cornelshore/dissemination/node.hpp
@@ -157,7 +157,8 @@
  * with anti-entropy over digest trees; configurations are sent as deltas or
  * in full, in chunks, and come in force only when complete and verified.
  * Balancers and control VMs track every host; an agent tracks the hosts of
- * its own service and exchanges messages with a few balancers.
+ * its own service, or its own host only, and exchanges messages with a few
+ * balancers.
  */
 class Node
 {
@@ -224,7 +225,10 @@
   membership::NodeRole role_{ membership::NodeRole::Balancer };
   DataCentreId dataCentre_;
   Address address_;
-  ServiceId interest_;   ///< Of an agent: its service.
+  ServiceId interest_; ///< Of an agent: its service.
+  /** Of an agent: it holds its own host's record and no other one, so that a
+   * change of one host costs the agents of others nothing. */
+  bool ownRecordOnly_{};
   std::uint64_t seed_{}; ///< Of the pseudo-random generator.
   Duration round_{ std::chrono::seconds(1) };
   /** Round interval until the first synchronisation, as after a restart. */
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -65,7 +65,7 @@
   for (const auto subject : message.requestedRecords_) {
     AddSubject(aNow, subject, packer);
   }
-  CompareDigest(aNow, message, packer);
+  CompareDigest(aNow, aEvent.from_, message, packer);
   CompareHashes(aNow, aEvent, packer);
   CompareLeaves(aNow, message, packer);
   const bool behind = header.config_ > config_.Version();
@@ -98,7 +98,7 @@
   const auto missed = newestKnownConfig_.value_ - config_.Version().value_;
   const bool far =
     config_.Version() != ConfigVersion{} && missed > kLargeVersionGap;
-  return IsAgent() && far &&
+  return IsAgent() && !settings_.ownRecordOnly_ && far &&
          partners_.Randomness().Below(kBalancerRequestOneIn) != 0;
 }
 
@@ -165,12 +165,20 @@
 
 void
 Node::State::CompareDigest(TimePoint aNow,
+                           NodeId aFrom,
                            const Message& aMessage,
                            Packer& aPacker)
 {
   const auto& header = aMessage.header_;
-  if (!header.compare_ || IsAgent() ||
-      header.digest_ == DigestOf(header.scope_)) {
+  if (!header.compare_ || IsAgent() || header.digest_ == DigestWith(aFrom)) {
+    return;
+  }
+  if (HoldsOwnRecordOnly(aFrom)) {
+    if (const auto version = ledger_.VersionOf(aFrom)) {
+      aPacker.Add(Leaf{ {}, { { aFrom, *version } } });
+    } else {
+      aPacker.AddRecordRequest(aFrom);
+    }
     return;
   }
   AddRecent(aNow, header.scope_, aPacker);
@@ -298,7 +306,7 @@
   const bool fullyFollows =
     IsAgent() || header.role_ != membership::NodeRole::Agent;
   if (!fullyFollows || header.scope_ != ScopeWith(aEvent.from_) ||
-      header.digest_ != DigestOf(header.scope_) ||
+      header.digest_ != DigestWith(aEvent.from_) ||
       header.receiver_ != settings_.incarnation_ ||
       !CountsAsSync(aNow, header)) {
     return;
--- a/src/cornelshore/dissemination/node_spread.cpp
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -96,6 +96,9 @@
   }
   for (const auto& [agent, attached] : partners_.Attached()) {
     const auto interest = attached.interest_;
+    if (interest == ServiceId{}) {
+      continue;
+    }
     const auto followed = [this, interest](NodeId aSubject) {
       const auto* host = ledger_.Hosts().Find(HostId{ aSubject.value_ });
       return host != nullptr && host->service_ == interest;
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -104,18 +104,32 @@
 Node::State::ScopeWith(NodeId aTo) const
 {
   if (IsAgent()) {
-    return settings_.interest_;
+    return settings_.ownRecordOnly_ ? ServiceId{} : settings_.interest_;
   }
   const auto attached = partners_.Attached().find(aTo);
   return attached == partners_.Attached().end() ? ServiceId{}
                                                 : attached->second.interest_;
 }
 
+bool
+Node::State::HoldsOwnRecordOnly(NodeId aAgent) const
+{
+  const auto attached = partners_.Attached().find(aAgent);
+  return attached != partners_.Attached().end() &&
+         attached->second.interest_ == ServiceId{};
+}
+
 std::uint64_t
-Node::State::DigestOf(ServiceId aScope) const
+Node::State::DigestWith(NodeId aOther) const
 {
-  return aScope == ServiceId{} ? ledger_.Tree().Root()
-                               : ledger_.DigestOf(aScope);
+  if (settings_.ownRecordOnly_) {
+    return ledger_.DigestOf(settings_.self_);
+  }
+  if (HoldsOwnRecordOnly(aOther)) {
+    return ledger_.DigestOf(aOther);
+  }
+  const auto scope = ScopeWith(aOther);
+  return scope == ServiceId{} ? ledger_.Tree().Root() : ledger_.DigestOf(scope);
 }
 
 Header
@@ -127,7 +141,7 @@
   header.dataCentre_ = settings_.dataCentre_;
   header.kind_ = aKind;
   header.scope_ = ScopeWith(aTo);
-  header.digest_ = DigestOf(header.scope_);
+  header.digest_ = DigestWith(aTo);
   header.config_ = config_.Version();
   header.inForce_ = configActive_;
   header.confirmation_ = confirmation_.Held(aNow);
@@ -340,7 +354,9 @@
                       bool aFromRepair)
 {
   const auto& record = aUpdate.record_;
-  if (IsAgent() && record.service_ != settings_.interest_) {
+  const bool own = SubjectOf(record.id_) == settings_.self_;
+  if (IsAgent() && (record.service_ != settings_.interest_ ||
+                    (settings_.ownRecordOnly_ && !own))) {
     return;
   }
   const auto* held = ledger_.Hosts().Find(record.id_);
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -83,7 +83,10 @@
                                  NodeId aTo,
                                  MessageKind aKind) const;
   [[nodiscard]] ServiceId ScopeWith(NodeId aTo) const;
-  [[nodiscard]] std::uint64_t DigestOf(ServiceId aScope) const;
+  /** @brief Digest of the records that this node shares with another one. */
+  [[nodiscard]] std::uint64_t DigestWith(NodeId aOther) const;
+  /** @brief Whether an agent attached here holds only its own record. */
+  [[nodiscard]] bool HoldsOwnRecordOnly(NodeId aAgent) const;
   [[nodiscard]] std::size_t RequiredSyncPeers() const noexcept;
 
   void SendTo(TimePoint aNow,
@@ -142,7 +145,10 @@
 
   void CompareHashes(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void CompareLeaves(TimePoint aNow, const Message& aMessage, Packer& aPacker);
-  void CompareDigest(TimePoint aNow, const Message& aMessage, Packer& aPacker);
+  void CompareDigest(TimePoint aNow,
+                     NodeId aFrom,
+                     const Message& aMessage,
+                     Packer& aPacker);
   void AddChunks(TimePoint aNow, const Received& aEvent, Packer& aPacker);
   void AddRecent(TimePoint aNow, ServiceId aScope, Packer& aPacker) const;
   void AddSample(TimePoint aNow, bool aUnknownToSender, Packer& aPacker);
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -344,6 +344,7 @@
   , service_(aService)
 {
   node_.interest_ = aService;
+  node_.ownRecordOnly_ = true;
 }
 
 RelayAgent::Builder&
--- /dev/null
+++ b/test/cornelshore/dissemination/node_own_record.cpp
@@ -0,0 +1,118 @@
+#include <cornelshore/dissemination/node.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cornelshore/dissemination/fleet.hpp>
+
+namespace cornelshore::dissemination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kControl = 3;
+constexpr std::size_t kBalancers = 8;
+constexpr std::size_t kAgents = 12;
+constexpr std::size_t kFirstAgent = kControl + kBalancers;
+
+/** A fleet whose agents hold their own host's record only, with all hosts
+ * ready. */
+Fleet
+RunningFleet()
+{
+  Fleet fleet(5);
+  Fill(fleet, kControl, kBalancers, kAgents);
+  for (std::size_t agent = kFirstAgent; agent < kFirstAgent + kAgents;
+       ++agent) {
+    auto& member = fleet.Members()[agent];
+    member.settings_.ownRecordOnly_ = true;
+    fleet.Restart(agent);
+    fleet.Feed(agent, HostAnnounced{ RecordOf(member, 1, HostState::Ready) });
+  }
+  fleet.RunFor(seconds(15));
+  return fleet;
+}
+
+std::size_t
+CountKnowing(Fleet& aFleet, const HostRecord& aRecord)
+{
+  std::size_t count = 0;
+  for (std::size_t index = 0; index < kFirstAgent; ++index) {
+    const auto* held = aFleet.At(index).Hosts().Find(aRecord.id_);
+    count += held != nullptr && held->state_ == aRecord.state_ ? 1U : 0U;
+  }
+  return count;
+}
+
+TEST(NodeOwnRecord, AnAgentHoldsItsOwnRecordAndBalancersHoldAll)
+{
+  auto fleet = RunningFleet();
+  for (std::size_t index = 0; index < kFirstAgent; ++index) {
+    EXPECT_EQ(fleet.At(index).Hosts().size(), kAgents) << index;
+  }
+  for (std::size_t agent = kFirstAgent; agent < kFirstAgent + kAgents;
+       ++agent) {
+    EXPECT_EQ(fleet.At(agent).Hosts().size(), 1U) << agent;
+    EXPECT_TRUE(fleet.At(agent).ConfirmedAt()) << agent;
+  }
+}
+
+// Guards against a cost of each change that grows with the number of agents.
+TEST(NodeOwnRecord, AChangeOfOneHostCostsTheAgentsOfOthersNothing)
+{
+  auto fleet = RunningFleet();
+  const auto receivedByOthers = [&fleet] {
+    std::uint64_t bytes = 0;
+    for (std::size_t agent = kFirstAgent + 1; agent < kFirstAgent + kAgents;
+         ++agent) {
+      bytes += fleet.Members()[agent].received_;
+    }
+    return bytes;
+  };
+  const auto before = receivedByOthers();
+  fleet.RunFor(seconds(10));
+  const auto calm = receivedByOthers() - before;
+  for (std::uint64_t change = 0; change < 10; ++change) {
+    const auto state = change % 2 == 0 ? HostState::Leaving : HostState::Ready;
+    fleet.Feed(kFirstAgent,
+               HostAnnounced{
+                 RecordOf(fleet.Members()[kFirstAgent], 2 + change, state) });
+    fleet.RunFor(seconds(1));
+  }
+  EXPECT_LE(receivedByOthers() - before - calm, calm * 11 / 10);
+}
+
+// Guards against a record that stays unknown because its pushes were lost.
+TEST(NodeOwnRecord, ARecordWhosePushesWereLostIsRepaired)
+{
+  auto fleet = RunningFleet();
+  const auto leaving =
+    RecordOf(fleet.Members()[kFirstAgent], 2, HostState::Leaving);
+  fleet.fate_ = [](std::size_t aFrom, std::size_t) {
+    return Fleet::Fate{ aFrom == kFirstAgent ? 0U : 1U, milliseconds(1) };
+  };
+  fleet.Feed(kFirstAgent, HostAnnounced{ leaving });
+  fleet.RunFor(seconds(5));
+  ASSERT_EQ(CountKnowing(fleet, leaving), 0U);
+  fleet.fate_ = [](std::size_t, std::size_t) { return Fleet::Fate{}; };
+  fleet.RunFor(seconds(8));
+  EXPECT_EQ(CountKnowing(fleet, leaving), kFirstAgent);
+}
+
+// An agent's clock stepped back between two runs: the record of the earlier one
+// supersedes that of the later one until the agent learns of it.
+TEST(NodeOwnRecord, AnAgentLearnsOfANewerRecordOfItself)
+{
+  auto fleet = RunningFleet();
+  auto& member = fleet.Members()[kFirstAgent];
+  auto ahead = RecordOf(member, 1, HostState::Ready);
+  ahead.incarnation_ = Incarnation{ 1'000 };
+  fleet.Feed(0, HostAnnounced{ ahead });
+  fleet.RunFor(seconds(8));
+  const auto* held = fleet.At(kFirstAgent).Hosts().Find(ahead.id_);
+  ASSERT_NE(held, nullptr);
+  EXPECT_EQ(held->incarnation_, ahead.incarnation_);
+}
+
+} // namespace
+} // namespace cornelshore::dissemination
