Refer newcomers to other nodes while bytes are short

Found while the cost of joins was measured in fleets of other sizes. When a fleet starts at once and its seeds cannot serve all, they spent their bytes on comparing records with newcomers, a descent of several messages for each, and had none left to name other nodes. Most of the fleet knew the seeds only and stayed so: 300 of 605 nodes after 37 s with control at 40 KB/s, whatever the link; balancers without hosts serve nobody.

A node that has less than a quarter of its burst left now answers a process that has never synchronised with the records of four balancers.

--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -29,6 +29,10 @@
  * reached a control VM, which has its host records from its disk. A fleet that
  * starts as a whole waits as long. */
 constexpr int kSettlingRounds = 2;
+/** Share of the burst below which a process that has never synchronised is
+ * referred to others: comparing records with many newcomers would use up the
+ * bytes before any of them had learned of another one. */
+constexpr double kNewcomerReserve = 0.25;
 constexpr Duration kRequestRetryInterval = std::chrono::milliseconds(300);
 
 } // namespace
@@ -49,6 +53,12 @@
   const auto& message = aEvent.message_;
   const auto& header = message.header_;
   const bool round = header.kind_ == MessageKind::Round;
+  if (round && MustRefer(aNow, header)) {
+    if (!message.snapshotRequest_) {
+      Refer(aNow, aEvent);
+    }
+    return;
+  }
   Packer packer(HeaderFor(aNow, aEvent.from_, MessageKind::Answer));
   const bool unknownToSender = header.receiver_ != settings_.incarnation_;
   if (round && unknownToSender) {
@@ -92,6 +102,30 @@
   SendTo(aNow, aEvent.from_, aEvent.address_, std::move(messages), priority);
 }
 
+bool
+Node::State::MustRefer(TimePoint aNow, const Header& aTheirs)
+{
+  return !IsAgent() && aTheirs.role_ != NodeRole::Agent &&
+         aTheirs.syncAge_ >= kNeverSynced && HasSettled(aNow) &&
+         !budget_.HasShareLeft(aNow, kNewcomerReserve);
+}
+
+void
+Node::State::Refer(TimePoint aNow, const Received& aEvent)
+{
+  Packer packer(HeaderFor(aNow, aEvent.from_, MessageKind::Answer));
+  AddSubject(aNow, settings_.self_, packer);
+  for (const auto peer :
+       partners_.PickBalancers(aNow, ledger_, kReferredPeers)) {
+    AddSubject(aNow, peer, packer);
+  }
+  SendTo(aNow,
+         aEvent.from_,
+         aEvent.address_,
+         std::move(packer).Finish(),
+         Priority::Normal);
+}
+
 bool
 Node::State::DefersToServiceAgents()
 {
--- a/src/cornelshore/dissemination/node_snapshot.cpp
+++ b/src/cornelshore/dissemination/node_snapshot.cpp
@@ -24,9 +24,6 @@
 /** Share of the burst that a snapshot leaves for other messages. */
 constexpr double kSnapshotReserve = 0.1;
 
-/** Peers named to a node whose request is denied. */
-constexpr std::size_t kReferredPeers = 4;
-
 /** Age up to which the sender's last synchronisation counts; established
  * nodes synchronise each second. */
 constexpr Duration kMaxSenderSyncAge = std::chrono::seconds(3);
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -28,6 +28,9 @@
  * its links are saturated, more rounds use up the bytes of their answers. */
 inline constexpr std::uint64_t kMaxJoiningRounds = 20;
 
+/** Peers named to a node that is referred to others. */
+inline constexpr std::size_t kReferredPeers = 4;
+
 /** Most peers that a node starts rounds with at a time. */
 inline constexpr std::size_t kMaxRoundWidth = 8;
 
@@ -133,6 +136,10 @@
   void TakePeer(TimePoint aNow, const PeerUpdate& aUpdate, bool aFromRepair);
   void Adopt(TimePoint aNow, const Received& aEvent);
   void Answer(TimePoint aNow, const Received& aEvent, bool aProgress);
+  /** @brief Whether a newcomer is to ask others, as bytes are short here. */
+  [[nodiscard]] bool MustRefer(TimePoint aNow, const Header& aTheirs);
+  /** @brief Answers a newcomer with the records of a few balancers. */
+  void Refer(TimePoint aNow, const Received& aEvent);
   void Release(TimePoint aNow);
 
   /** @brief Requests the next batch of the snapshot from the node it comes
--- a/test/cornelshore/dissemination/node_joining.cpp
+++ b/test/cornelshore/dissemination/node_joining.cpp
@@ -266,5 +266,41 @@
   EXPECT_LE(fleet.Members()[kRestarted].sent_ - before, kRounds * kMostARound);
 }
 
+// Guards against seeds that spend all their bytes on comparing records with
+// newcomers: most of a fleet that started at once knew the seeds only, for
+// good.
+TEST(NodeJoining, AFleetThatItsSeedsCannotServeAtOnceKnowsAllHosts)
+{
+  constexpr std::size_t kControl = 5;
+  constexpr std::size_t kBalancers = 300;
+  constexpr std::size_t kAgents = 600;
+  constexpr std::size_t kFirstAgent = kControl + kBalancers;
+  for (const std::uint64_t link : { 0, 250'000 }) {
+    Fleet fleet(5);
+    Fill(fleet, kControl, kBalancers, kAgents);
+    for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+      auto& settings = fleet.Members()[index].settings_;
+      settings.round_ = std::chrono::milliseconds(500);
+      settings.joiningRoundInterval_ = std::chrono::milliseconds(100);
+      settings.bytesPerSecond_ = index < kControl ? 10'000 : 40'000;
+      settings.burstBytes_ = index < kControl ? 250'000 : 1'000'000;
+      settings.linkBytesPerSecond_ = link;
+      settings.ownRecordOnly_ = index >= kFirstAgent;
+      fleet.Restart(index);
+    }
+    for (auto agent = kFirstAgent; agent < kFirstAgent + kAgents; ++agent) {
+      fleet.Feed(
+        agent,
+        HostAnnounced{ RecordOf(fleet.Members()[agent], 1, HostState::Ready) });
+    }
+    fleet.RunFor(std::chrono::seconds(30));
+    std::size_t complete = 0;
+    for (std::size_t index = kControl; index < kFirstAgent; ++index) {
+      complete += fleet.At(index).Hosts().size() == kAgents ? 1U : 0U;
+    }
+    EXPECT_EQ(complete, kBalancers) << "link " << link;
+  }
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
