--- a/test/cornelshore/dissemination/node_own_record.cpp
+++ b/test/cornelshore/dissemination/node_own_record.cpp
@@ -1,5 +1,7 @@
 #include <cornelshore/dissemination/node.hpp>
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include <cornelshore/dissemination/fleet.hpp>
@@ -114,5 +116,68 @@
   EXPECT_EQ(held->incarnation_, ahead.incarnation_);
 }
 
+/** Bytes that a balancer sends more because of one host that joins, on links of
+ * 2 Mbit/s. */
+std::uint64_t
+BytesOfAJoin(std::size_t aBalancers, std::size_t aAgents)
+{
+  constexpr std::size_t kJoins = 10;
+  Fleet fleet(5);
+  Fill(fleet, kControl, aBalancers, aAgents + kJoins);
+  const auto firstAgent = kControl + aBalancers;
+  const auto start = [&](std::size_t aIndex) {
+    fleet.Restart(aIndex);
+    if (aIndex >= firstAgent) {
+      fleet.Feed(aIndex,
+                 HostAnnounced{
+                   RecordOf(fleet.Members()[aIndex], 1, HostState::Ready) });
+    }
+  };
+  for (std::size_t index = 0; index < fleet.Members().size(); ++index) {
+    auto& settings = fleet.Members()[index].settings_;
+    settings.round_ = milliseconds(500);
+    settings.joiningRoundInterval_ = milliseconds(100);
+    settings.bytesPerSecond_ = index < kControl ? 400'000 : 40'000;
+    settings.burstBytes_ = index < kControl ? 4'000'000 : 1'000'000;
+    settings.linkBytesPerSecond_ = index < kControl ? 0 : 250'000;
+    settings.ownRecordOnly_ = index >= firstAgent;
+    fleet.Members()[index].up_ = index < firstAgent + aAgents;
+    if (fleet.Members()[index].up_) {
+      start(index);
+    }
+  }
+  fleet.RunFor(seconds(25));
+  const auto sentIn = [&](Duration aLength) {
+    const auto total = [&] {
+      std::uint64_t bytes = 0;
+      for (auto index = kControl; index < firstAgent; ++index) {
+        bytes += fleet.Members()[index].sent_;
+      }
+      return bytes;
+    };
+    const auto before = total();
+    fleet.RunFor(aLength);
+    return total() - before;
+  };
+  const auto calm = sentIn(seconds(6));
+  for (std::size_t join = 0; join < kJoins; ++join) {
+    start(firstAgent + aAgents + join);
+  }
+  const auto busy = sentIn(seconds(6));
+  for (std::size_t index = 0; index < firstAgent; ++index) {
+    EXPECT_EQ(fleet.At(index).Hosts().size(), aAgents + kJoins);
+  }
+  return (busy - std::min(busy, calm)) / aBalancers / kJoins;
+}
+
+// Guards against a cost of joins that grows with the fleet.
+TEST(NodeOwnRecord, AJoinCostsEachBalancerTheSameInFleetsOfAnySize)
+{
+  const auto small = BytesOfAJoin(10, 20);
+  EXPECT_GT(small, 0U);
+  EXPECT_LE(BytesOfAJoin(91, 204), small * 5 / 4);
+  EXPECT_LE(BytesOfAJoin(300, 700), small * 5 / 4);
+}
+
 } // namespace
 } // namespace cornelshore::dissemination
