--- a/test/cornelshore/relay_overload/relay_overload.cpp
+++ b/test/cornelshore/relay_overload/relay_overload.cpp
@@ -12,9 +12,11 @@
 constexpr std::size_t kLength = 22;     ///< Seconds.
 constexpr std::size_t kFirstServed = 6; ///< Second in which all flows are open.
 constexpr std::size_t kCalmAgain = 17;  ///< Five seconds after the joins.
-constexpr std::uint64_t kBound = 5;     ///< Seconds until a change is in force.
-constexpr std::uint64_t kSpreadShare = 4;      ///< Of the link, one part.
-constexpr std::uint64_t kCalmSpreadShare = 32; ///< Of the link, one part.
+/** Until control gets a change that the fleet is told to make. */
+constexpr Duration kProposalDelay = std::chrono::milliseconds{ 1500 };
+constexpr seconds kInForceWithin{ 5 };      ///< Of a change that was accepted.
+constexpr std::uint64_t kMaxSpreadPart = 4; ///< One part of so many of a link.
+constexpr std::uint64_t kCalmSpreadPart = 32; ///< The same while all is calm.
 
 RelayFleetShape
 LargeFleet(std::uint64_t aLinkBytesPerSecond)
@@ -79,13 +81,13 @@
         EXPECT_EQ(counts.lostOnLinks_, 0U) << second;
         EXPECT_GE(counts.answeredInTime_ * 100, counts.requested_ * 95)
           << second;
-        EXPECT_LE(SpreadBytes(counts), link / kSpreadShare) << second;
+        EXPECT_LE(SpreadBytes(counts), link / kMaxSpreadPart) << second;
         if (second >= kCalmAgain) {
-          EXPECT_LE(SpreadBytes(counts), link / kCalmSpreadShare) << second;
+          EXPECT_LE(SpreadBytes(counts), link / kCalmSpreadPart) << second;
         }
       });
     }
-    aFleet.At(kFaultAt + seconds{ 2 + kBound } + Fleet::Millis(1500),
+    aFleet.At(kFaultAt + seconds{ 2 } + kProposalDelay + kInForceWithin,
               [&aFleet] { EXPECT_EQ(aFleet.CountBehind(), 0U); });
   });
 }
