Open the overload test's flows once its fleet has started

One of 36 seeds of 1 Mbit/s (seed 18) sent packets of a flow elsewhere for 2.9 s, long before any host is replaced: the flow opened in the seconds of the fleet's start, answers to its opening were late, and two hosts took it at two balancers.

--- a/test/cornelshore/relay_overload/relay_overload.cpp
+++ b/test/cornelshore/relay_overload/relay_overload.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t kReplaced = 80;
 constexpr std::size_t kLength = 22;     ///< Seconds.
-constexpr std::size_t kFirstServed = 6; ///< Second in which all flows are open.
+constexpr std::size_t kFirstServed = 7; ///< Second in which all flows are open.
 constexpr std::size_t kCalmAgain = 17;  ///< Five seconds after the joins.
 /** Until control gets a change that the fleet is told to make. */
 constexpr Duration kProposalDelay = std::chrono::milliseconds{ 1500 };
@@ -18,20 +18,6 @@
 constexpr std::uint64_t kMaxSpreadPart = 4; ///< One part of so many of a link.
 constexpr std::uint64_t kCalmSpreadPart = 32; ///< The same while all is calm.
 
-RelayFleetShape
-LargeFleet(std::uint64_t aLinkBytesPerSecond)
-{
-  RelayFleetShape shape;
-  shape.zones_ = 5;
-  shape.balancers_ = 91;
-  shape.hosts_ = { 163, 41 };
-  shape.spareAgents_ = kReplaced;
-  shape.flows_ = 4000;
-  shape.idleRoutes_ = 40;
-  shape.linkBytesPerSecond_ = aLinkBytesPerSecond;
-  return shape;
-}
-
 /** Replaces hosts within two seconds, while the configuration changes twice:
  * each new one starts together with its agent, and the old one leaves 300 ms
  * later. */
@@ -67,7 +53,8 @@
 void
 ReplacesHostsBesideCallers(std::uint64_t aLinkBytesPerSecond)
 {
-  const auto shape = LargeFleet(aLinkBytesPerSecond);
+  auto shape = LargeFleetShape(aLinkBytesPerSecond, kReplaced);
+  shape.firstFlowAt_ = seconds{ 5 };
   const auto link = aLinkBytesPerSecond * shape.balancers_;
   RunSeeds(shape, seconds{ kLength }, [&](Fleet& aFleet) {
     ReplaceHosts(aFleet);
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -104,6 +104,8 @@
   std::uint64_t linkBytesPerSecond_{ 125'000'000 };
   /** Routes beside those of the services; no caller uses them. */
   std::size_t idleRoutes_{};
+  /** When the first flow opens; the others follow within two seconds. */
+  Duration firstFlowAt_{ std::chrono::milliseconds{ 4000 } };
   /** Pause of a caller between two requests, drawn from 100 ms to this. */
   Duration maxPause_{ std::chrono::milliseconds{ 3000 } };
   /** Sequence number of a host's first report. */
@@ -191,7 +193,8 @@
     }
     Configure();
     for (std::size_t line = 0; line < shape_.flows_; ++line) {
-      After(Draw(Millis(4000), Millis(6000)), [this] { OpenFlow(); });
+      After(Draw(shape_.firstFlowAt_, shape_.firstFlowAt_ + Millis(2000)),
+            [this] { OpenFlow(); });
     }
   }
 
@@ -1781,6 +1784,22 @@
   std::vector<Noted> notes_;
 };
 
+/** @brief 5 control VMs, 91 balancers and 204 hosts, with agents for more that
+ * are to join, in five data centres. */
+inline RelayFleetShape
+LargeFleetShape(std::uint64_t aLinkBytesPerSecond, std::size_t aSpareAgents)
+{
+  RelayFleetShape shape;
+  shape.zones_ = 5;
+  shape.balancers_ = 91;
+  shape.hosts_ = { 163, 41 };
+  shape.spareAgents_ = aSpareAgents;
+  shape.flows_ = 4000;
+  shape.idleRoutes_ = 40;
+  shape.linkBytesPerSecond_ = aLinkBytesPerSecond;
+  return shape;
+}
+
 /** @brief Seeds of a run: 3 fixed ones, or as many as
  * `CORNELSHORE_FLEET_SEEDS` says. */
 inline std::uint64_t
