Keep the context of the HTTP server's test running

The trace (threads of the hung process): the thread that runs the context had ended, the client waited. Once the listener is closed and the other calls are answered, the call that its handler holds is no work of the context, so run() returns, and the reply that comes then is posted to a context that nobody runs. The daemon's context has other work always; the test's now has a work guard. Nothing that the test checks has changed.

--- a/test/cornelshore/net/http_server.cpp
+++ b/test/cornelshore/net/http_server.cpp
@@ -65,6 +65,11 @@
   }
 
   asio::io_context context_;
+  /** As in the daemon, the context runs on while a call awaits its answer and
+   * nothing else is to be done. */
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+    context_.get_executor()
+  };
   std::unique_ptr<HttpServer> server_;
   std::thread thread_;
 };
