Show that a restart before a new boot's heartbeat resets its flows

Cause: a restarted agent takes the first heartbeat of a host that has just started for proof that it knows all of its flows; its earlier run had passed flows to the host before that heartbeat. The stand-in host can wait before its first heartbeat and records one without an answer.

--- a/review/standin-2/flows.cpp
+++ b/review/standin-2/flows.cpp
@@ -271,6 +271,9 @@
   {
     const milliseconds interval{ std::stol(options_["beat-ms"]) };
     auto beatAt = Clock::now();
+    if (options_.count("first-beat-ms") > 0) {
+      beatAt += milliseconds{ std::stol(options_["first-beat-ms"]) };
+    }
     while (gStop == 0) {
       const auto now = Clock::now();
       if (beatAt <= now) {
@@ -306,7 +309,8 @@
                       std::to_string(born_) + "}";
     const auto taken =
       Call(reports_, "PUT /cornelshore/instances/" + options_["name"], body);
-    if (taken != std::exchange(taken_, taken)) {
+    const auto isFirst = sequence_ == 2;
+    if (taken != std::exchange(taken_, taken) || (isFirst && !taken)) {
       record_.Write(taken ? "heartbeat acknowledged"
                           : "heartbeat not answered");
     }
