--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -173,7 +173,7 @@
 
 ask() { # BALANCER FIRST_PORT PORTS ID: one flow from each port
   "$programs/flows" client --listen "127.0.9.1:$packet_port" --balancer "127.0.2.$1:$packet_port" \
-    --to 198.18.0.1:443 --first-port "$2" --ports "$3" --id "$4" --record "$record"
+    --to 127.0.8.1:443 --first-port "$2" --ports "$3" --id "$4" --record "$record"
 }
 
 # Five control processes, one balancer, and an agent and a host a service.
