Let an agent deny a flow only where its host could not hold it

Cause: an agent took the first report of a host for proof that no flow had been opened there. An earlier run of the agent passes openings to a new instance before that report, on the strength of the former instance's ones. Evidence: upstream_ready sequence=1 knows_all_flows=yes after an earlier run that ended with flows_left=3.

Change: the table is complete if the host started after the agent, or if both are new and no balancer heard from an earlier run since the host's start; watches carry when one was last heard. A packet that a balancer sends to one host alone is passed to it once where the agent does not know the flow, so that the host's return decides and not the agent's table. upstream_ready logs why an agent is sure or not.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -208,8 +208,9 @@
       SendAnswer(aNow, aBalancer, aKey, Verdict::Holds, aOut);
     }
     mark = kHeldMark;
-  } else if (MayHold(aNow, aKey) && (aPacket.service_ == settings_.service_ ||
-                                     aPacket.service_ == kAnyService)) {
+  } else if (MayHold(aNow, aKey, aPacket.purpose_) &&
+             (aPacket.service_ == settings_.service_ ||
+              aPacket.service_ == kAnyService)) {
     if (aPacket.purpose_ == Purpose::Search) {
       SendAnswer(aNow, aBalancer, aKey, Verdict::Unsure, aOut);
       return;
@@ -295,18 +296,44 @@
              searched ? std::string() : std::move(aPacket.packet_));
 }
 
+Coverage
+Agent::CoverageAt(TimePoint aNow) const noexcept
+{
+  if (aNow - start_ >= settings_.flowTimeout_) {
+    return Coverage::OutlivedFlows;
+  }
+  if (!host_ && !endedInstance_) {
+    return Coverage::NoReport;
+  }
+  if (hostStartedAt_ >= start_) {
+    return Coverage::HostIsNewer;
+  }
+  if (!sawFirstReport_) {
+    return Coverage::HostIsOlder;
+  }
+  if (earlierRunHeardAt_ &&
+      *earlierRunHeardAt_ + settings_.maxLoadReportAge_ > hostStartedAt_) {
+    return Coverage::EarlierRun;
+  }
+  return aNow - start_ < settings_.earlierRunNoticeTime_
+           ? Coverage::AwaitsEarlierRun
+           : Coverage::BothAreNew;
+}
+
 bool
 Agent::MayHoldUnseenFlows(TimePoint aNow) const noexcept
 {
-  return !sawInstanceStart_ && aNow - start_ < settings_.flowTimeout_;
+  return CoverageAt(aNow) > Coverage::OutlivedFlows;
 }
 
 bool
-Agent::MayHold(TimePoint aNow, const FlowKey& aKey) const
+Agent::MayHold(TimePoint aNow, const FlowKey& aKey, Purpose aPurpose) const
 {
   const auto probe = probes_.find(aKey);
-  return (MayHoldUnseenFlows(aNow) || unassigned_.contains(aKey)) &&
-         (probe == probes_.end() || !probe->second.returned_);
+  const auto returned = probe != probes_.end() && probe->second.returned_;
+  const auto believed = aPurpose == Purpose::Direct && HostAlive(aNow);
+  return !returned &&
+         (believed || MayHoldUnseenFlows(aNow) || unassigned_.contains(aKey));
 }
 
 void
@@ -437,12 +464,35 @@
 void
 Agent::StartRun(TimePoint aNow, const HostReport& aReport)
 {
-  sawInstanceStart_ = host_ || endedInstance_ || IsFirstReport(aNow, aReport);
-  if (sawInstanceStart_) {
+  hostStartedAt_ = EarliestStartOf(aNow, aReport);
+  sawFirstReport_ = IsFirstReport(aNow, aReport);
+  if (host_ || endedInstance_ || sawFirstReport_) {
     UnassignFlows();
   }
 }
 
+TimePoint
+Agent::EarliestStartOf(TimePoint aNow, const HostReport& aReport) const
+{
+  const auto reportsBefore = std::max<std::uint64_t>(aReport.sequence_, 1) - 1;
+  const auto maxReports = static_cast<std::uint64_t>(
+    settings_.flowTimeout_ /
+    std::max(settings_.reportInterval_, Duration{ 1 }));
+  const auto byCount =
+    aNow - settings_.reportInterval_ *
+             static_cast<std::int64_t>(std::min(reportsBefore, maxReports));
+  const auto now = WallMillis(aNow);
+  if (now == 0) {
+    return byCount;
+  }
+  if (aReport.startMillis_ > now) {
+    return {};
+  }
+  const std::chrono::milliseconds age{ now - aReport.startMillis_ };
+  return age < settings_.flowTimeout_ ? std::min(byCount, aNow - age)
+                                      : TimePoint{};
+}
+
 bool
 Agent::IsFirstReport(TimePoint aNow, const HostReport& aReport) const
 {
@@ -511,6 +561,14 @@
   return true;
 }
 
+void
+Agent::NoteEarlierRun(TimePoint aNow, Duration aHeardAgo)
+{
+  const auto heardAt =
+    aNow - std::clamp(aHeardAgo, Duration::zero(), settings_.flowTimeout_);
+  earlierRunHeardAt_ = std::max(earlierRunHeardAt_.value_or(heardAt), heardAt);
+}
+
 void
 Agent::UpdateRoutes(const Configuration& aConfiguration)
 {
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -101,6 +101,12 @@
   Duration flowTimeout_{ std::chrono::seconds{ 70 } };
   /** Interval of the host's reports. */
   Duration reportInterval_{ std::chrono::milliseconds{ 1200 } };
+  /** Longest time that an agent goes on after the last message that a balancer
+   * had of it: load reports come each second. */
+  Duration maxLoadReportAge_{ std::chrono::milliseconds{ 1500 } };
+  /** Balancers that heard from an earlier run of the agent say so within this
+   * time of its start; they renew their watches each second. */
+  Duration earlierRunNoticeTime_{ std::chrono::seconds{ 1 } };
   /** A host without a report for this long gets no new flows. */
   Duration hostReportTimeout_{ std::chrono::milliseconds{ 3600 } };
   /** Requests in progress or expected per slot from which openings are
@@ -135,6 +141,29 @@
   { ReportOutcome::Implausible, "implausible" },
 } };
 
+/** @brief Why an agent knows all flows of its host, or may not. */
+enum class Coverage : std::uint8_t
+{
+  HostIsNewer,      ///< The host started after the agent.
+  BothAreNew,       ///< First report; no earlier run passed flows to the host.
+  OutlivedFlows,    ///< The agent has run for longer than any flow lives.
+  NoReport,         ///< No host has reported to this agent.
+  HostIsOlder,      ///< The host started before the agent.
+  EarlierRun,       ///< An earlier run of the agent lived after that start.
+  AwaitsEarlierRun, ///< Balancers may still tell of an earlier run.
+};
+
+/** @brief Names of `Coverage`. */
+inline constexpr std::array<EnumName<Coverage>, 7> kCoverageNames{ {
+  { Coverage::HostIsNewer, "host_is_newer" },
+  { Coverage::BothAreNew, "both_are_new" },
+  { Coverage::OutlivedFlows, "outlived_flows" },
+  { Coverage::NoReport, "no_report" },
+  { Coverage::HostIsOlder, "host_is_older" },
+  { Coverage::EarlierRun, "earlier_run" },
+  { Coverage::AwaitsEarlierRun, "awaits_earlier_run" },
+} };
+
 /**
  * @brief Owns the flows of the upstream on its host.
  *
@@ -170,6 +199,10 @@
    * current one. */
   bool OnHostEnded(std::string_view aInstance);
 
+  /** @brief Notes that a balancer last heard from an earlier run of this agent
+   * that long ago. */
+  void NoteEarlierRun(TimePoint aNow, Duration aHeardAgo);
+
   /** @brief Applies a configuration; an older one is ignored. */
   void UpdateRoutes(const Configuration& aConfiguration);
 
@@ -198,6 +231,9 @@
     return !MayHoldUnseenFlows(aNow) && unassigned_.empty();
   }
 
+  /** @brief Why the agent has seen all flows of the host, or may not have. */
+  [[nodiscard]] Coverage CoverageAt(TimePoint aNow) const noexcept;
+
   [[nodiscard]] std::size_t Flows() const noexcept { return flows_.size(); }
   [[nodiscard]] std::uint32_t Busy() const noexcept { return busy_; }
   [[nodiscard]] std::uint64_t Count(AgentCount aCount) const noexcept
@@ -280,8 +316,14 @@
                        Actions& aOut);
   void Forget(const FlowKey& aKey);
   void StartRun(TimePoint aNow, const HostReport& aReport);
-  /** @brief Whether no earlier report can have reached an earlier run of the
-   * agent, which would have passed flows to the host. Hosts count from 0 or
+  /**
+   * @brief Earliest start of the host by its report: the earlier one of its own
+   * wall clock and of its count of reports, as the wall clock may step.
+   * @return The start; the least time point if the wall clocks contradict.
+   */
+  [[nodiscard]] TimePoint EarliestStartOf(TimePoint aNow,
+                                          const HostReport& aReport) const;
+  /** @brief Whether the host has not reported before. Hosts count from 0 or
    * from 1, so the second report of the former is the one that the latter
    * send within half an interval of their start. */
   [[nodiscard]] bool IsFirstReport(TimePoint aNow,
@@ -320,8 +362,11 @@
                     Actions& aOut) const;
   /** @brief Whether the host may hold flows that this agent never saw. */
   [[nodiscard]] bool MayHoldUnseenFlows(TimePoint aNow) const noexcept;
-  /** @brief Whether the host may hold the flow, which is not in `flows_`. */
-  [[nodiscard]] bool MayHold(TimePoint aNow, const FlowKey& aKey) const;
+  /** @brief Whether the host may hold the flow, which is not in `flows_`. A
+   * balancer that names the host contradicts the agent; the host decides. */
+  [[nodiscard]] bool MayHold(TimePoint aNow,
+                             const FlowKey& aKey,
+                             Purpose aPurpose) const;
   void Increment(AgentCount aCount) noexcept
   {
     ++counts_[static_cast<std::size_t>(aCount)];
@@ -335,8 +380,10 @@
   /** Last report of the last instance that ended. */
   std::optional<HostReport> endedInstance_;
   TimePoint lastReportAt_{};
-  /** This agent received the instance's first report. */
-  bool sawInstanceStart_{};
+  TimePoint hostStartedAt_{}; ///< At the earliest.
+  bool sawFirstReport_{};     ///< Of the current instance.
+  /** When a balancer last heard from an earlier run of this agent. */
+  std::optional<TimePoint> earlierRunHeardAt_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
   absl::flat_hash_map<FlowKey, Probe> probes_;
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -450,8 +450,8 @@
   if (waitingDue_ <= aNow) {
     OfferWaiting(aNow, aOut);
   }
-  for (const auto& agent : hosts_.TakeDueWatches(aNow)) {
-    aOut.emplace_back(WatchAgent{ agent });
+  for (const auto& watch : hosts_.TakeDueWatches(aNow)) {
+    aOut.emplace_back(watch);
   }
   for (auto& query : near_.Take(aNow, hosts_)) {
     aOut.emplace_back(std::move(query));
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -65,12 +65,6 @@
   std::optional<SearchSummary> search_{}; ///< Of a lost flow.
 };
 
-/** @brief Subscribe to a host agent's load reports. */
-struct WatchAgent
-{
-  Address agent_;
-};
-
 /** @brief Query a host's agent for the flows that its host holds. */
 using QueryAgent = FarSearch::Outgoing;
 
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -32,8 +32,11 @@
   for (const auto& record : aRecords) {
     auto& host = hosts_[record.id_];
     if (host.record_.incarnation_ != record.incarnation_) {
+      const auto heardAt =
+        host.lastReportAt_ ? host.lastReportAt_ : host.earlierRunHeardAt_;
       host = {};
       host.firstSeenAt_ = aNow;
+      host.earlierRunHeardAt_ = heardAt;
       watchAt_ = aNow;
       changed = true;
     }
@@ -263,12 +266,12 @@
   return PickFrom(aNow, free, {});
 }
 
-std::vector<Address>
+std::vector<WatchAgent>
 HostTable::TakeDueWatches(TimePoint aNow)
 {
-  std::vector<Address> agents;
+  std::vector<WatchAgent> watches;
   if (aNow < watchAt_) {
-    return agents;
+    return watches;
   }
   auto wait = settings_.watchInterval_;
   for (auto& [id, host] : hosts_) {
@@ -281,11 +284,15 @@
     wait = std::min(wait, every);
     if (host.watchedAt_ == TimePoint{} || aNow - host.watchedAt_ >= every) {
       host.watchedAt_ = aNow;
-      agents.push_back(host.record_.agent_);
+      Watch watch;
+      if (host.earlierRunHeardAt_) {
+        watch.earlierRunHeardAgo_ = aNow - *host.earlierRunHeardAt_;
+      }
+      watches.push_back({ host.record_.agent_, watch });
     }
   }
   watchAt_ = aNow + wait;
-  return agents;
+  return watches;
 }
 
 void
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -60,6 +60,8 @@
   HostRecord record_;
   HostLoad load_;
   std::optional<TimePoint> lastReportAt_;
+  /** Last load report of an earlier run of the agent. */
+  std::optional<TimePoint> earlierRunHeardAt_;
   TimePoint firstSeenAt_;
   TimePoint watchedAt_;
   TimePoint suspectUntil_;
@@ -68,6 +70,13 @@
   std::uint32_t offered_{}; ///< Openings sent since the last load report.
 };
 
+/** @brief A watch to be sent to an agent. */
+struct WatchAgent
+{
+  Address agent_;
+  Watch watch_;
+};
+
 /**
  * @brief The hosts known to a balancer, and host selection.
  *
@@ -147,8 +156,8 @@
    * host's first report to it is still expected. */
   [[nodiscard]] bool AwaitsHostOf(TimePoint aNow, ServiceId aService) const;
 
-  /** @brief Agents whose watch is due for renewal; marks them as renewed. */
-  [[nodiscard]] std::vector<Address> TakeDueWatches(TimePoint aNow);
+  /** @brief Watches that are due for renewal; marks them as renewed. */
+  [[nodiscard]] std::vector<WatchAgent> TakeDueWatches(TimePoint aNow);
 
   /** @brief When `TakeDueWatches` should be called next. */
   [[nodiscard]] TimePoint NextWatch() const noexcept { return watchAt_; }
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -3,12 +3,14 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <cornelshore/core/flow_key.hpp>
 #include <cornelshore/core/names.hpp>
+#include <cornelshore/core/time.hpp>
 #include <cornelshore/core/types.hpp>
 
 namespace cornelshore::relay {
@@ -94,6 +96,10 @@
 /** @brief Balancer to agent: subscribe to the host's load reports. */
 struct Watch
 {
+  /** Time since the balancer last heard from an earlier run of the agent;
+   * nothing if it never did. */
+  std::optional<Duration> earlierRunHeardAgo_;
+
   bool operator==(const Watch&) const noexcept = default;
 };
 
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -110,7 +110,11 @@
       return;
     }
     auto* message = std::get_if<relay::Message>(&aEvent.message_);
-    if (message != nullptr && std::holds_alternative<relay::Watch>(*message)) {
+    if (const auto* watch =
+          message == nullptr ? nullptr : std::get_if<relay::Watch>(message)) {
+      if (watch->earlierRunHeardAgo_) {
+        flows_.NoteEarlierRun(aNow, *watch->earlierRunHeardAgo_);
+      }
       if (reports_.Watch(aNow, aEvent.address_)) {
         aOut.emplace_back(
           SendToNode{ aEvent.address_, relay::Message(flows_.Load(aNow)) });
@@ -175,7 +179,10 @@
       { { "instance", aReport.instance_ },
         { "sequence", std::to_string(aReport.sequence_) },
         { "slots", std::to_string(aReport.slots_) },
-        { "knows_all_flows", flows_.KnowsAllFlows(aNow) ? "yes" : "no" } } });
+        { "knows_all_flows", flows_.KnowsAllFlows(aNow) ? "yes" : "no" },
+        { "coverage",
+          std::string(NameIn(relay::kCoverageNames, flows_.CoverageAt(aNow))) },
+        { "uptime_ms", internal::MillisOf(aNow - startedAt_) } } });
   }
 
   void Handle(TimePoint aNow, UpstreamInstanceEnded& aEvent, Actions& aOut)
@@ -248,6 +255,7 @@
     SendLoad(aNow, flows_.Load(aNow), true, aOut);
   }
 
+  TimePoint startedAt_{};
   dissemination::Node node_;
   relay::Agent flows_;
   Hooks hooks_;
@@ -389,6 +397,7 @@
   settings.reportInterval_ = reportInterval_;
   auto parts = std::make_unique<Parts>(std::move(*node),
                                        relay::Agent(settings, codec_, aNow));
+  parts->startedAt_ = aNow;
   parts->hooks_ = hooks_;
   parts->record_.id_ = HostId{ node_.self_.value_ };
   parts->record_.incarnation_ = node_.incarnation_;
--- a/src/cornelshore/role/relay_balancer.cpp
+++ b/src/cornelshore/role/relay_balancer.cpp
@@ -122,7 +122,7 @@
       } else if (const auto* watch = std::get_if<relay::WatchAgent>(&action)) {
         NoteSent(aNow, 0);
         aOut.emplace_back(
-          SendToNode{ watch->agent_, relay::Message(relay::Watch{}) });
+          SendToNode{ watch->agent_, relay::Message(watch->watch_) });
       } else {
         auto& reset = std::get<relay::ToCaller>(action);
         LogReset(aNow, reset, aOut);
--- a/src/cornelshore/wire/relay_codec.cpp
+++ b/src/cornelshore/wire/relay_codec.cpp
@@ -66,13 +66,21 @@
 }
 
 void
-EncodeBody(Writer& /*aWriter*/, const relay::Watch& /*aMessage*/)
+EncodeBody(Writer& aWriter, const relay::Watch& aMessage)
 {
+  aWriter.Bool(aMessage.earlierRunHeardAgo_.has_value());
+  aWriter.Write(aMessage.earlierRunHeardAgo_.value_or(Duration::zero()));
 }
 
 void
-DecodeBody(Reader& /*aReader*/, relay::Watch& /*aMessage*/)
+DecodeBody(Reader& aReader, relay::Watch& aMessage)
 {
+  const auto heard = aReader.Bool();
+  Duration ago{};
+  aReader.Read(ago);
+  if (heard) {
+    aMessage.earlierRunHeardAgo_ = ago;
+  }
 }
 
 void
--- a/test/cornelshore/relay/host_table.cpp
+++ b/test/cornelshore/relay/host_table.cpp
@@ -70,6 +70,33 @@
   EXPECT_FALSE(table.Update(kStart, { record }));
 }
 
+// An agent that has just started learns from its watchers whether an earlier
+// run of it lived after its host's start.
+TEST(HostTable, WatchesSayWhenAnEarlierRunOfTheAgentWasHeard)
+{
+  using std::chrono::milliseconds;
+  HostTable table(HostTableSettings{}, 1);
+  const auto earlierRunIn = [&](TimePoint aNow) {
+    const auto watches = table.TakeDueWatches(aNow);
+    EXPECT_EQ(watches.size(), 1U);
+    return watches.front().watch_.earlierRunHeardAgo_;
+  };
+  auto record = RecordOf(1, kHere);
+  table.Update(kStart, { record });
+  EXPECT_EQ(earlierRunIn(kStart), std::nullopt);
+  table.OnLoad(kStart, HostId{ 1 }, { 0, 0, 2, true, false });
+
+  record.incarnation_ = Incarnation{ 2 };
+  const auto second = kStart + milliseconds{ 500 };
+  table.Update(second, { record });
+  EXPECT_EQ(earlierRunIn(second), milliseconds{ 500 });
+
+  record.incarnation_ = Incarnation{ 3 };
+  const auto third = kStart + milliseconds{ 700 };
+  table.Update(third, { record });
+  EXPECT_EQ(earlierRunIn(third), milliseconds{ 700 });
+}
+
 TEST(HostTable, BalancersOfADataCentreAgreeOnTheHostsNearAFlow)
 {
   const auto one = LargeTable(1);
--- /dev/null
+++ b/test/cornelshore/relay_denial/relay_denial.cpp
@@ -0,0 +1,55 @@
+#include <cornelshore/role/relay_scenario.hpp>
+
+namespace cornelshore::role {
+namespace {
+
+using std::chrono::seconds;
+
+/** Hosts that a scenario disturbs, and balancers that it restarts. */
+constexpr std::size_t kHosts = 6;
+constexpr std::size_t kBalancers = 3;
+
+/** Interval between the disturbances of two hosts. */
+constexpr Duration kBetweenHosts = std::chrono::milliseconds{ 300 };
+
+RelayFleetShape
+Shape()
+{
+  RelayFleetShape shape;
+  shape.firstReportAfter_ = Fleet::Millis(360);
+  shape.flows_ = 1500;
+  return shape;
+}
+
+/** Planned restarts of some balancers, which then know no flow. */
+void
+RollBalancers(Fleet& aFleet, Duration aFirst)
+{
+  auto balancers = aFleet.Of(Fleet::Role::Balancer);
+  balancers.resize(kBalancers);
+  RollInTurn(aFleet, balancers, aFirst, Fleet::Millis(500));
+}
+
+// Guards against an agent that takes its table for complete on the first report
+// of a host, though an earlier run of it passed openings to that host.
+TEST(RelayDenial, FlowsSurviveAnAgentRestartedBeforeItsHostsFirstReport)
+{
+  RunSeeds(Shape(), seconds{ 22 }, [](Fleet& aFleet) {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const auto crash =
+        kFaultAt + kBetweenHosts * static_cast<std::int64_t>(host);
+      const auto start = crash + Fleet::Millis(20);
+      const auto stop =
+        start + aFleet.Draw(Fleet::Millis(120), Fleet::Millis(300));
+      aFleet.At(crash, [&aFleet, host] { aFleet.CrashHost(host); });
+      aFleet.At(start, [&aFleet, host] { aFleet.StartHost(host); });
+      aFleet.At(stop, [&aFleet, host] {
+        aFleet.Roll(aFleet.AgentOf(host), Fleet::Millis(10));
+      });
+    }
+    RollBalancers(aFleet, kFaultAt + seconds{ 2 });
+  });
+}
+
+} // namespace
+} // namespace cornelshore::role
--- a/test/cornelshore/wire/relay_codec.cpp
+++ b/test/cornelshore/wire/relay_codec.cpp
@@ -43,6 +43,8 @@
       load,
       "packet" },
     load,
+    relay::Watch{},
+    relay::Watch{ std::chrono::milliseconds{ 1500 } },
     FullQuery(),
     relay::QueryAnswer{
       4, { relay::Holding::No, relay::Holding::Yes, relay::Holding::Unsure } },
