--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -19,10 +19,6 @@
  * peer's last retransmission arrives within this time. */
 constexpr Duration kClosedFlowRetention = std::chrono::seconds{ 4 };
 
-/** Maximum time from the sending of a report to its arrival: the host regards a
- * report without an answer after this time as lost. */
-constexpr Duration kMaxReportDelay = std::chrono::seconds{ 1 };
-
 /** Marks that record why a packet was passed to the host. */
 constexpr std::uint32_t kOpenMark = 1;
 constexpr std::uint32_t kHeldMark = 2;
@@ -88,7 +84,7 @@
   if (!host_) {
     return FlowReason::NoReport;
   }
-  if (host_->leaving_) {
+  if (IsLeaving(aNow)) {
     return FlowReason::Leaving;
   }
   if (!HostAlive(aNow)) {
@@ -450,6 +446,7 @@
   }
   const auto& last = host_ ? host_ : endedInstance_;
   if (last && IsLate(aNow, aReport, *last)) {
+    NoteRival(aNow, aReport);
     return ReportOutcome::Late;
   }
   if (!last || !IsSameRun(aReport, *last)) {
@@ -464,6 +461,7 @@
 void
 Agent::StartRun(TimePoint aNow, const HostReport& aReport)
 {
+  rival_.reset();
   hostStartedAt_ = EarliestStartOf(aNow, aReport);
   sawFirstReport_ = IsFirstReport(aNow, aReport);
   if (host_ || endedInstance_ || sawFirstReport_) {
@@ -541,7 +539,7 @@
 Agent::UnassignFlows()
 {
   for (const auto& [key, flow] : flows_) {
-    if (flow.openedAt_ + kMaxReportDelay > lastReportAt_) {
+    if (!flow.closed_) {
       unassigned_[key] = { flow.balancer_, flow.openedAt_ };
     }
   }
@@ -551,10 +549,31 @@
   closed_ = 0;
 }
 
+void
+Agent::NoteRival(TimePoint aNow, const HostReport& aReport)
+{
+  if (host_ && !IsSameRun(aReport, *host_)) {
+    rival_ = { aReport.instance_, aNow, aReport.leaving_ };
+  }
+}
+
 bool
-Agent::OnHostEnded(std::string_view aInstance)
+Agent::IsLeaving(TimePoint aNow) const noexcept
+{
+  const auto rivalLeaves =
+    rival_ && rival_->leaving_ &&
+    aNow - rival_->reportedAt_ < settings_.hostReportTimeout_;
+  return rivalLeaves || (host_ && host_->leaving_);
+}
+
+bool
+Agent::OnHostEnded(TimePoint aNow, std::string_view aInstance)
 {
   if (!host_ || host_->instance_ != aInstance) {
+    if (rival_ && rival_->instance_ == aInstance) {
+      rival_->leaving_ = true;
+      rival_->reportedAt_ = aNow;
+    }
     return false;
   }
   endedInstance_ = std::exchange(host_, std::nullopt);
@@ -589,7 +608,7 @@
   load.busy_ = busy_;
   if (host_) {
     load.slots_ = host_->slots_;
-    load.accepts_ = !host_->leaving_ && HostAlive(aNow);
+    load.accepts_ = !IsLeaving(aNow) && HostAlive(aNow);
     load.warmingUp_ = aNow - lastReportAt_ < host_->warmupRemaining_;
   }
   return load;
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -197,7 +197,7 @@
 
   /** @brief Handles the end of an upstream instance; false if it is not the
    * current one. */
-  bool OnHostEnded(std::string_view aInstance);
+  bool OnHostEnded(TimePoint aNow, std::string_view aInstance);
 
   /** @brief Notes that a balancer last heard from an earlier run of this agent
    * that long ago. */
@@ -257,8 +257,16 @@
     bool closed_{}; ///< Both ends have finished, or one reset the flow.
   };
 
-  /** A flow opened about when one instance followed another: either may have
-   * accepted it. */
+  /** Another instance whose reports arrive beside those of the current one. */
+  struct Rival
+  {
+    std::string instance_;
+    TimePoint reportedAt_;
+    bool leaving_{};
+  };
+
+  /** A flow that was open when another instance reported: either one may hold
+   * it. */
   struct UnassignedFlow
   {
     Address balancer_; ///< Notified when the host answers.
@@ -341,9 +349,14 @@
   [[nodiscard]] bool IsLate(TimePoint aNow,
                             const HostReport& aReport,
                             const HostReport& aLast) const;
-  /** @brief Forgets the flows of the former instance and keeps the keys of
-   * those that the new one may hold. */
+  /** @brief Forgets the flows of the former instance but keeps their keys: a
+   * report shows neither that the former one has ended nor when the new one
+   * began to open flows. */
   void UnassignFlows();
+  /** @brief Notes a late report of an instance that may be the true one. */
+  void NoteRival(TimePoint aNow, const HostReport& aReport);
+  /** @brief Whether the host is leaving by the reports of any instance. */
+  [[nodiscard]] bool IsLeaving(TimePoint aNow) const noexcept;
   /** @brief Adds a flow of which the host sent a packet, or nothing if that
    * does not show that the host holds it. */
   Flow* Learn(TimePoint aNow,
@@ -379,6 +392,7 @@
   std::optional<HostReport> host_;
   /** Last report of the last instance that ended. */
   std::optional<HostReport> endedInstance_;
+  std::optional<Rival> rival_;
   TimePoint lastReportAt_{};
   TimePoint hostStartedAt_{}; ///< At the earliest.
   bool sawFirstReport_{};     ///< Of the current instance.
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -187,7 +187,7 @@
 
   void Handle(TimePoint aNow, UpstreamInstanceEnded& aEvent, Actions& aOut)
   {
-    const auto ended = flows_.OnHostEnded(aEvent.instance_);
+    const auto ended = flows_.OnHostEnded(aNow, aEvent.instance_);
     if (ended) {
       aOut.emplace_back(Log{ Severity::Info,
                              "upstream_ended",
--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -454,7 +454,9 @@
   EXPECT_FALSE(agent_.Host());
 }
 
-TEST_F(AgentTest, ForgetsTheFlowsOfAFormerRun)
+// A report of another instance ends no flow: the host's own return decides, and
+// until then the flow is no load.
+TEST_F(AgentTest, LeavesTheFlowsOfAFormerRunToTheHost)
 {
   agent_.OnReport(kStart, ReportOf(1));
   OpenFlow(1);
@@ -462,9 +464,63 @@
   agent_.OnReport(later, ReportOf(2));
   EXPECT_EQ(agent_.OnReport(later, NextInstance()), ReportOutcome::Taken);
   EXPECT_EQ(agent_.Load(later).flows_, 0U);
+  EXPECT_EQ(HoldingOf(later, 1), Holding::Unsure);
+  EXPECT_EQ(HoldingOf(later, 2), Holding::No);
+  auto packet = Delivered(Carry(later, Purpose::Direct, FromCaller(1, false)));
+  ASSERT_TRUE(packet.has_value());
+  packet->returned_ = true;
+  EXPECT_EQ(VerdictIn(HostSends(later, *packet)), Verdict::Unknown);
   EXPECT_EQ(HoldingOf(later, 1), Holding::No);
-  EXPECT_EQ(VerdictIn(Carry(later, Purpose::Search, FromCaller(1, false))),
-            Verdict::Unknown);
+  EXPECT_FALSE(Delivered(Carry(later, Purpose::Direct, FromCaller(1, false))));
+}
+
+// Guards against a stray report of another instance that drops the flows of a
+// host which goes on reporting.
+TEST_F(AgentTest, KeepsTheFlowsOfAHostBesideAStrayReport)
+{
+  for (std::uint64_t sequence = 1; sequence <= 10; ++sequence) {
+    agent_.OnReport(kStart + seconds{ 1 } * static_cast<int>(sequence),
+                    ReportOf(sequence));
+  }
+  OpenFlow(1);
+  const auto stray = kStart + seconds{ 11 };
+  EXPECT_EQ(agent_.OnReport(stray, NextInstance()), ReportOutcome::Taken);
+  EXPECT_EQ(HoldingOf(stray, 1), Holding::Unsure);
+  EXPECT_EQ(agent_.OnReport(stray, ReportOf(11)), ReportOutcome::Late);
+  const auto back = kStart + seconds{ 15 };
+  EXPECT_EQ(agent_.OnReport(back, ReportOf(15)), ReportOutcome::Taken);
+  EXPECT_EQ(HoldingOf(back, 1), Holding::Unsure);
+  EXPECT_TRUE(Delivered(Carry(back, Purpose::Direct, FromCaller(1, false))));
+  HostSends(back, FromHostTo(1, false));
+  EXPECT_EQ(HoldingOf(back, 1), Holding::Yes);
+}
+
+// Guards against new flows at a host that leaves, whose reports are late beside
+// a stray one of another instance and are acknowledged all the same.
+TEST_F(AgentTest, OpensNoFlowOnceAnInstanceBesideTheCurrentOneLeaves)
+{
+  const auto opens = [&](TimePoint aNow, std::uint16_t aPort) {
+    return Delivered(Carry(aNow, Purpose::ForceOpen, FromCaller(aPort, true)))
+      .has_value();
+  };
+  agent_.OnReport(kStart, ReportOf(1));
+  agent_.OnReport(kStart, NextInstance());
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(2)), ReportOutcome::Late);
+  EXPECT_TRUE(opens(kStart, 1));
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(3, true)), ReportOutcome::Late);
+  EXPECT_FALSE(agent_.Load(kStart).accepts_);
+  EXPECT_FALSE(opens(kStart, 2));
+
+  const auto later = kStart + seconds{ 2 };
+  auto further = NextInstance();
+  further.sequence_ = 3;
+  EXPECT_EQ(agent_.OnReport(later, further), ReportOutcome::Taken);
+  EXPECT_FALSE(agent_.OnHostEnded(later, "i-1"));
+  EXPECT_FALSE(opens(kStart + seconds{ 5 }, 3));
+  further.sequence_ = 7;
+  const auto silent = kStart + seconds{ 6 };
+  EXPECT_EQ(agent_.OnReport(silent, further), ReportOutcome::Taken);
+  EXPECT_TRUE(opens(silent, 4));
 }
 
 // A host crashes and starts again. Until its first report the agent passes
@@ -519,8 +575,8 @@
 {
   agent_.OnReport(kStart, ReportOf(1));
   agent_.OnReport(kStart, ReportOf(2, true));
-  EXPECT_TRUE(agent_.OnHostEnded("i-1"));
-  EXPECT_FALSE(agent_.OnHostEnded("i-1"));
+  EXPECT_TRUE(agent_.OnHostEnded(kStart, "i-1"));
+  EXPECT_FALSE(agent_.OnHostEnded(kStart, "i-1"));
   EXPECT_EQ(agent_.OnReport(kStart, ReportOf(9)), ReportOutcome::Late);
   EXPECT_FALSE(agent_.Host());
 }
@@ -530,7 +586,7 @@
 TEST_F(AgentTest, AnInstanceThatReportsOnWasNotTheOneThatEnded)
 {
   agent_.OnReport(kStart, ReportOf(1));
-  EXPECT_TRUE(agent_.OnHostEnded("i-1"));
+  EXPECT_TRUE(agent_.OnHostEnded(kStart, "i-1"));
   EXPECT_EQ(agent_.OnReport(kStart, ReportOf(1)), ReportOutcome::Late);
   EXPECT_EQ(agent_.OnReport(kStart, ReportOf(2)), ReportOutcome::Taken);
   EXPECT_TRUE(agent_.Load(kStart).accepts_);
--- a/test/cornelshore/relay_denial/relay_denial.cpp
+++ b/test/cornelshore/relay_denial/relay_denial.cpp
@@ -51,5 +51,40 @@
   });
 }
 
+/** A report of an instance that the agent does not know and that started
+ * later than its host. */
+relay::HostReport
+StrayReport(Fleet& aFleet, std::size_t aHost)
+{
+  auto report = aFleet.ReportOf(aHost);
+  report.instance_ = "stray-" + std::to_string(aFleet.Randomness().Below(100));
+  report.startMillis_ = aFleet.WallMillis();
+  report.sequence_ = 1 + aFleet.Randomness().Below(50);
+  return report;
+}
+
+// Guards against a stray report of another instance that drops the flows of a
+// host, and beside which the host's own reports that it leaves have no effect.
+TEST(RelayDenial, FlowsSurviveStrayReportsBesideAHostThatGoesOn)
+{
+  RunSeeds(Shape(), seconds{ 22 }, [](Fleet& aFleet) {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const auto first =
+        kFaultAt + kBetweenHosts * static_cast<std::int64_t>(host);
+      const auto second = first + aFleet.Draw(Fleet::Millis(500), seconds{ 6 });
+      for (const auto at : { first, second }) {
+        aFleet.At(at, [&aFleet, host] {
+          aFleet.DeliverReport(host, StrayReport(aFleet, host));
+        });
+      }
+      if (host % 2 == 1) {
+        const auto leaves = first + aFleet.Draw(Fleet::Millis(0), seconds{ 2 });
+        aFleet.At(leaves, [&aFleet, host] { aFleet.Leave(host); });
+      }
+    }
+    RollBalancers(aFleet, kFaultAt + seconds{ 2 });
+  });
+}
+
 } // namespace
 } // namespace cornelshore::role
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -950,7 +950,9 @@
   {
     auto& host = hosts_[HostOf(aFrom)];
     const auto leaves = aResult.token_ == host.generation_ * 2 + 1;
-    if (leaves && aResult.outcome_ == relay::ReportOutcome::Taken &&
+    const auto acknowledged = aResult.outcome_ == relay::ReportOutcome::Taken ||
+                              aResult.outcome_ == relay::ReportOutcome::Late;
+    if (leaves && acknowledged &&
         !std::exchange(host.leaveAcknowledged_, true)) {
       Note(aFrom, "acknowledged that its host leaves");
       After(Millis(3500),
--- a/test/platform/api.cpp
+++ b/test/platform/api.cpp
@@ -85,8 +85,8 @@
   };
   UpstreamApi api(hooks);
   const std::string beat =
-    R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,"state":"ready",)"
-    R"("warmup-left-ms":0,"seq":1,"born":1})";
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":1,)"
+    R"("state":"ready","warmup-left-ms":0,"seq":1,"born":1})";
   EXPECT_EQ(Call(api, "PUT", "/cornelshore/instances/i-1", beat).status_, 200U);
   EXPECT_EQ(reported, "i-1");
   outcome = relay::ReportOutcome::Foreign;
--- a/test/platform/heartbeat.cpp
+++ b/test/platform/heartbeat.cpp
@@ -57,6 +57,8 @@
     With(R"(,"born":1790000000123)", ""),
     With(R"("born":1790000000123)", R"("born":{"at":1})"),
     With(R"("zone":"a",)", ""),
+    With(R"("version":"v1",)", ""),
+    With(R"("version":"v1")", R"("version":1)"),
     "",
     "\x01\x02",
     R"(["ready"])",
--- a/test/platform/json.cpp
+++ b/test/platform/json.cpp
@@ -32,7 +32,8 @@
 {
   return ParseHeartbeat(
     "i-1",
-    absl::StrCat(R"({"service":"boards","zone":"z","state":"ready","born":5,)",
+    absl::StrCat(R"({"service":"boards","zone":"z","version":"v1","born":5,)",
+                 R"("state":"ready",)",
                  R"("address":")",
                  std::string(aAddress),
                  R"(",)",
