--- a/test/cornelshore/relay/agent.cpp
+++ b/test/cornelshore/relay/agent.cpp
@@ -474,6 +474,23 @@
   EXPECT_FALSE(Delivered(Carry(later, Purpose::Direct, FromCaller(1, false))));
 }
 
+// Guards against an agent that takes the second instance of which it receives a
+// report for one that started under its eyes: the first report may be a delayed
+// one of an instance that crashed long before.
+TEST_F(AgentTest, IsUnsureOfAHostThatStartedBeforeItWhateverReportCameFirst)
+{
+  auto settings = SettingsOf();
+  settings.startMillis_ = 9000;
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  auto current = NextInstance();
+  current.startMillis_ = 5000;
+  current.sequence_ = 6;
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(7)), ReportOutcome::Taken);
+  EXPECT_EQ(agent_.OnReport(kStart, current), ReportOutcome::Taken);
+  EXPECT_EQ(agent_.CoverageAt(kStart + seconds{ 5 }), Coverage::HostIsOlder);
+  EXPECT_EQ(HoldingOf(kStart + seconds{ 5 }, 1), Holding::Unsure);
+}
+
 // Guards against a stray report of another instance that drops the flows of a
 // host which goes on reporting.
 TEST_F(AgentTest, KeepsTheFlowsOfAHostBesideAStrayReport)
--- a/test/cornelshore/relay_denial/relay_denial.cpp
+++ b/test/cornelshore/relay_denial/relay_denial.cpp
@@ -86,5 +86,31 @@
   });
 }
 
+// Guards against an agent that takes a host for a new one because a delayed
+// report of the crashed instance before it came first after the agent's start.
+TEST(RelayDenial, FlowsSurviveADelayedReportAfterAnAgentsRestart)
+{
+  RunSeeds(Shape(), seconds{ 24 }, [](Fleet& aFleet) {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      const auto crash =
+        kFaultAt + kBetweenHosts * static_cast<std::int64_t>(host);
+      const auto stop = crash + seconds{ 6 };
+      aFleet.At(crash, [&aFleet, host, stop] {
+        const auto delayed = aFleet.ReportOf(host);
+        aFleet.CrashHost(host);
+        aFleet.At(stop + Fleet::Millis(100), [&aFleet, host, delayed] {
+          aFleet.DeliverReport(host, delayed);
+        });
+      });
+      aFleet.At(crash + seconds{ 2 },
+                [&aFleet, host] { aFleet.StartHost(host); });
+      aFleet.At(stop, [&aFleet, host] {
+        aFleet.Roll(aFleet.AgentOf(host), Fleet::Millis(50));
+      });
+    }
+    RollBalancers(aFleet, kFaultAt + seconds{ 8 });
+  });
+}
+
 } // namespace
 } // namespace cornelshore::role
