Tell a new flow from a copy of an opening by its initial sequence number

Cause: rows of balancers live for 70 s after a flow's last packet, and an opening on the key of a row went to the row's host and service, past the routes. Agents passed openings on the key of an open flow unchecked.

Change: an opening with another initial number, or later than callers repeat openings, begins a new flow, with today's routes and hosts and the checks of an opening. The row remembers the former flow's host for its late packets. An agent keeps an open flow until its host accepts the new one, and takes no packet outside a flow's numbers for one of it.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -11,10 +11,6 @@
 /** Interval at which expired flows are removed. */
 constexpr Duration kSweepInterval = std::chrono::seconds{ 2 };
 
-/** Maximum bytes that a host sends in one flow, to distinguish its sequence
- * numbers from another host's. */
-constexpr std::uint32_t kMaxFlowBytes = 1U << 28U;
-
 /** How long late packets of a closed flow are still passed to the host; the
  * peer's last retransmission arrives within this time. */
 constexpr Duration kClosedFlowRetention = std::chrono::seconds{ 4 };
@@ -70,7 +66,7 @@
   }
   const auto key = KeyFromCaller(*segment);
   if (segment->opening_) {
-    Open(aNow, key, aBalancer, std::move(aPacket), aOut);
+    Open(aNow, key, *segment, aBalancer, std::move(aPacket), aOut);
   } else if (!IsOpening(aPacket.purpose_)) {
     Deliver(aNow, key, *segment, aBalancer, std::move(aPacket), aOut);
   }
@@ -116,20 +112,46 @@
   aOut.emplace_back(decision);
 }
 
+bool
+Agent::IsCopy(const Flow& aFlow,
+              const Segment& aSegment,
+              Purpose aPurpose) noexcept
+{
+  const auto same = aFlow.initialSequence_
+                      ? *aFlow.initialSequence_ == aSegment.sequence_
+                      : aPurpose == Purpose::Direct;
+  return same && !aFlow.closed_;
+}
+
+void
+Agent::Repeat(TimePoint aNow,
+              const Address& aBalancer,
+              RelayedPacket aPacket,
+              Flow& aFlow,
+              Actions& aOut)
+{
+  Increment(AgentCount::Opened);
+  aFlow.balancer_ = aBalancer;
+  aFlow.openedAt_ = aFlow.lastPacket_ = aNow;
+  codec_.mark_(aPacket.packet_, kOpenMark);
+  aOut.emplace_back(ToHost{ std::move(aPacket.packet_) });
+}
+
 void
 Agent::Open(TimePoint aNow,
             const FlowKey& aKey,
+            const Segment& aSegment,
             const Address& aBalancer,
             RelayedPacket aPacket,
             Actions& aOut)
 {
   if (const auto found = flows_.find(aKey);
-      found != flows_.end() && found->second.closed_) {
-    Forget(aKey);
+      found != flows_.end() &&
+      IsCopy(found->second, aSegment, aPacket.purpose_)) {
+    Repeat(aNow, aBalancer, std::move(aPacket), found->second, aOut);
+    return;
   }
-  const auto known = flows_.contains(aKey);
-  const auto obstacle =
-    known ? FlowReason::None : ReasonToRefuse(aNow, aKey, aPacket);
+  const auto obstacle = ReasonToRefuse(aNow, aKey, aPacket);
   if (obstacle != FlowReason::None) {
     Increment(AgentCount::Refused);
     EmitDecision(aNow, FlowEvent::Refused, obstacle, aKey, aOut);
@@ -139,30 +161,44 @@
   const auto perSlot = aPacket.purpose_ == Purpose::Open
                          ? settings_.busyPerSlot_
                          : settings_.forcedBusyPerSlot_;
-  const auto occupied = known ? 0.0 : static_cast<double>(Occupancy(aNow));
-  const auto slots = known ? 0.0 : static_cast<double>(host_->slots_);
-  if (!known && occupied >= perSlot * slots) {
+  const auto occupied = static_cast<double>(Occupancy(aNow));
+  const auto slots = static_cast<double>(host_->slots_);
+  if (occupied >= perSlot * slots) {
     Increment(AgentCount::Busy);
     EmitDecision(aNow, FlowEvent::Refused, FlowReason::Busy, aKey, aOut);
     SendAnswer(aNow, aBalancer, aKey, Verdict::Busy, aOut);
     return;
   }
   Increment(AgentCount::Opened);
-  if (!known) {
-    EmitDecision(aNow,
-                 FlowEvent::Taken,
-                 occupied >= slots ? FlowReason::ForcedOpen : FlowReason::None,
-                 aKey,
-                 aOut);
-    expectedRequests_.emplace_back(aNow, aKey);
-  }
+  EmitDecision(aNow,
+               FlowEvent::Taken,
+               occupied >= slots ? FlowReason::ForcedOpen : FlowReason::None,
+               aKey,
+               aOut);
+  AddOpening(aNow, aKey, aSegment, aBalancer);
+  codec_.mark_(aPacket.packet_, kOpenMark);
+  aOut.emplace_back(ToHost{ std::move(aPacket.packet_) });
+}
+
+void
+Agent::AddOpening(TimePoint aNow,
+                  const FlowKey& aKey,
+                  const Segment& aSegment,
+                  const Address& aBalancer)
+{
+  expectedRequests_.emplace_back(aNow, aKey);
   unassigned_.erase(aKey);
   probes_.erase(aKey);
+  const auto found = flows_.find(aKey);
+  if (found != flows_.end() && found->second.open_ && !found->second.closed_) {
+    found->second.reopening_ = { aBalancer, aSegment.sequence_ };
+    return;
+  }
+  Forget(aKey);
   auto& flow = flows_[aKey];
   flow.balancer_ = aBalancer;
   flow.openedAt_ = flow.lastPacket_ = aNow;
-  codec_.mark_(aPacket.packet_, kOpenMark);
-  aOut.emplace_back(ToHost{ std::move(aPacket.packet_) });
+  flow.initialSequence_ = aSegment.sequence_;
 }
 
 std::uint32_t
@@ -189,7 +225,7 @@
   auto mark = kProbeMark;
   if (found != flows_.end()) {
     auto& flow = found->second;
-    if (IsAtOtherHost(flow, aSegment.acknowledged_)) {
+    if (IsOfOtherFlow(flow, aSegment)) {
       Deny(aNow, aKey, aBalancer, std::move(aPacket), aOut);
       return;
     }
@@ -226,7 +262,15 @@
 Agent::IsAtOtherHost(const Flow& aFlow, std::uint32_t aAcknowledged) noexcept
 {
   return aFlow.hostInitialSequence_ &&
-         aAcknowledged - *aFlow.hostInitialSequence_ > kMaxFlowBytes;
+         !IsWithinFlow(*aFlow.hostInitialSequence_, aAcknowledged);
+}
+
+bool
+Agent::IsOfOtherFlow(const Flow& aFlow, const Segment& aSegment) noexcept
+{
+  const auto older = aFlow.initialSequence_ && !aSegment.reset_ &&
+                     !IsWithinFlow(*aFlow.initialSequence_, aSegment.sequence_);
+  return older || IsAtOtherHost(aFlow, aSegment.acknowledged_);
 }
 
 void
@@ -347,8 +391,17 @@
   Increment(AgentCount::Answered);
   const auto key = KeyFromHost(*segment);
   const auto found = flows_.find(key);
-  auto* const flow =
+  auto* flow =
     found == flows_.end() ? Learn(aNow, key, *segment, aOut) : &found->second;
+  if (flow != nullptr && segment->opening_ && flow->reopening_ &&
+      flow->hostInitialSequence_ != segment->sequence_) {
+    const auto accepted = *flow->reopening_;
+    Forget(key);
+    flow = &flows_[key];
+    flow->balancer_ = accepted.balancer_;
+    flow->openedAt_ = aNow;
+    flow->initialSequence_ = accepted.initialSequence_;
+  }
   if (flow != nullptr) {
     flow->lastPacket_ = aNow;
     if (segment->opening_) {
@@ -407,23 +460,21 @@
   EmitDecision(aNow, FlowEvent::Returned, FlowReason::None, key, aOut);
   const auto found = flows_.find(key);
   if (aSegment.mark_ == kProbeMark || found == flows_.end()) {
-    const auto probe = probes_.find(key);
-    if (probe != probes_.end() && !probe->second.returned_) {
-      codec_.mark_(aPacket, 0);
-      SendAnswer(aNow,
-                 probe->second.balancer_,
-                 key,
-                 Verdict::Unknown,
-                 aOut,
-                 probe->second.direct_ ? std::move(aPacket) : std::string());
-      probe->second.returned_ = true;
-      probe->second.since_ = aNow;
-      unassigned_.erase(key);
-    }
+    OnProbeReturned(aNow, key, std::move(aPacket), aOut);
+    return;
+  }
+  auto& flow = found->second;
+  auto balancer = flow.balancer_;
+  if (flow.reopening_ && aSegment.opening_ &&
+      flow.reopening_->initialSequence_ == aSegment.sequence_) {
+    balancer = flow.reopening_->balancer_;
+    flow.reopening_.reset();
+  } else if (flow.initialSequence_ &&
+             !IsWithinFlow(*flow.initialSequence_, aSegment.sequence_)) {
     return;
+  } else {
+    Forget(key);
   }
-  const auto balancer = found->second.balancer_;
-  Forget(key);
   if (balancer.port_ == 0) {
     return;
   }
@@ -435,6 +486,29 @@
   SendAnswer(aNow, balancer, key, Verdict::Unknown, aOut, std::move(aPacket));
 }
 
+void
+Agent::OnProbeReturned(TimePoint aNow,
+                       const FlowKey& aKey,
+                       std::string aPacket,
+                       Actions& aOut)
+{
+  const auto found = probes_.find(aKey);
+  if (found == probes_.end() || found->second.returned_) {
+    return;
+  }
+  auto& probe = found->second;
+  codec_.mark_(aPacket, 0);
+  SendAnswer(aNow,
+             probe.balancer_,
+             aKey,
+             Verdict::Unknown,
+             aOut,
+             probe.direct_ ? std::move(aPacket) : std::string());
+  probe.returned_ = true;
+  probe.since_ = aNow;
+  unassigned_.erase(aKey);
+}
+
 ReportOutcome
 Agent::OnReport(TimePoint aNow, const HostReport& aReport)
 {
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -242,13 +242,24 @@
   }
 
 private:
+  /** An opening passed to the host on the key of a flow that is open: the host
+   * decides whether it begins a new flow. */
+  struct Reopening
+  {
+    Address balancer_; ///< Notified when the host answers.
+    std::uint32_t initialSequence_{};
+  };
+
   /** A flow that the host holds or was offered. */
   struct Flow
   {
     Address balancer_;   ///< Notified when the host answers.
     TimePoint openedAt_; ///< Last opening passed, or first packet of the host.
     TimePoint lastPacket_;
+    /** Of the caller; nothing if its opening passed before this run. */
+    std::optional<std::uint32_t> initialSequence_;
     std::optional<std::uint32_t> hostInitialSequence_;
+    std::optional<Reopening> reopening_;
     bool open_{};
     bool busy_{}; ///< A request is in progress.
     TimePoint busySince_;
@@ -286,9 +297,27 @@
 
   void Open(TimePoint aNow,
             const FlowKey& aKey,
+            const Segment& aSegment,
             const Address& aBalancer,
             RelayedPacket aPacket,
             Actions& aOut);
+  /** @brief Whether the opening is a copy of the one that began the flow. A
+   * balancer sends a copy to the flow's host alone. */
+  [[nodiscard]] static bool IsCopy(const Flow& aFlow,
+                                   const Segment& aSegment,
+                                   Purpose aPurpose) noexcept;
+  /** @brief Passes a copy of an opening to the host, which answers it again. */
+  void Repeat(TimePoint aNow,
+              const Address& aBalancer,
+              RelayedPacket aPacket,
+              Flow& aFlow,
+              Actions& aOut);
+  /** @brief Adds the flow of an opening that was passed to the host, or notes
+   * the opening at the flow that still has its key. */
+  void AddOpening(TimePoint aNow,
+                  const FlowKey& aKey,
+                  const Segment& aSegment,
+                  const Address& aBalancer);
   void Deliver(TimePoint aNow,
                const FlowKey& aKey,
                const Segment& aSegment,
@@ -298,6 +327,10 @@
   /** @brief Whether the acknowledgement belongs to a flow of another host. */
   [[nodiscard]] static bool IsAtOtherHost(const Flow& aFlow,
                                           std::uint32_t aAcknowledged) noexcept;
+  /** @brief Whether a caller's packet belongs to another flow of the key: one
+   * at another host, or one that ended before. */
+  [[nodiscard]] static bool IsOfOtherFlow(const Flow& aFlow,
+                                          const Segment& aSegment) noexcept;
   /** @brief Answers that the host does not hold the packet's flow. */
   void Deny(TimePoint aNow,
             const FlowKey& aKey,
@@ -308,6 +341,10 @@
                   const Segment& aSegment,
                   std::string aPacket,
                   Actions& aOut);
+  void OnProbeReturned(TimePoint aNow,
+                       const FlowKey& aKey,
+                       std::string aPacket,
+                       Actions& aOut);
   void SendAnswer(TimePoint aNow,
                   const Address& aBalancer,
                   const FlowKey& aKey,
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -57,7 +57,7 @@
   lastPacket_ = aNow;
   const auto key = KeyFromCaller(*segment);
   if (segment->opening_ && routes_.Version().value_ == 0) {
-    Hold(aNow, key, std::move(aPacket), aOut);
+    Hold(aNow, key, *segment, std::move(aPacket), aOut);
     return;
   }
   const auto known = flows_.find(key);
@@ -104,14 +104,21 @@
                       std::string aPacket,
                       Actions& aOut)
 {
+  if (aSegment.opening_ && !IsCopy(aNow, aFlow, aSegment)) {
+    Reopen(aNow, aKey, aSegment, Flow(aFlow), std::move(aPacket), aOut);
+    return;
+  }
   aFlow.lastPacket_ = aNow;
+  if (!aSegment.opening_ && IsOfFormer(aFlow, aSegment)) {
+    Increment(BalancerCount::Direct);
+    Send(aFlow.former_->host_,
+         Purpose::Direct,
+         aFlow.former_->service_,
+         std::move(aPacket),
+         aOut);
+    return;
+  }
   if (aFlow.phase_ == Phase::Searching) {
-    if (aSegment.opening_) {
-      StopSearch(aKey);
-      flows_.erase(aKey);
-      Open(aNow, aKey, aSegment, std::move(aPacket), aOut);
-      return;
-    }
     ContinueSearch(aNow, aKey, aFlow, std::move(aPacket), aOut);
     return;
   }
@@ -125,6 +132,46 @@
   SendDirect(aFlow, std::move(aPacket), aOut);
 }
 
+bool
+Balancer::IsCopy(TimePoint aNow,
+                 const Flow& aFlow,
+                 const Segment& aSegment) const
+{
+  return aFlow.phase_ != Phase::Searching &&
+         aFlow.initialSequence_ == aSegment.sequence_ &&
+         aNow - aFlow.openedAt_ <= settings_.openingLifetime_;
+}
+
+bool
+Balancer::IsOfFormer(const Flow& aFlow, const Segment& aSegment) noexcept
+{
+  if (!aFlow.former_ || !aFlow.initialSequence_ ||
+      IsWithinFlow(*aFlow.initialSequence_, aSegment.sequence_)) {
+    return false;
+  }
+  const auto& initial = aFlow.former_->initialSequence_;
+  return !initial || IsWithinFlow(*initial, aSegment.sequence_);
+}
+
+void
+Balancer::Reopen(TimePoint aNow,
+                 const FlowKey& aKey,
+                 const Segment& aSegment,
+                 const Flow& aFlow,
+                 std::string aPacket,
+                 Actions& aOut)
+{
+  StopSearch(aKey);
+  flows_.erase(aKey);
+  Open(aNow, aKey, aSegment, std::move(aPacket), aOut);
+  const auto opened = flows_.find(aKey);
+  if (opened != flows_.end() && aFlow.phase_ == Phase::Held) {
+    opened->second.former_ = { aFlow.service_,
+                               aFlow.host_,
+                               aFlow.initialSequence_ };
+  }
+}
+
 void
 Balancer::Open(TimePoint aNow,
                const FlowKey& aKey,
@@ -134,14 +181,15 @@
 {
   Flow flow;
   flow.service_ = routes_.ServiceOf(aKey).value_or(kAnyService);
-  flow.since_ = flow.lastPacket_ = aNow;
+  flow.since_ = flow.lastPacket_ = flow.openedAt_ = aNow;
+  flow.initialSequence_ = aSegment.sequence_;
   flow.packets_.push_back(std::move(aPacket));
   Increment(BalancerCount::Opened);
   retryBudget_.First();
   if (!hosts_.Pick(aNow, flow.service_, aKey, flow.tried_)) {
     Increment(BalancerCount::NoHost);
     if (!lastSyncedAt_ || hosts_.AwaitsHostOf(aNow, flow.service_)) {
-      Hold(aNow, aKey, std::move(flow.packets_.front()), aOut);
+      Hold(aNow, aKey, aSegment, std::move(flow.packets_.front()), aOut);
       return;
     }
     held_.erase(aKey);
@@ -156,6 +204,7 @@
 void
 Balancer::Hold(TimePoint aNow,
                const FlowKey& aKey,
+               const Segment& aSegment,
                std::string aPacket,
                Actions& aOut)
 {
@@ -164,8 +213,11 @@
     return;
   }
   const auto [row, added] = held_.try_emplace(aKey);
+  const auto isCopy =
+    !added && row->second.initialSequence_ == aSegment.sequence_;
   row->second.packet_ = std::move(aPacket);
-  if (added) {
+  row->second.initialSequence_ = aSegment.sequence_;
+  if (!isCopy) {
     row->second.since_ = aNow;
     Flow flow;
     flow.since_ = aNow;
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -246,12 +246,24 @@
     Searching,
   };
 
+  /** The flow that a host held when another opening arrived on its key. */
+  struct FormerFlow
+  {
+    ServiceId service_;
+    HostId host_;
+    std::optional<std::uint32_t> initialSequence_;
+  };
+
   /** Non-authoritative state of a flow. */
   struct Flow
   {
     Phase phase_{ Phase::Opening };
     ServiceId service_;
     HostId host_;
+    /** Of the caller; nothing if its opening did not pass here. */
+    std::optional<std::uint32_t> initialSequence_;
+    TimePoint openedAt_; ///< First packet of the opening.
+    std::optional<FormerFlow> former_;
     TimePoint since_; ///< First packet of the opening or the search.
     TimePoint lastPacket_;
     /** The opening to offer, or packets buffered by a search, oldest first. */
@@ -285,11 +297,13 @@
   struct HeldOpening
   {
     std::string packet_;
+    std::uint32_t initialSequence_{};
     TimePoint since_;
   };
 
   void Hold(TimePoint aNow,
             const FlowKey& aKey,
+            const Segment& aSegment,
             std::string aPacket,
             Actions& aOut);
   /** @brief Resumes openings and searches that waited for routes or hosts. */
@@ -315,6 +329,22 @@
             const Segment& aSegment,
             std::string aPacket,
             Actions& aOut);
+  /** @brief Opens a new flow on the key of another one. Ports are used again
+   * while rows remain, and balancers do not see all packets of a close. */
+  void Reopen(TimePoint aNow,
+              const FlowKey& aKey,
+              const Segment& aSegment,
+              const Flow& aFlow,
+              std::string aPacket,
+              Actions& aOut);
+  /** @brief Whether the opening is a copy of the one that began the flow; those
+   * must reach the same host. */
+  [[nodiscard]] bool IsCopy(TimePoint aNow,
+                            const Flow& aFlow,
+                            const Segment& aSegment) const;
+  /** @brief Whether a packet belongs to the flow that had the key before. */
+  [[nodiscard]] static bool IsOfFormer(const Flow& aFlow,
+                                       const Segment& aSegment) noexcept;
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void OfferTo(TimePoint aNow,
                HostId aHost,
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -303,6 +303,11 @@
                    Flow& aFlow,
                    Actions& aOut)
 {
+  if (const auto denied = codec_.parse_(aAnswer.packet_);
+      denied && IsOfFormer(aFlow, *denied)) {
+    aFlow.former_.reset();
+    return;
+  }
   if (aFlow.phase_ != Phase::Searching) {
     if (aFlow.host_ == aHost && !aAnswer.packet_.empty()) {
       aFlow.packets_ = { std::move(aAnswer.packet_) };
--- a/src/cornelshore/relay/segment.hpp
+++ b/src/cornelshore/relay/segment.hpp
@@ -35,6 +35,18 @@
   bool returned_{}; ///< The host does not hold or refused the flow.
 };
 
+/** @brief Maximum bytes that one end sends in a flow. Sequence numbers further
+ * apart belong to different flows of the same addresses and ports. */
+inline constexpr std::uint32_t kMaxFlowBytes = 1U << 28U;
+
+/** @brief Whether a sequence number is one of the flow that began with the
+ * initial one. */
+[[nodiscard]] constexpr bool
+IsWithinFlow(std::uint32_t aInitial, std::uint32_t aSequence) noexcept
+{
+  return aSequence - aInitial <= kMaxFlowBytes;
+}
+
 /** @brief Reads and writes packet headers, whose format is set outside. */
 struct Codec
 {
--- a/test/cornelshore/relay_key_reuse/agent.cpp
+++ b/test/cornelshore/relay_key_reuse/agent.cpp
@@ -33,9 +33,10 @@
 }
 
 Segment
-Opening()
+Opening(std::uint32_t aSequence = 0)
 {
   Segment segment;
+  segment.sequence_ = aSequence;
   segment.from_ = kCaller;
   segment.to_ = kBoardAddress;
   segment.opening_ = true;
@@ -158,5 +159,91 @@
     later + seconds{ 6 }, Purpose::Direct, FromCaller(kSecondSequence + 1))));
 }
 
+/** The same, but the flow is still open. */
+class OpenKeyReuseTest : public KeyReuseTest
+{
+protected:
+  OpenKeyReuseTest()
+  {
+    agent_ = Agent(SettingsOf(), PlainCodec(), kStart);
+    Report(kStart, 1, false);
+    Carry(kStart, Purpose::ForceOpen, Opening(kCallerFirst));
+    HostSends(kStart, Accepting(kFirstSequence));
+  }
+
+  static Segment Data(std::uint32_t aInitial, std::uint32_t aAcknowledged)
+  {
+    auto segment = FromCaller(aAcknowledged);
+    segment.sequence_ = aInitial + 1;
+    return segment;
+  }
+
+  static constexpr std::uint32_t kCallerFirst = 11'000;
+  static constexpr std::uint32_t kCallerSecond = 2'000'000'000;
+};
+
+// Guards against a new flow at a host that leaves, opened because the agent
+// takes its opening for a copy of an earlier one on the same key.
+TEST_F(OpenKeyReuseTest, ANewFlowOnTheKeyOfAnOpenOneIsCheckedAsAnyOther)
+{
+  Report(kStart, 2, true);
+  for (const auto purpose : { Purpose::Open, Purpose::Direct }) {
+    const auto copy = Carry(kStart, purpose, Opening(kCallerFirst));
+    EXPECT_TRUE(Delivered(copy));
+    const auto other = Carry(kStart, purpose, Opening(kCallerSecond));
+    EXPECT_FALSE(Delivered(other));
+    EXPECT_EQ(VerdictIn(other), Verdict::Refused);
+  }
+}
+
+// Only the host knows whether it begins a new flow on the key of an open one;
+// a late copy of a former opening must not end the flow.
+TEST_F(OpenKeyReuseTest, AnOpenFlowStaysUntilItsHostAcceptsAnotherOne)
+{
+  auto passed = Carry(kStart, Purpose::ForceOpen, Opening(kCallerSecond));
+  EXPECT_TRUE(Delivered(passed));
+  auto returned = Opening(kCallerSecond);
+  returned.returned_ = true;
+  returned.mark_ = 1;
+  EXPECT_EQ(VerdictIn(HostSends(kStart, returned)), Verdict::Refused);
+  const auto data = Data(kCallerFirst, kFirstSequence + 1);
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, data)));
+
+  passed = Carry(kStart, Purpose::ForceOpen, Opening(kCallerSecond));
+  EXPECT_TRUE(Delivered(passed));
+  EXPECT_TRUE(Delivered(Carry(kStart, Purpose::Direct, data)));
+  EXPECT_EQ(VerdictIn(HostSends(kStart, Accepting(kSecondSequence))),
+            Verdict::Opened);
+  EXPECT_FALSE(Delivered(Carry(kStart, Purpose::Direct, data)));
+  EXPECT_TRUE(Delivered(
+    Carry(kStart, Purpose::Direct, Data(kCallerSecond, kSecondSequence + 1))));
+}
+
+// Guards against a late request or end of a former flow that is taken for one
+// of the new flow, before the host has answered the new opening.
+TEST_F(OpenKeyReuseTest, LatePacketsOfAFormerFlowDoNotCountForTheNewOne)
+{
+  auto last = Data(kCallerFirst, kFirstSequence + 1);
+  last.finishing_ = true;
+  Carry(kStart, Purpose::Direct, last);
+  auto end = Accepting(kFirstSequence + 1);
+  end.opening_ = false;
+  end.finishing_ = true;
+  HostSends(kStart, end);
+  Carry(kStart, Purpose::ForceOpen, Opening(kCallerSecond));
+  const auto late = Carry(kStart, Purpose::Direct, last);
+  EXPECT_FALSE(Delivered(late));
+  EXPECT_EQ(VerdictIn(late), Verdict::Unknown);
+  auto returned = Data(kCallerFirst, kFirstSequence + 1);
+  returned.returned_ = true;
+  returned.mark_ = 2;
+  HostSends(kStart, returned);
+  HostSends(kStart, Accepting(kSecondSequence));
+  EXPECT_EQ(agent_.Load(kStart).flows_, 1U);
+  EXPECT_EQ(agent_.Load(kStart).busy_, 0U);
+  EXPECT_TRUE(Delivered(
+    Carry(kStart, Purpose::Direct, Data(kCallerSecond, kSecondSequence + 1))));
+}
+
 } // namespace
 } // namespace cornelshore::relay
