Search for packets of another flow of a key beside its row

Late packets of a former flow took the row of the flow that has the key now into their search; all hosts denied them, and the new flow was reset.

Change: a balancer keeps the row beside such a search and resets nothing when the search fails; agents compare packets with the last ones of both ends, not with the flow's start alone, and say that their host holds another flow of the key.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -15,6 +15,10 @@
  * peer's last retransmission arrives within this time. */
 constexpr Duration kClosedFlowRetention = std::chrono::seconds{ 4 };
 
+/** Maximum distance between the sequence numbers of a caller's packets that
+ * follow each other: what one end may have in flight. */
+constexpr std::uint32_t kMaxBytesInFlight = 1U << 20U;
+
 /** Marks that record why a packet was passed to the host. */
 constexpr std::uint32_t kOpenMark = 1;
 constexpr std::uint32_t kHeldMark = 2;
@@ -31,6 +35,22 @@
          aOne.instance_ == aOther.instance_;
 }
 
+/** Whether two sequence numbers may follow each other in one flow. */
+bool
+IsNear(std::uint32_t aOne, std::uint32_t aOther) noexcept
+{
+  return std::min(aOne - aOther, aOther - aOne) <= kMaxBytesInFlight;
+}
+
+/** Moves the highest sequence number of a flow on to a later one. */
+void
+Advance(std::optional<std::uint32_t>& aLast, std::uint32_t aSequence) noexcept
+{
+  if (aSequence - aLast.value_or(aSequence) <= kMaxBytesInFlight) {
+    aLast = aSequence;
+  }
+}
+
 bool
 IsOpening(Purpose aPurpose) noexcept
 {
@@ -198,7 +218,7 @@
   auto& flow = flows_[aKey];
   flow.balancer_ = aBalancer;
   flow.openedAt_ = flow.lastPacket_ = aNow;
-  flow.initialSequence_ = aSegment.sequence_;
+  flow.initialSequence_ = flow.lastSequence_ = aSegment.sequence_;
 }
 
 std::uint32_t
@@ -231,6 +251,8 @@
     }
     flow.lastPacket_ = aNow;
     flow.balancer_ = aBalancer;
+    flow.confirmed_ = true;
+    Advance(flow.lastSequence_, aSegment.sequence_);
     if (aSegment.payload_ > 0 && !flow.closed_) {
       SetBusy(aNow, flow, true);
     }
@@ -261,16 +283,23 @@
 bool
 Agent::IsAtOtherHost(const Flow& aFlow, std::uint32_t aAcknowledged) noexcept
 {
-  return aFlow.hostInitialSequence_ &&
-         !IsWithinFlow(*aFlow.hostInitialSequence_, aAcknowledged);
+  const auto initial = aFlow.hostInitialSequence_.value_or(aAcknowledged);
+  const auto last = aFlow.lastHostSequence_.value_or(aAcknowledged);
+  return !IsWithinFlow(initial, aAcknowledged) || !IsNear(last, aAcknowledged);
+}
+
+bool
+Agent::IsInSequence(const Flow& aFlow, std::uint32_t aSequence) noexcept
+{
+  return IsNear(aFlow.lastSequence_.value_or(aSequence), aSequence);
 }
 
 bool
 Agent::IsOfOtherFlow(const Flow& aFlow, const Segment& aSegment) noexcept
 {
-  const auto older = aFlow.initialSequence_ && !aSegment.reset_ &&
-                     !IsWithinFlow(*aFlow.initialSequence_, aSegment.sequence_);
-  return older || IsAtOtherHost(aFlow, aSegment.acknowledged_);
+  const auto inSequence =
+    aSegment.reset_ || IsInSequence(aFlow, aSegment.sequence_);
+  return !inSequence || IsAtOtherHost(aFlow, aSegment.acknowledged_);
 }
 
 void
@@ -328,10 +357,13 @@
   if (!searched) {
     EmitDecision(aNow, FlowEvent::Denied, FlowReason::None, aKey, aOut);
   }
+  const auto found = flows_.find(aKey);
+  const auto holdsOther = !searched && found != flows_.end() &&
+                          found->second.confirmed_ && !found->second.closed_;
   SendAnswer(aNow,
              aBalancer,
              aKey,
-             Verdict::Unknown,
+             holdsOther ? Verdict::OtherFlow : Verdict::Unknown,
              aOut,
              searched ? std::string() : std::move(aPacket.packet_));
 }
@@ -400,17 +432,19 @@
     flow = &flows_[key];
     flow->balancer_ = accepted.balancer_;
     flow->openedAt_ = aNow;
-    flow->initialSequence_ = accepted.initialSequence_;
+    flow->initialSequence_ = flow->lastSequence_ = accepted.initialSequence_;
   }
   if (flow != nullptr) {
     flow->lastPacket_ = aNow;
     if (segment->opening_) {
       flow->hostInitialSequence_ = segment->sequence_;
+      flow->lastHostSequence_ = segment->sequence_;
       if (!std::exchange(flow->open_, true)) {
         SendAnswer(aNow, flow->balancer_, key, Verdict::Opened, aOut);
       }
     }
     if (segment->payload_ > 0) {
+      Advance(flow->lastHostSequence_, segment->sequence_);
       SetBusy(aNow, *flow, false);
     }
     flow->hostFinished_ |= segment->finishing_;
@@ -469,8 +503,7 @@
       flow.reopening_->initialSequence_ == aSegment.sequence_) {
     balancer = flow.reopening_->balancer_;
     flow.reopening_.reset();
-  } else if (flow.initialSequence_ &&
-             !IsWithinFlow(*flow.initialSequence_, aSegment.sequence_)) {
+  } else if (!IsInSequence(flow, aSegment.sequence_)) {
     return;
   } else {
     Forget(key);
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -258,10 +258,15 @@
     TimePoint lastPacket_;
     /** Of the caller; nothing if its opening passed before this run. */
     std::optional<std::uint32_t> initialSequence_;
+    /** Highest of the caller's packets; nothing until the first one passes. */
+    std::optional<std::uint32_t> lastSequence_;
     std::optional<std::uint32_t> hostInitialSequence_;
+    /** Highest of the host's packets; nothing until it has answered. */
+    std::optional<std::uint32_t> lastHostSequence_;
     std::optional<Reopening> reopening_;
     bool open_{};
-    bool busy_{}; ///< A request is in progress.
+    bool confirmed_{}; ///< The caller has sent a packet of it after opening.
+    bool busy_{};      ///< A request is in progress.
     TimePoint busySince_;
     bool callerFinished_{};
     bool hostFinished_{};
@@ -327,11 +332,16 @@
   /** @brief Whether the acknowledgement belongs to a flow of another host. */
   [[nodiscard]] static bool IsAtOtherHost(const Flow& aFlow,
                                           std::uint32_t aAcknowledged) noexcept;
+  /** @brief Whether a sequence number of the caller continues the flow. All
+   * packets to the host pass the agent. */
+  [[nodiscard]] static bool IsInSequence(const Flow& aFlow,
+                                         std::uint32_t aSequence) noexcept;
   /** @brief Whether a caller's packet belongs to another flow of the key: one
    * at another host, or one that ended before. */
   [[nodiscard]] static bool IsOfOtherFlow(const Flow& aFlow,
                                           const Segment& aSegment) noexcept;
-  /** @brief Answers that the host does not hold the packet's flow. */
+  /** @brief Answers that the host does not hold the packet's flow; for a packet
+   * sent to this host alone also whether it holds another one of the key. */
   void Deny(TimePoint aNow,
             const FlowKey& aKey,
             const Address& aBalancer,
--- a/src/cornelshore/relay/balancer.cpp
+++ b/src/cornelshore/relay/balancer.cpp
@@ -109,15 +109,20 @@
     return;
   }
   aFlow.lastPacket_ = aNow;
-  if (!aSegment.opening_ && IsOfFormer(aFlow, aSegment)) {
+  if (!aSegment.opening_ && IsOfOther(aFlow, aSegment)) {
     Increment(BalancerCount::Direct);
-    Send(aFlow.former_->host_,
+    Send(aFlow.other_->host_,
          Purpose::Direct,
-         aFlow.former_->service_,
+         aFlow.other_->service_,
          std::move(aPacket),
          aOut);
     return;
   }
+  if (!aSegment.opening_ && !aSegment.reset_ && aFlow.initialSequence_ &&
+      !IsWithinFlow(*aFlow.initialSequence_, aSegment.sequence_)) {
+    OnForeignPacket(aNow, aKey, aFlow, std::move(aPacket), aOut);
+    return;
+  }
   if (aFlow.phase_ == Phase::Searching) {
     ContinueSearch(aNow, aKey, aFlow, std::move(aPacket), aOut);
     return;
@@ -143,14 +148,85 @@
 }
 
 bool
-Balancer::IsOfFormer(const Flow& aFlow, const Segment& aSegment) noexcept
+Balancer::IsOfOther(const Flow& aFlow, const Segment& aSegment) noexcept
 {
-  if (!aFlow.former_ || !aFlow.initialSequence_ ||
-      IsWithinFlow(*aFlow.initialSequence_, aSegment.sequence_)) {
-    return false;
+  const auto isWithin = [&](const std::optional<std::uint32_t>& aInitial) {
+    return aInitial && IsWithinFlow(*aInitial, aSegment.sequence_);
+  };
+  return aFlow.other_ && !isWithin(aFlow.initialSequence_) &&
+         isWithin(aFlow.other_->initialSequence_);
+}
+
+void
+Balancer::OnForeignPacket(TimePoint aNow,
+                          const FlowKey& aKey,
+                          Flow& aFlow,
+                          std::string aPacket,
+                          Actions& aOut)
+{
+  if (aFlow.phase_ == Phase::Searching) {
+    return;
+  }
+  if (aFlow.phase_ == Phase::Held) {
+    SearchBeside(aNow, aKey, aFlow, std::move(aPacket), std::nullopt, aOut);
+  } else if (aNow - aFlow.openedAt_ > settings_.openingLifetime_) {
+    aFlow.initialSequence_.reset();
+    aFlow.packets_ = { std::move(aPacket) };
+    StartSearch(aNow, aKey, aFlow, std::nullopt, aOut);
   }
-  const auto& initial = aFlow.former_->initialSequence_;
-  return !initial || IsWithinFlow(*initial, aSegment.sequence_);
+}
+
+void
+Balancer::SearchBeside(TimePoint aNow,
+                       const FlowKey& aKey,
+                       Flow& aFlow,
+                       std::string aPacket,
+                       std::optional<HostId> aExcept,
+                       Actions& aOut)
+{
+  aFlow.other_ = { aFlow.service_, aFlow.host_, aFlow.initialSequence_ };
+  aFlow.initialSequence_.reset();
+  aFlow.service_ = routes_.ServiceOf(aKey).value_or(kAnyService);
+  aFlow.packets_ = { std::move(aPacket) };
+  StartSearch(aNow, aKey, aFlow, aExcept, aOut);
+}
+
+void
+Balancer::OnOtherFlow(TimePoint aNow,
+                      HostId aHost,
+                      Answer& aAnswer,
+                      Flow& aFlow,
+                      Actions& aOut)
+{
+  const auto segment = codec_.parse_(aAnswer.packet_);
+  if (!segment) {
+    return;
+  }
+  const auto isHolder = aFlow.phase_ == Phase::Held && aFlow.host_ == aHost;
+  const auto sentToOther =
+    IsOfOther(aFlow, *segment) && aFlow.other_->host_ == aHost;
+  if (sentToOther && isHolder) {
+    aFlow.other_.reset();
+  } else if (sentToOther && aFlow.phase_ == Phase::Searching) {
+    ContinueSearch(aNow, aAnswer.key_, aFlow, std::move(aAnswer.packet_), aOut);
+  } else if (sentToOther && aFlow.phase_ == Phase::Held) {
+    SendDirect(aFlow, std::move(aAnswer.packet_), aOut);
+  } else if (isHolder) {
+    SearchBeside(
+      aNow, aAnswer.key_, aFlow, std::move(aAnswer.packet_), aHost, aOut);
+  }
+}
+
+void
+Balancer::KeepOther(const FlowKey& aKey, Flow& aFlow)
+{
+  StopSearch(aKey);
+  aFlow.phase_ = Phase::Held;
+  aFlow.service_ = aFlow.other_->service_;
+  aFlow.host_ = aFlow.other_->host_;
+  aFlow.initialSequence_ = aFlow.other_->initialSequence_;
+  aFlow.other_.reset();
+  aFlow.packets_.clear();
 }
 
 void
@@ -165,10 +241,14 @@
   flows_.erase(aKey);
   Open(aNow, aKey, aSegment, std::move(aPacket), aOut);
   const auto opened = flows_.find(aKey);
-  if (opened != flows_.end() && aFlow.phase_ == Phase::Held) {
-    opened->second.former_ = { aFlow.service_,
-                               aFlow.host_,
-                               aFlow.initialSequence_ };
+  if (opened == flows_.end()) {
+    return;
+  }
+  opened->second.other_ = aFlow.other_;
+  if (aFlow.phase_ == Phase::Held) {
+    opened->second.other_ = { aFlow.service_,
+                              aFlow.host_,
+                              aFlow.initialSequence_ };
   }
 }
 
@@ -353,6 +433,9 @@
     case Verdict::Unsure:
       OnUnsure(aNow, aHost, aAnswer.key_, flow, aOut);
       return;
+    case Verdict::OtherFlow:
+      OnOtherFlow(aNow, aHost, aAnswer, flow, aOut);
+      return;
   }
 }
 
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -246,8 +246,9 @@
     Searching,
   };
 
-  /** The flow that a host held when another opening arrived on its key. */
-  struct FormerFlow
+  /** Another flow of the same key that a host holds or held: a caller used the
+   * port again, and late packets of the earlier flow still arrive. */
+  struct OtherFlow
   {
     ServiceId service_;
     HostId host_;
@@ -263,7 +264,7 @@
     /** Of the caller; nothing if its opening did not pass here. */
     std::optional<std::uint32_t> initialSequence_;
     TimePoint openedAt_; ///< First packet of the opening.
-    std::optional<FormerFlow> former_;
+    std::optional<OtherFlow> other_;
     TimePoint since_; ///< First packet of the opening or the search.
     TimePoint lastPacket_;
     /** The opening to offer, or packets buffered by a search, oldest first. */
@@ -342,9 +343,33 @@
   [[nodiscard]] bool IsCopy(TimePoint aNow,
                             const Flow& aFlow,
                             const Segment& aSegment) const;
-  /** @brief Whether a packet belongs to the flow that had the key before. */
-  [[nodiscard]] static bool IsOfFormer(const Flow& aFlow,
-                                       const Segment& aSegment) noexcept;
+  /** @brief Whether a packet belongs to the other flow of the key. */
+  [[nodiscard]] static bool IsOfOther(const Flow& aFlow,
+                                      const Segment& aSegment) noexcept;
+  /** @brief Handles a packet of neither flow of the key. */
+  void OnForeignPacket(TimePoint aNow,
+                       const FlowKey& aKey,
+                       Flow& aFlow,
+                       std::string aPacket,
+                       Actions& aOut);
+  /** @brief Searches for the host of a packet and keeps the flow that the row
+   * is of as the other one. */
+  void SearchBeside(TimePoint aNow,
+                    const FlowKey& aKey,
+                    Flow& aFlow,
+                    std::string aPacket,
+                    std::optional<HostId> aExcept,
+                    Actions& aOut);
+  /** @brief Handles the answer of a host that holds another flow of the key
+   * than that of the packet. */
+  void OnOtherFlow(TimePoint aNow,
+                   HostId aHost,
+                   Answer& aAnswer,
+                   Flow& aFlow,
+                   Actions& aOut);
+  /** @brief Ends the search for a packet whose flow no host holds: the row is
+   * of the other flow again. */
+  void KeepOther(const FlowKey& aKey, Flow& aFlow);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void OfferTo(TimePoint aNow,
                HostId aHost,
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -272,6 +272,10 @@
 Balancer::ResetLost(TimePoint aNow, const FlowKey& aKey, Actions& aOut)
 {
   const auto found = flows_.find(aKey);
+  if (found->second.other_ && !found->second.initialSequence_) {
+    KeepOther(aKey, found->second);
+    return;
+  }
   SearchSummary search;
   search.searched_ = aNow - found->second.since_;
   search.syncAge_ = aNow - lastSyncedAt_.value_or(aNow);
@@ -304,8 +308,8 @@
                    Actions& aOut)
 {
   if (const auto denied = codec_.parse_(aAnswer.packet_);
-      denied && IsOfFormer(aFlow, *denied)) {
-    aFlow.former_.reset();
+      denied && IsOfOther(aFlow, *denied) && aFlow.other_->host_ == aHost) {
+    aFlow.other_.reset();
     return;
   }
   if (aFlow.phase_ != Phase::Searching) {
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -63,22 +63,25 @@
 /** @brief An agent's answer to a relayed packet. */
 enum class Verdict : std::uint8_t
 {
-  Opened,  ///< The host answered the opening packet.
-  Holds,   ///< The host holds the flow.
-  Busy,    ///< Not accepted: all slots are in use; another host may be free.
-  Refused, ///< Not accepted: host leaving, full, or routed elsewhere.
-  Unknown, ///< The host does not hold the flow.
-  Unsure,  ///< The agent must probe its host with a packet to tell.
+  Opened,    ///< The host answered the opening packet.
+  Holds,     ///< The host holds the flow.
+  Busy,      ///< Not accepted: all slots are in use; another host may be free.
+  Refused,   ///< Not accepted: host leaving, full, or routed elsewhere.
+  Unknown,   ///< The host does not hold the flow.
+  Unsure,    ///< The agent must probe its host with a packet to tell.
+  OtherFlow, ///< The packet's flow is unknown; the host holds another one of
+             ///< its key.
 };
 
 /** @brief Names of `Verdict`. */
-inline constexpr std::array<EnumName<Verdict>, 6> kVerdictNames{ {
+inline constexpr std::array<EnumName<Verdict>, 7> kVerdictNames{ {
   { Verdict::Opened, "opened" },
   { Verdict::Holds, "holds" },
   { Verdict::Busy, "busy" },
   { Verdict::Refused, "refused" },
   { Verdict::Unknown, "unknown" },
   { Verdict::Unsure, "unsure" },
+  { Verdict::OtherFlow, "other_flow" },
 } };
 
 /** @brief Agent to balancer: outcome of a relayed packet. */
@@ -87,7 +90,8 @@
   FlowKey key_;
   Verdict verdict_{ Verdict::Unknown };
   HostLoad load_;
-  /** A `Direct` packet returned with `Unknown`, to be sent to another host. */
+  /** A `Direct` packet returned with `Unknown` or `OtherFlow`, to be sent to
+   * another host. */
   std::string packet_;
 
   bool operator==(const Answer&) const noexcept = default;
--- a/src/cornelshore/wire/relay_codec.cpp
+++ b/src/cornelshore/wire/relay_codec.cpp
@@ -60,7 +60,7 @@
 DecodeBody(Reader& aReader, relay::Answer& aMessage)
 {
   aReader.Read(aMessage.key_);
-  aMessage.verdict_ = aReader.Enumerator(relay::Verdict::Unsure);
+  aMessage.verdict_ = aReader.Enumerator(relay::Verdict::OtherFlow);
   DecodeBody(aReader, aMessage.load_);
   aMessage.packet_ = aReader.Bytes(kMostSegmentBytes);
 }
--- a/test/cornelshore/relay_key_reuse/agent.cpp
+++ b/test/cornelshore/relay_key_reuse/agent.cpp
@@ -219,6 +219,20 @@
     Carry(kStart, Purpose::Direct, Data(kCallerSecond, kSecondSequence + 1))));
 }
 
+// A balancer must not give up the flow that has the key because of a packet of
+// another one.
+TEST_F(OpenKeyReuseTest, NamesTheFlowThatItHoldsWhenItDeniesAnotherOfItsKey)
+{
+  const auto foreign = Data(kCallerFirst, kSecondSequence + 1);
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Direct, foreign)),
+            Verdict::Unknown);
+  Carry(kStart, Purpose::Direct, Data(kCallerFirst, kFirstSequence + 1));
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Direct, foreign)),
+            Verdict::OtherFlow);
+  EXPECT_EQ(VerdictIn(Carry(kStart, Purpose::Search, foreign)),
+            Verdict::Unknown);
+}
+
 // Guards against a late request or end of a former flow that is taken for one
 // of the new flow, before the host has answered the new opening.
 TEST_F(OpenKeyReuseTest, LatePacketsOfAFormerFlowDoNotCountForTheNewOne)
--- a/test/cornelshore/relay_key_reuse/balancer.cpp
+++ b/test/cornelshore/relay_key_reuse/balancer.cpp
@@ -125,5 +125,59 @@
   EXPECT_EQ(HostsOf(Packet(later, Data(kSecondSequence))), std::set{ host_ });
 }
 
+// Guards against a late packet of a former flow of which this balancer knows
+// nothing, and that ends the row of the flow which has the key now.
+TEST_F(BalancerKeyReuseTest, APacketThatNoHostKnowsLeavesTheFlowOfItsKeyAlone)
+{
+  const auto later = kStart + seconds{ 5 };
+  ReportLoads(later);
+  const auto query = DeniedNearby(later, Data(kSecondSequence));
+  EXPECT_EQ(HostsOf(Packet(later, Data(kFirstSequence))), std::set{ host_ });
+  for (const std::uint64_t host : { 1U, 2U, 3U, 11U, 12U }) {
+    EXPECT_EQ(ResetsIn(Reply(later, host, query, Holding::No)), 0U);
+  }
+  const auto denied = later + seconds{ 1 };
+  balancer_.NoteSynced(denied);
+  Balancer::Actions actions;
+  balancer_.Tick(denied, actions);
+  EXPECT_EQ(ResetsIn(actions), 0U);
+  EXPECT_EQ(balancer_.Count(BalancerCount::Lost), 0U);
+  EXPECT_EQ(HostsOf(Packet(denied, Data(kFirstSequence))), std::set{ host_ });
+}
+
+// The numbers of two flows of a key may lie close to each other by chance; the
+// host's agent then tells them apart.
+TEST_F(BalancerKeyReuseTest, APacketThatItsHostTakesForAnotherFlowsIsSearched)
+{
+  const auto later = kStart + seconds{ 5 };
+  ReportLoads(later);
+  const auto foreign = Data(kFirstSequence);
+  Packet(later, foreign);
+  const auto packet = PacketOf(foreign);
+  const auto asked =
+    HostsOf(Answer(later, host_, foreign, Verdict::OtherFlow, packet));
+  EXPECT_FALSE(asked.empty());
+  EXPECT_FALSE(asked.contains(host_));
+  EXPECT_EQ(HostsOf(Packet(later, foreign)), std::set{ host_ });
+  const auto next = *asked.begin();
+  Answer(later, next, foreign, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Answer(later, host_, foreign, Verdict::OtherFlow, packet)),
+            std::set{ next });
+}
+
+// The caller opened its next flow at another balancer.
+TEST_F(BalancerKeyReuseTest, APacketOfANewFlowOpenedElsewhereFindsItsHost)
+{
+  const auto later = kStart + seconds{ 5 };
+  ReportLoads(later);
+  const auto data = Data(kSecondSequence);
+  const auto asked = HostsOf(Packet(later, data));
+  const auto next = *std::find_if(
+    asked.begin(), asked.end(), [&](auto aHost) { return aHost != host_; });
+  Answer(later, next, data, Verdict::Holds);
+  EXPECT_EQ(HostsOf(Packet(later, data)), std::set{ next });
+  EXPECT_EQ(HostsOf(Packet(later, Data(kFirstSequence))), std::set{ host_ });
+}
+
 } // namespace
 } // namespace cornelshore::relay
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -112,6 +112,9 @@
   std::uint64_t firstSequence_{ 1 };
   /** Time from a host's start to its first report. */
   Duration firstReportAfter_{};
+  /** A caller uses the port of a flow again within this time of its end; 0:
+   * each flow has a new port. Some last packets of such flows come late. */
+  Duration maxPortPause_{};
 };
 
 /**
@@ -357,6 +360,14 @@
     Note(AgentOf(aHost), "host leaves");
   }
 
+  /** @brief Leads each route to the next service. */
+  void MoveRoutes()
+  {
+    ++routesMoved_;
+    routeMoves_.emplace_back(now_, TimePoint::max());
+    Configure();
+  }
+
   /** @brief Applies a new version of the configuration. */
   void Configure()
   {
@@ -425,6 +436,14 @@
   static constexpr Duration kAnswerAim = std::chrono::milliseconds{ 400 };
   static constexpr Duration kSyncDelay = std::chrono::milliseconds{ 1 };
   static constexpr Duration kFlowTime = std::chrono::milliseconds{ 2000 };
+  /** Bytes that a caller sends in a flow at most. */
+  static constexpr std::uint32_t kMaxCallerBytes = 65'536;
+  /** Callers of an open flow ignore resets whose sequence number is further
+   * from their last acknowledgement. */
+  static constexpr std::uint32_t kResetWindow = 76'800;
+  /** A moved route is followed by openings sent 3 s after its acceptance, which
+   * arrive within the 1.4 s in which callers repeat them. */
+  static constexpr Duration kMoveTime = std::chrono::milliseconds{ 4400 };
   static constexpr std::size_t kStrays = 3;
   static constexpr std::size_t kStories = 2;
 
@@ -467,6 +486,7 @@
   struct HostFlow
   {
     std::uint32_t initial_{};
+    std::uint32_t callerInitial_{};
     bool open_{};
     bool ended_{};
     std::uint32_t received_{}; ///< Next byte expected of the caller.
@@ -509,6 +529,7 @@
   {
     Stage stage_{ Stage::Opening };
     std::size_t zone_{};
+    std::uint32_t initial_{};      ///< Sequence number of the opening.
     std::uint32_t next_{ 1 };      ///< Next byte to send.
     std::uint32_t acknowledges_{}; ///< Next byte expected of the host.
     std::uint32_t requestsLeft_{};
@@ -873,6 +894,9 @@
     if (aResult.status_ == consensus::ProposalStatus::Decided) {
       applied_ = true;
       acceptedVersion_ = version_;
+      for (auto& [movedAt, acceptedAt] : routeMoves_) {
+        acceptedAt = std::min(acceptedAt, now_);
+      }
     }
     EXPECT_TRUE(aResult.validity_.ok()) << aResult.validity_;
   }
@@ -923,9 +947,11 @@
              aFrom,
              aFrom,
              NameIn(relay::kResetReasonNames, aReset.reason_));
-    After(CallerDelay(), [this, key = aReset.key_, aFrom, sentAt = now_] {
-      ReceiveReset(key, aFrom, sentAt);
-    });
+    const auto sequence = FleetSegment(aReset.packet_)->sequence_;
+    After(CallerDelay(),
+          [this, key = aReset.key_, aFrom, sequence, sentAt = now_] {
+            ReceiveReset(key, aFrom, sequence, sentAt);
+          });
   }
 
   void Execute(std::size_t aFrom, relay::ToHost& aPacket)
@@ -986,7 +1012,7 @@
         route.name_ = "route-" + std::to_string(service);
         route.address_ = RouteAt(service);
         route.timeout_ = std::chrono::seconds{ 2 };
-        route.to_ = { { target.id_, 1 } };
+        route.to_ = { { ServiceAt(LeadsTo(service, routesMoved_)), 1 } };
         change.routes_.push_back(route);
       }
       for (std::size_t route = 0; route < shape_.idleRoutes_; ++route) {
@@ -1022,6 +1048,29 @@
   {
     return ServiceIdOf(ServiceName(aService));
   }
+  /** Service that a route leads to after so many moves. */
+  [[nodiscard]] std::size_t LeadsTo(std::size_t aRoute,
+                                    std::size_t aMoves) const
+  {
+    return (aRoute + aMoves) % shape_.hosts_.size();
+  }
+  /** Whether an opening may reach a host of the service: a move counts once
+   * an opening that was sent `kMoveTime` after its acceptance can arrive. */
+  [[nodiscard]] bool MayOpenAt(const FlowKey& aKey, std::size_t aService) const
+  {
+    const std::size_t route = aKey.service_.port_ - 8000U;
+    std::size_t moves = 0;
+    while (moves < routeMoves_.size() &&
+           routeMoves_[moves].second <= now_ - kMoveTime) {
+      ++moves;
+    }
+    for (; moves <= routeMoves_.size(); ++moves) {
+      if (LeadsTo(route, moves) == aService) {
+        return true;
+      }
+    }
+    return false;
+  }
   static Address RouteAt(std::size_t aService)
   {
     return MakeIpv4(0xC6120001U, static_cast<std::uint16_t>(8000 + aService));
@@ -1105,7 +1154,22 @@
                static_cast<std::uint16_t>(1024 + number % 20'000));
     key.service_ = RouteAt(random_.Below(shape_.hosts_.size()));
     key.transport_ = Transport::Tcp;
+    OpenFlow(key);
+  }
+
+  /** Opens a flow on a key that no open flow has. */
+  void OpenFlow(const FlowKey& key)
+  {
     auto& flow = flows_[key];
+    const auto sends = flow.sends_ + 1;
+    auto seen = std::move(flow.seen_);
+    flow = {};
+    flow.sends_ = sends;
+    flow.seen_ = std::move(seen);
+    if (shape_.maxPortPause_ > Duration::zero()) {
+      flow.initial_ = static_cast<std::uint32_t>(random_.Next());
+      flow.next_ = flow.initial_ + 1;
+    }
     flow.zone_ = random_.Below(shape_.zones_);
     flow.requestsLeft_ = 2 + static_cast<std::uint32_t>(random_.Below(12));
     flow.limit_ = Millis(std::array{ 1200, 2500, 8000 }[random_.Below(3)]);
@@ -1114,19 +1178,21 @@
     opening.from_ = key.caller_;
     opening.to_ = key.service_;
     opening.opening_ = true;
+    opening.sequence_ = flow.initial_;
     for (const auto& [copy, delay] :
          { std::pair(0U, 0), std::pair(1U, 200), std::pair(2U, 600) }) {
       opening.acknowledged_ = copy;
       After(Millis(delay), [this, key, opening] {
         auto& current = flows_.at(key);
-        if (current.stage_ == Stage::Opening) {
+        if (current.stage_ == Stage::Opening &&
+            current.initial_ == opening.sequence_) {
           SendFromCaller(current, opening);
         }
       });
     }
-    After(Millis(1400), [this, key] {
+    After(Millis(1400), [this, key, initial = flow.initial_] {
       auto& current = flows_.at(key);
-      if (current.stage_ == Stage::Opening) {
+      if (current.stage_ == Stage::Opening && current.initial_ == initial) {
         EndAtCaller(key, current, "caller gives up opening");
       }
     });
@@ -1138,7 +1204,18 @@
     EndSeries(aKey, aFlow);
     aFlow.stage_ = Stage::Ended;
     ++aFlow.sends_;
-    After(Draw(Millis(10), Millis(1000)), [this] { OpenFlow(); });
+    if (shape_.maxPortPause_ == Duration::zero()) {
+      After(Draw(Millis(10), Millis(1000)), [this] { OpenFlow(); });
+      return;
+    }
+    After(Draw(Millis(100), shape_.maxPortPause_),
+          [this, key = aKey] { OpenFlow(key); });
+    if (aFlow.request_) {
+      After(Draw(Millis(50), Millis(3000)),
+            [this, key = aKey, late = *aFlow.request_] {
+              SendFromCaller(flows_.at(key), late);
+            });
+    }
   }
 
   Packet PacketFromCaller(const FlowKey& aKey, const Flow& aFlow) const
@@ -1203,6 +1280,9 @@
       return;
     }
     auto& flow = found->second;
+    if (!IsOfCaller(flow, aPacket.acknowledged_)) {
+      return;
+    }
     if (aPacket.reset_) {
       EndAtCaller(key, flow, "host resets");
       return;
@@ -1247,6 +1327,7 @@
 
   void ReceiveReset(const FlowKey& aKey,
                     std::size_t aBalancer,
+                    std::uint32_t aSequence,
                     TimePoint aSentAt)
   {
     const auto found = flows_.find(aKey);
@@ -1254,6 +1335,11 @@
       return;
     }
     auto& flow = found->second;
+    const auto distance =
+      std::min(aSequence - flow.acknowledges_, flow.acknowledges_ - aSequence);
+    if (flow.stage_ != Stage::Opening && distance > kResetWindow) {
+      return;
+    }
     if (IsOpenAtLivingHost(flow)) {
       ++counts_.resetsOfOpen_;
       AddFault(aKey,
@@ -1332,10 +1418,15 @@
     const auto found = host.flows_.find(key);
     if (packet.opening_) {
       auto& flow = host.flows_[key];
-      if (found == host.flows_.end()) {
+      if (found == host.flows_.end() ||
+          flow.callerInitial_ != packet.sequence_) {
+        const auto sends = flow.sends_ + 1;
+        flow = {};
+        flow.sends_ = sends;
         flow.initial_ = static_cast<std::uint32_t>(random_.Next());
         flow.sent_ = flow.initial_ + 1;
-        flow.received_ = 1;
+        flow.callerInitial_ = packet.sequence_;
+        flow.received_ = packet.sequence_ + 1;
       }
       auto answer = PacketFromHost(key, flow);
       answer.opening_ = true;
@@ -1366,8 +1457,10 @@
                      HostFlow& aFlow,
                      const Packet& aPacket)
   {
-    if (!std::exchange(aFlow.open_, true)) {
-      auto& flow = flows_.at(aKey);
+    auto& current = flows_.at(aKey);
+    const auto isCurrent = current.initial_ == aFlow.callerInitial_;
+    if (!std::exchange(aFlow.open_, true) && isCurrent) {
+      auto& flow = current;
       flow.host_ = { aHost, hosts_[aHost].generation_ };
       flow.strays_.clear();
       NoteFlow(aKey, "open at", AgentOf(aHost), AgentOf(aHost));
@@ -1378,9 +1471,10 @@
     }
     if (aFlow.ended_ || aPacket.finishing_) {
       aFlow.ended_ = true;
-      auto& flow = flows_.at(aKey);
-      EndSeries(aKey, flow);
-      flow.endedAtHost_ = true;
+      if (isCurrent) {
+        EndSeries(aKey, current);
+        current.endedAtHost_ = true;
+      }
       auto answer = PacketFromHost(aKey, aFlow);
       answer.finishing_ = true;
       SendFromHost(aHost, answer);
@@ -1449,6 +1543,13 @@
 
   // --- The judge ---
 
+  /** Whether a caller's sequence number is of the flow that has its key now. */
+  [[nodiscard]] static bool IsOfCaller(const Flow& aFlow,
+                                       std::uint32_t aSequence)
+  {
+    return aSequence - aFlow.initial_ <= kMaxCallerBytes;
+  }
+
   [[nodiscard]] bool IsOpenAtLivingHost(const Flow& aFlow) const
   {
     return aFlow.host_ && !aFlow.endedAtHost_ &&
@@ -1464,14 +1565,19 @@
              bool aIsLate)
   {
     auto& flow = flows_.at(aKey);
-    const auto isNew = aPacket.opening_ && !hosts_[aHost].flows_.contains(aKey);
+    if (!IsOfCaller(flow, aPacket.sequence_)) {
+      return;
+    }
+    const auto held = hosts_[aHost].flows_.find(aKey);
+    const auto isNew =
+      aPacket.opening_ && (held == hosts_[aHost].flows_.end() ||
+                           held->second.callerInitial_ != aPacket.sequence_);
     NoteFlow(aKey,
              aPacket.opening_ ? "opening reaches" : "packet reaches",
              AgentOf(aHost),
              AgentOf(aHost),
              flow.host_ && flow.host_->first == aHost ? "(its own host)" : "");
-    if (isNew &&
-        RouteAt(processes_[AgentOf(aHost)].service_) != aKey.service_) {
+    if (isNew && !MayOpenAt(aKey, processes_[AgentOf(aHost)].service_)) {
       ++counts_.otherFaults_;
       AddFault(aKey,
                FaultKind::Opening,
@@ -1808,7 +1914,10 @@
   std::uint64_t sendings_{};
   std::uint64_t version_{};         ///< Newest one proposed.
   std::uint64_t acceptedVersion_{}; ///< Newest one that control accepted.
-  bool applied_{};                  ///< Whether `version_` was accepted.
+  std::size_t routesMoved_{};
+  /** When routes moved, and when control accepted that. */
+  std::vector<std::pair<TimePoint, TimePoint>> routeMoves_;
+  bool applied_{}; ///< Whether `version_` was accepted.
   Counts counts_;
   std::vector<RelaySecond> seconds_;
   std::vector<Fault> faults_;
