--- a/test/platform/desired_state.cpp
+++ b/test/platform/desired_state.cpp
@@ -1,5 +1,6 @@
 #include <platform/desired_state.hpp>
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 namespace cornelshore::platform {
@@ -94,6 +95,25 @@
   }
 }
 
+// Guards against a route that names an unknown service beside its known one.
+TEST(DesiredState, RefusesAnUnknownServiceAnywhereInARoute)
+{
+  const auto withBoth = [](std::string_view aSecond) {
+    return With(R"("service":"huvo","max)",
+                absl::StrCat(R"("service":"huvo","traffic-split":[)",
+                             R"({"service":"huvo","weight":90},)",
+                             R"({"service":")",
+                             std::string(aSecond),
+                             R"(","weight":10}],"max)"));
+  };
+  const auto good = ParseDesiredState(withBoth("wuno"));
+  ASSERT_TRUE(good.ok()) << good.status();
+  EXPECT_EQ(good->routes_.front().to_.size(), 1U);
+  const auto status = ParseDesiredState(withBoth("other")).status();
+  EXPECT_TRUE(absl::IsInvalidArgument(status));
+  EXPECT_NE(status.message().find("traffic-split"), std::string::npos);
+}
+
 TEST(DesiredState, IgnoresFieldsThatItDoesNotKnow)
 {
   EXPECT_TRUE(
