Stay unsure of flows while an older instance of the host may run

Cause: only the current instance's start counted. Change: while an instance that started before the agent may still run, the agent stays unsure: until that one was silent for three intervals or its end was announced, and for 1.25 intervals after the agent's own start, within which it would report.

--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -19,6 +19,10 @@
  * follow each other: what one end may have in flight. */
 constexpr std::uint32_t kMaxBytesInFlight = 1U << 20U;
 
+/** Report intervals within which a running host reports to an agent that has
+ * just started. */
+constexpr double kIntervalsForAReport = 1.25;
+
 /** Marks that record why a packet was passed to the host. */
 constexpr std::uint32_t kOpenMark = 1;
 constexpr std::uint32_t kHeldMark = 2;
@@ -377,8 +381,13 @@
   if (!host_ && !endedInstance_) {
     return Coverage::NoReport;
   }
+  if (MayOlderRun(aNow)) {
+    return Coverage::OlderMayRun;
+  }
   if (hostStartedAt_ >= start_) {
-    return Coverage::HostIsNewer;
+    return aNow - start_ < settings_.reportInterval_ * kIntervalsForAReport
+             ? Coverage::AwaitsOlderHost
+             : Coverage::HostIsNewer;
   }
   if (!sawFirstReport_) {
     return Coverage::HostIsOlder;
@@ -392,6 +401,16 @@
            : Coverage::BothAreNew;
 }
 
+bool
+Agent::MayOlderRun(TimePoint aNow) const noexcept
+{
+  const auto isRecent = [&](TimePoint aAt) {
+    return aNow - aAt < settings_.hostReportTimeout_;
+  };
+  return (olderReplacedAt_ && isRecent(*olderReplacedAt_)) ||
+         (rival_ && rival_->older_ && isRecent(rival_->reportedAt_));
+}
+
 bool
 Agent::MayHoldUnseenFlows(TimePoint aNow) const noexcept
 {
@@ -568,6 +587,9 @@
 void
 Agent::StartRun(TimePoint aNow, const HostReport& aReport)
 {
+  if (host_ && MayHoldUnseenFlows(aNow)) {
+    olderReplacedAt_ = aNow;
+  }
   rival_.reset();
   hostStartedAt_ = EarliestStartOf(aNow, aReport);
   sawFirstReport_ = IsFirstReport(aNow, aReport);
@@ -660,7 +682,10 @@
 Agent::NoteRival(TimePoint aNow, const HostReport& aReport)
 {
   if (host_ && !IsSameRun(aReport, *host_)) {
-    rival_ = { aReport.instance_, aNow, aReport.leaving_ };
+    rival_ = { aReport.instance_,
+               aNow,
+               aReport.leaving_,
+               EarliestStartOf(aNow, aReport) < start_ };
   }
 }
 
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -149,19 +149,23 @@
   OutlivedFlows,    ///< The agent has run for longer than any flow lives.
   NoReport,         ///< No host has reported to this agent.
   HostIsOlder,      ///< The host started before the agent.
+  OlderMayRun,      ///< So did another instance, which may still run.
   EarlierRun,       ///< An earlier run of the agent lived after that start.
   AwaitsEarlierRun, ///< Balancers may still tell of an earlier run.
+  AwaitsOlderHost,  ///< A host that started before the agent may still report.
 };
 
 /** @brief Names of `Coverage`. */
-inline constexpr std::array<EnumName<Coverage>, 7> kCoverageNames{ {
+inline constexpr std::array<EnumName<Coverage>, 9> kCoverageNames{ {
   { Coverage::HostIsNewer, "host_is_newer" },
   { Coverage::BothAreNew, "both_are_new" },
   { Coverage::OutlivedFlows, "outlived_flows" },
   { Coverage::NoReport, "no_report" },
   { Coverage::HostIsOlder, "host_is_older" },
+  { Coverage::OlderMayRun, "older_may_run" },
   { Coverage::EarlierRun, "earlier_run" },
   { Coverage::AwaitsEarlierRun, "awaits_earlier_run" },
+  { Coverage::AwaitsOlderHost, "awaits_older_host" },
 } };
 
 /**
@@ -279,6 +283,7 @@
     std::string instance_;
     TimePoint reportedAt_;
     bool leaving_{};
+    bool older_{}; ///< It started before the agent.
   };
 
   /** A flow that was open when another instance reported: either one may hold
@@ -402,6 +407,9 @@
   void UnassignFlows();
   /** @brief Notes a late report of an instance that may be the true one. */
   void NoteRival(TimePoint aNow, const HostReport& aReport);
+  /** @brief Whether an instance that started before the agent may run beside
+   * the current one: a report does not show that another one has ended. */
+  [[nodiscard]] bool MayOlderRun(TimePoint aNow) const noexcept;
   /** @brief Whether the host is leaving by the reports of any instance. */
   [[nodiscard]] bool IsLeaving(TimePoint aNow) const noexcept;
   /** @brief Adds a flow of which the host sent a packet, or nothing if that
@@ -443,6 +451,9 @@
   TimePoint lastReportAt_{};
   TimePoint hostStartedAt_{}; ///< At the earliest.
   bool sawFirstReport_{};     ///< Of the current instance.
+  /** When another instance followed one of which the agent did not know all
+   * flows, and whose end nothing has shown yet. */
+  std::optional<TimePoint> olderReplacedAt_;
   /** When a balancer last heard from an earlier run of this agent. */
   std::optional<TimePoint> earlierRunHeardAt_;
   absl::flat_hash_map<FlowKey, Flow> flows_;
--- a/test/cornelshore/relay_denial/relay_denial.cpp
+++ b/test/cornelshore/relay_denial/relay_denial.cpp
@@ -112,5 +112,52 @@
   });
 }
 
+/** One drawn disturbance of a host or its agent. */
+void
+Disturb(Fleet& aFleet, std::size_t aHost)
+{
+  switch (aFleet.Randomness().Below(5)) {
+    case 0:
+      aFleet.CrashHost(aHost);
+      aFleet.At(aFleet.Elapsed() + aFleet.Draw(Fleet::Millis(10), seconds{ 2 }),
+                [&aFleet, aHost] { aFleet.StartHost(aHost); });
+      break;
+    case 1:
+      aFleet.DeliverReport(aHost, StrayReport(aFleet, aHost));
+      break;
+    case 2:
+      aFleet.At(aFleet.Elapsed() + aFleet.Draw(Fleet::Millis(10), seconds{ 8 }),
+                [&aFleet, aHost, delayed = aFleet.ReportOf(aHost)] {
+                  aFleet.DeliverReport(aHost, delayed);
+                });
+      break;
+    case 3:
+      aFleet.Restart(aFleet.AgentOf(aHost),
+                     aFleet.Draw(Fleet::Millis(10), Fleet::Millis(800)));
+      break;
+    default:
+      aFleet.Roll(aFleet.AgentOf(aHost),
+                  aFleet.Draw(Fleet::Millis(10), Fleet::Millis(800)));
+      break;
+  }
+}
+
+// Draws crashes, stray and delayed reports and restarts of agents in series
+// that overlap, beside balancers that are restarted in turn.
+TEST(RelayDenial, FlowsSurviveDrawnSeriesOfDisturbances)
+{
+  auto shape = Shape();
+  shape.flows_ = 800;
+  RunSeeds(shape, seconds{ 60 }, [](Fleet& aFleet) {
+    for (auto at = kFaultAt; at < seconds{ 50 };
+         at += aFleet.Draw(Fleet::Millis(50), Fleet::Millis(1500))) {
+      aFleet.At(
+        at, [&aFleet] { Disturb(aFleet, aFleet.Randomness().Below(kHosts)); });
+    }
+    RollInTurn(
+      aFleet, aFleet.Of(Fleet::Role::Balancer), kFaultAt, seconds{ 8 });
+  });
+}
+
 } // namespace
 } // namespace cornelshore::role
