--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -101,11 +101,11 @@
   Duration flowTimeout_{ std::chrono::seconds{ 70 } };
   /** Interval of the host's reports. */
   Duration reportInterval_{ std::chrono::milliseconds{ 1200 } };
-  /** Longest time that an agent goes on after the last message that a balancer
-   * had of it: load reports come each second. */
+  /** Longest time from the last message that a balancer received of an agent to
+   * the agent's end; load reports come each second. */
   Duration maxLoadReportAge_{ std::chrono::milliseconds{ 1500 } };
-  /** Balancers that heard from an earlier run of the agent say so within this
-   * time of its start; they renew their watches each second. */
+  /** Time from the agent's start within which balancers that received messages
+   * of an earlier run report it; they renew their watches each second. */
   Duration earlierRunNoticeTime_{ std::chrono::seconds{ 1 } };
   /** A host without a report for this long gets no new flows. */
   Duration hostReportTimeout_{ std::chrono::milliseconds{ 3600 } };
@@ -149,7 +149,7 @@
   OutlivedFlows,    ///< The agent has run for longer than any flow lives.
   NoReport,         ///< No host has reported to this agent.
   HostIsOlder,      ///< The host started before the agent.
-  OlderMayRun,      ///< So did another instance, which may still run.
+  OlderMayRun,      ///< An earlier instance, older than the agent, may run.
   EarlierRun,       ///< An earlier run of the agent lived after that start.
   AwaitsEarlierRun, ///< Balancers may still tell of an earlier run.
   AwaitsOlderHost,  ///< A host that started before the agent may still report.
--- a/test/cornelshore/role/relay_fleet.hpp
+++ b/test/cornelshore/role/relay_fleet.hpp
@@ -1158,9 +1158,9 @@
   }
 
   /** Opens a flow on a key that no open flow has. */
-  void OpenFlow(const FlowKey& key)
+  void OpenFlow(const FlowKey& aKey)
   {
-    auto& flow = flows_[key];
+    auto& flow = flows_[aKey];
     const auto sends = flow.sends_ + 1;
     auto seen = std::move(flow.seen_);
     flow = {};
@@ -1173,16 +1173,16 @@
     flow.zone_ = random_.Below(shape_.zones_);
     flow.requestsLeft_ = 2 + static_cast<std::uint32_t>(random_.Below(12));
     flow.limit_ = Millis(std::array{ 1200, 2500, 8000 }[random_.Below(3)]);
-    byHash_[relay::ShortHashOf(key)] = &flow;
+    byHash_[relay::ShortHashOf(aKey)] = &flow;
     Packet opening;
-    opening.from_ = key.caller_;
-    opening.to_ = key.service_;
+    opening.from_ = aKey.caller_;
+    opening.to_ = aKey.service_;
     opening.opening_ = true;
     opening.sequence_ = flow.initial_;
     for (const auto& [copy, delay] :
          { std::pair(0U, 0), std::pair(1U, 200), std::pair(2U, 600) }) {
       opening.acknowledged_ = copy;
-      After(Millis(delay), [this, key, opening] {
+      After(Millis(delay), [this, key = aKey, opening] {
         auto& current = flows_.at(key);
         if (current.stage_ == Stage::Opening &&
             current.initial_ == opening.sequence_) {
@@ -1190,7 +1190,7 @@
         }
       });
     }
-    After(Millis(1400), [this, key, initial = flow.initial_] {
+    After(Millis(1400), [this, key = aKey, initial = flow.initial_] {
       auto& current = flows_.at(key);
       if (current.stage_ == Stage::Opening && current.initial_ == initial) {
         EndAtCaller(key, current, "caller gives up opening");
