Give a host that left no new flows right after its agent's restart

Cause: the new run knows only the reports that it receives, and its announcement replaces the earlier one. Change: balancers remember that the earlier run announced the host as leaving, offer it nothing for 1.5 s and tell the agent in their watches; the agent refuses openings at an older host for 1.25 report intervals of its run.

--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -204,8 +204,8 @@
   bool OnHostEnded(TimePoint aNow, std::string_view aInstance);
 
   /** @brief Notes that a balancer last heard from an earlier run of this agent
-   * that long ago. */
-  void NoteEarlierRun(TimePoint aNow, Duration aHeardAgo);
+   * that long ago, and whether that run announced that its host leaves. */
+  void NoteEarlierRun(TimePoint aNow, Duration aHeardAgo, bool aLeft);
 
   /** @brief Applies a configuration; an older one is ignored. */
   void UpdateRoutes(const Configuration& aConfiguration);
@@ -410,7 +410,11 @@
   /** @brief Whether an instance that started before the agent may run beside
    * the current one: a report does not show that another one has ended. */
   [[nodiscard]] bool MayOlderRun(TimePoint aNow) const noexcept;
-  /** @brief Whether the host is leaving by the reports of any instance. */
+  /** @brief Whether an older host that has not left would have reported to
+   * this run of the agent. */
+  [[nodiscard]] bool AwaitsOlderReport(TimePoint aNow) const noexcept;
+  /** @brief Whether the host is leaving by the reports of any instance, or left
+   * before this run of the agent and has not reported since. */
   [[nodiscard]] bool IsLeaving(TimePoint aNow) const noexcept;
   /** @brief Adds a flow of which the host sent a packet, or nothing if that
    * does not show that the host holds it. */
@@ -456,6 +460,7 @@
   std::optional<TimePoint> olderReplacedAt_;
   /** When a balancer last heard from an earlier run of this agent. */
   std::optional<TimePoint> earlierRunHeardAt_;
+  bool earlierRunLeft_{}; ///< It last announced that its host leaves.
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
   absl::flat_hash_map<FlowKey, Probe> probes_;
--- a/src/cornelshore/relay/agent_instance.cpp
+++ b/src/cornelshore/relay/agent_instance.cpp
@@ -181,7 +181,9 @@
   const auto rivalLeaves =
     rival_ && rival_->leaving_ &&
     aNow - rival_->reportedAt_ < settings_.hostReportTimeout_;
-  return rivalLeaves || (host_ && host_->leaving_);
+  const auto left =
+    earlierRunLeft_ && hostStartedAt_ < start_ && AwaitsOlderReport(aNow);
+  return rivalLeaves || left || (host_ && host_->leaving_);
 }
 
 bool
@@ -199,8 +201,9 @@
 }
 
 void
-Agent::NoteEarlierRun(TimePoint aNow, Duration aHeardAgo)
+Agent::NoteEarlierRun(TimePoint aNow, Duration aHeardAgo, bool aLeft)
 {
+  earlierRunLeft_ |= aLeft;
   const auto heardAt =
     aNow - std::clamp(aHeardAgo, Duration::zero(), settings_.flowTimeout_);
   earlierRunHeardAt_ = std::max(earlierRunHeardAt_.value_or(heardAt), heardAt);
@@ -219,9 +222,8 @@
     return Coverage::OlderMayRun;
   }
   if (hostStartedAt_ >= start_) {
-    return aNow - start_ < settings_.reportInterval_ * kIntervalsForAReport
-             ? Coverage::AwaitsOlderHost
-             : Coverage::HostIsNewer;
+    return AwaitsOlderReport(aNow) ? Coverage::AwaitsOlderHost
+                                   : Coverage::HostIsNewer;
   }
   if (!sawFirstReport_) {
     return Coverage::HostIsOlder;
@@ -235,6 +237,12 @@
            : Coverage::BothAreNew;
 }
 
+bool
+Agent::AwaitsOlderReport(TimePoint aNow) const noexcept
+{
+  return aNow - start_ < settings_.reportInterval_ * kIntervalsForAReport;
+}
+
 bool
 Agent::MayOlderRun(TimePoint aNow) const noexcept
 {
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -34,9 +34,13 @@
     if (host.record_.incarnation_ != record.incarnation_) {
       const auto heardAt =
         host.lastReportAt_ ? host.lastReportAt_ : host.earlierRunHeardAt_;
+      const auto left =
+        host.record_.state_ == HostState::Leaving ||
+        (host.earlierRunLeft_ && AwaitsReportAfterLeaving(aNow, host));
       host = {};
       host.firstSeenAt_ = aNow;
       host.earlierRunHeardAt_ = heardAt;
+      host.earlierRunLeft_ = left;
       watchAt_ = aNow;
       changed = true;
     }
@@ -113,9 +117,20 @@
          aNow - aHost.firstSeenAt_ < settings_.loadValidity_;
 }
 
+bool
+HostTable::AwaitsReportAfterLeaving(TimePoint aNow,
+                                    const KnownHost& aHost) const
+{
+  return aHost.earlierRunLeft_ &&
+         aNow - aHost.firstSeenAt_ < settings_.firstReportTimeout_;
+}
+
 bool
 HostTable::AcceptsFlows(TimePoint aNow, const KnownHost& aHost) const
 {
+  if (AwaitsReportAfterLeaving(aNow, aHost)) {
+    return false;
+  }
   const auto state = aHost.record_.state_;
   if (state != HostState::Ready && state != HostState::Starting) {
     return false;
@@ -288,6 +303,7 @@
       if (host.earlierRunHeardAt_) {
         watch.earlierRunHeardAgo_ = aNow - *host.earlierRunHeardAt_;
       }
+      watch.earlierRunLeft_ = host.earlierRunLeft_;
       watches.push_back({ host.record_.agent_, watch });
     }
   }
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -62,6 +62,7 @@
   std::optional<TimePoint> lastReportAt_;
   /** Last load report of an earlier run of the agent. */
   std::optional<TimePoint> earlierRunHeardAt_;
+  bool earlierRunLeft_{}; ///< It last announced that its host leaves.
   TimePoint firstSeenAt_;
   TimePoint watchedAt_;
   TimePoint suspectUntil_;
@@ -170,6 +171,10 @@
 
 private:
   [[nodiscard]] bool AcceptsFlows(TimePoint aNow, const KnownHost& aHost) const;
+  /** @brief Whether the host left when its agent was restarted and its next
+   * report is still expected. */
+  [[nodiscard]] bool AwaitsReportAfterLeaving(TimePoint aNow,
+                                              const KnownHost& aHost) const;
   [[nodiscard]] double Cost(TimePoint aNow, const KnownHost& aHost);
   /** @brief Whether a recently added host has not reported its load yet. */
   [[nodiscard]] bool AwaitsFirstLoad(TimePoint aNow,
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -113,7 +113,8 @@
     if (const auto* watch =
           message == nullptr ? nullptr : std::get_if<relay::Watch>(message)) {
       if (watch->earlierRunHeardAgo_) {
-        flows_.NoteEarlierRun(aNow, *watch->earlierRunHeardAgo_);
+        flows_.NoteEarlierRun(
+          aNow, *watch->earlierRunHeardAgo_, watch->earlierRunLeft_);
       }
       if (reports_.Watch(aNow, aEvent.address_)) {
         aOut.emplace_back(
--- a/test/cornelshore/relay/agent_instance.cpp
+++ b/test/cornelshore/relay/agent_instance.cpp
@@ -270,21 +270,39 @@
   agent_ = Agent(settings, PlainCodec(), kStart);
   agent_.OnReport(kStart + milliseconds{ 200 }, report);
   EXPECT_EQ(agent_.CoverageAt(settled), Coverage::BothAreNew);
-  agent_.NoteEarlierRun(settled, milliseconds{ 1300 });
+  agent_.NoteEarlierRun(settled, milliseconds{ 1300 }, false);
   EXPECT_EQ(agent_.CoverageAt(settled), Coverage::EarlierRun);
   EXPECT_EQ(HoldingOf(settled, 1), Holding::Unsure);
-  agent_.NoteEarlierRun(settled, seconds{ 10 });
+  agent_.NoteEarlierRun(settled, seconds{ 10 }, false);
   EXPECT_EQ(agent_.CoverageAt(settled), Coverage::EarlierRun);
   EXPECT_EQ(agent_.CoverageAt(kStart + settings.flowTimeout_),
             Coverage::OutlivedFlows);
 
   agent_ = Agent(settings, PlainCodec(), kStart);
-  agent_.NoteEarlierRun(settled, seconds{ 10 });
+  agent_.NoteEarlierRun(settled, seconds{ 10 }, false);
   agent_.OnReport(kStart + milliseconds{ 200 }, report);
   EXPECT_EQ(agent_.CoverageAt(settled), Coverage::BothAreNew);
   EXPECT_EQ(HoldingOf(settled, 1), Holding::No);
 }
 
+// Guards against new flows at a host that leaves: after its agent's restart a
+// delayed report, from before it left, comes before its next one.
+TEST_F(AgentTest, OpensNoFlowAtAHostThatLeftBeforeItsRestartUntilItReports)
+{
+  auto settings = SettingsOf();
+  settings.startMillis_ = 60'000;
+  agent_ = Agent(settings, PlainCodec(), kStart);
+  agent_.NoteEarlierRun(kStart, milliseconds{ 100 }, true);
+  EXPECT_EQ(agent_.OnReport(kStart, ReportOf(40)), ReportOutcome::Taken);
+  EXPECT_FALSE(agent_.Load(kStart).accepts_);
+  EXPECT_FALSE(
+    Delivered(Carry(kStart, Purpose::ForceOpen, FromCaller(1, true))));
+  const auto next = kStart + milliseconds{ 1500 };
+  EXPECT_TRUE(agent_.Load(next).accepts_);
+  EXPECT_EQ(agent_.OnReport(next, ReportOf(48, true)), ReportOutcome::Taken);
+  EXPECT_FALSE(agent_.Load(next).accepts_);
+}
+
 // The count of reports tells a host's age where the wall clock stepped back
 // between its start and the agent's.
 TEST_F(AgentTest, TakesAHostWithManyReportsForAnOlderOne)
--- a/test/cornelshore/relay/host_table.cpp
+++ b/test/cornelshore/relay/host_table.cpp
@@ -97,6 +97,28 @@
   EXPECT_EQ(earlierRunIn(third), milliseconds{ 700 });
 }
 
+// The same for a host that left: until it reports to the new run of its agent,
+// it gets no new flow.
+TEST(HostTable, AHostThatLeftGetsNoFlowRightAfterItsAgentsRestart)
+{
+  using std::chrono::milliseconds;
+  HostTable table(HostTableSettings{}, 1);
+  auto record = RecordOf(1, kHere);
+  record.state_ = HostState::Leaving;
+  table.Update(kStart, { record });
+  table.OnLoad(kStart, HostId{ 1 }, { 0, 0, 2, false, false });
+  record.incarnation_ = Incarnation{ 2 };
+  record.state_ = HostState::Ready;
+  table.Update(kStart, { record });
+  table.OnLoad(kStart, HostId{ 1 }, { 0, 0, 2, true, false });
+  EXPECT_FALSE(table.Pick(kStart, kService, KeyOf(1), {}));
+  const auto watches = table.TakeDueWatches(kStart);
+  ASSERT_EQ(watches.size(), 1U);
+  EXPECT_TRUE(watches.front().watch_.earlierRunLeft_);
+  const auto later = kStart + milliseconds{ 1500 };
+  EXPECT_TRUE(table.Pick(later, kService, KeyOf(1), {}));
+}
+
 TEST(HostTable, BalancersOfADataCentreAgreeOnTheHostsNearAFlow)
 {
   const auto one = LargeTable(1);
--- a/test/cornelshore/wire/relay_codec.cpp
+++ b/test/cornelshore/wire/relay_codec.cpp
@@ -44,7 +44,7 @@
       "packet" },
     load,
     relay::Watch{},
-    relay::Watch{ std::chrono::milliseconds{ 1500 } },
+    relay::Watch{ std::chrono::milliseconds{ 1500 }, true },
     FullQuery(),
     relay::QueryAnswer{
       4, { relay::Holding::No, relay::Holding::Yes, relay::Holding::Unsure } },
