--- a/src/cornelshore/relay/agent.cpp
+++ b/src/cornelshore/relay/agent.cpp
@@ -339,9 +339,9 @@
 {
   const auto probe = probes_.find(aKey);
   const auto returned = probe != probes_.end() && probe->second.returned_;
-  const auto believed = aPurpose == Purpose::Direct && HostAlive(aNow);
-  return !returned &&
-         (believed || MayHoldUnseenFlows(aNow) || unassigned_.contains(aKey));
+  const auto namedByBalancer = aPurpose == Purpose::Direct && HostAlive(aNow);
+  return !returned && (namedByBalancer || MayHoldUnseenFlows(aNow) ||
+                       unassigned_.contains(aKey));
 }
 
 void
--- a/src/cornelshore/relay/agent.hpp
+++ b/src/cornelshore/relay/agent.hpp
@@ -278,7 +278,7 @@
   };
 
   /** Another instance whose reports arrive beside those of the current one. */
-  struct Rival
+  struct OtherInstance
   {
     std::string instance_;
     TimePoint reportedAt_;
@@ -406,10 +406,10 @@
    * began to open flows. */
   void UnassignFlows();
   /** @brief Notes a late report of an instance that may be the true one. */
-  void NoteRival(TimePoint aNow, const HostReport& aReport);
+  void NoteOtherInstance(TimePoint aNow, const HostReport& aReport);
   /** @brief Whether an instance that started before the agent may run beside
    * the current one: a report does not show that another one has ended. */
-  [[nodiscard]] bool MayOlderRun(TimePoint aNow) const noexcept;
+  [[nodiscard]] bool MayOlderInstanceRun(TimePoint aNow) const noexcept;
   /** @brief Whether an older host that has not left would have reported to
    * this run of the agent. */
   [[nodiscard]] bool AwaitsOlderReport(TimePoint aNow) const noexcept;
@@ -451,16 +451,16 @@
   std::optional<HostReport> host_;
   /** Last report of the last instance that ended. */
   std::optional<HostReport> endedInstance_;
-  std::optional<Rival> rival_;
+  std::optional<OtherInstance> otherInstance_;
   TimePoint lastReportAt_{};
   TimePoint hostStartedAt_{}; ///< At the earliest.
   bool sawFirstReport_{};     ///< Of the current instance.
   /** When another instance followed one of which the agent did not know all
    * flows, and whose end nothing has shown yet. */
-  std::optional<TimePoint> olderReplacedAt_;
+  std::optional<TimePoint> olderInstanceReplacedAt_;
   /** When a balancer last heard from an earlier run of this agent. */
   std::optional<TimePoint> earlierRunHeardAt_;
-  bool earlierRunLeft_{}; ///< It last announced that its host leaves.
+  bool earlierRunLeaving_{}; ///< It last announced that its host leaves.
   absl::flat_hash_map<FlowKey, Flow> flows_;
   absl::flat_hash_map<FlowKey, UnassignedFlow> unassigned_;
   absl::flat_hash_map<FlowKey, Probe> probes_;
--- a/src/cornelshore/relay/agent_instance.cpp
+++ b/src/cornelshore/relay/agent_instance.cpp
@@ -58,7 +58,7 @@
   }
   const auto& last = host_ ? host_ : endedInstance_;
   if (last && IsLate(aNow, aReport, *last)) {
-    NoteRival(aNow, aReport);
+    NoteOtherInstance(aNow, aReport);
     return ReportOutcome::Late;
   }
   if (!last || !IsSameRun(aReport, *last)) {
@@ -74,9 +74,9 @@
 Agent::StartRun(TimePoint aNow, const HostReport& aReport)
 {
   if (host_ && MayHoldUnseenFlows(aNow)) {
-    olderReplacedAt_ = aNow;
+    olderInstanceReplacedAt_ = aNow;
   }
-  rival_.reset();
+  otherInstance_.reset();
   hostStartedAt_ = EarliestStartOf(aNow, aReport);
   sawFirstReport_ = IsFirstReport(aNow, aReport);
   if (host_ || endedInstance_ || sawFirstReport_) {
@@ -165,34 +165,34 @@
 }
 
 void
-Agent::NoteRival(TimePoint aNow, const HostReport& aReport)
+Agent::NoteOtherInstance(TimePoint aNow, const HostReport& aReport)
 {
   if (host_ && !IsSameRun(aReport, *host_)) {
-    rival_ = { aReport.instance_,
-               aNow,
-               aReport.leaving_,
-               EarliestStartOf(aNow, aReport) < start_ };
+    otherInstance_ = { aReport.instance_,
+                       aNow,
+                       aReport.leaving_,
+                       EarliestStartOf(aNow, aReport) < start_ };
   }
 }
 
 bool
 Agent::IsLeaving(TimePoint aNow) const noexcept
 {
-  const auto rivalLeaves =
-    rival_ && rival_->leaving_ &&
-    aNow - rival_->reportedAt_ < settings_.hostReportTimeout_;
+  const auto otherLeaves =
+    otherInstance_ && otherInstance_->leaving_ &&
+    aNow - otherInstance_->reportedAt_ < settings_.hostReportTimeout_;
   const auto left =
-    earlierRunLeft_ && hostStartedAt_ < start_ && AwaitsOlderReport(aNow);
-  return rivalLeaves || left || (host_ && host_->leaving_);
+    earlierRunLeaving_ && hostStartedAt_ < start_ && AwaitsOlderReport(aNow);
+  return otherLeaves || left || (host_ && host_->leaving_);
 }
 
 bool
 Agent::OnHostEnded(TimePoint aNow, std::string_view aInstance)
 {
   if (!host_ || host_->instance_ != aInstance) {
-    if (rival_ && rival_->instance_ == aInstance) {
-      rival_->leaving_ = true;
-      rival_->reportedAt_ = aNow;
+    if (otherInstance_ && otherInstance_->instance_ == aInstance) {
+      otherInstance_->leaving_ = true;
+      otherInstance_->reportedAt_ = aNow;
     }
     return false;
   }
@@ -203,7 +203,7 @@
 void
 Agent::NoteEarlierRun(TimePoint aNow, Duration aHeardAgo, bool aLeft)
 {
-  earlierRunLeft_ |= aLeft;
+  earlierRunLeaving_ |= aLeft;
   const auto heardAt =
     aNow - std::clamp(aHeardAgo, Duration::zero(), settings_.flowTimeout_);
   earlierRunHeardAt_ = std::max(earlierRunHeardAt_.value_or(heardAt), heardAt);
@@ -218,7 +218,7 @@
   if (!host_ && !endedInstance_) {
     return Coverage::NoReport;
   }
-  if (MayOlderRun(aNow)) {
+  if (MayOlderInstanceRun(aNow)) {
     return Coverage::OlderMayRun;
   }
   if (hostStartedAt_ >= start_) {
@@ -244,13 +244,14 @@
 }
 
 bool
-Agent::MayOlderRun(TimePoint aNow) const noexcept
+Agent::MayOlderInstanceRun(TimePoint aNow) const noexcept
 {
   const auto isRecent = [&](TimePoint aAt) {
     return aNow - aAt < settings_.hostReportTimeout_;
   };
-  return (olderReplacedAt_ && isRecent(*olderReplacedAt_)) ||
-         (rival_ && rival_->older_ && isRecent(rival_->reportedAt_));
+  return (olderInstanceReplacedAt_ && isRecent(*olderInstanceReplacedAt_)) ||
+         (otherInstance_ && otherInstance_->older_ &&
+          isRecent(otherInstance_->reportedAt_));
 }
 
 bool
--- a/src/cornelshore/relay/balancer.hpp
+++ b/src/cornelshore/relay/balancer.hpp
@@ -74,7 +74,7 @@
 /** @brief Packet counters of a balancer, for the metrics. */
 enum class BalancerCount : std::uint8_t
 {
-  Direct,       ///< Sent to the host believed to hold the flow.
+  Direct,       ///< Sent to the host namedByBalancer to hold the flow.
   Opened,       ///< New flows.
   Retried,      ///< Openings offered to another host.
   Searched,     ///< Searches begun for flows without a known host.
@@ -369,7 +369,7 @@
                    Actions& aOut);
   /** @brief Ends the search for a packet whose flow no host holds: the row is
    * of the other flow again. */
-  void KeepOther(const FlowKey& aKey, Flow& aFlow);
+  void RestoreOther(const FlowKey& aKey, Flow& aFlow);
   void Offer(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Actions& aOut);
   void OfferTo(TimePoint aNow,
                HostId aHost,
--- a/src/cornelshore/relay/balancer_keys.cpp
+++ b/src/cornelshore/relay/balancer_keys.cpp
@@ -85,7 +85,7 @@
 }
 
 void
-Balancer::KeepOther(const FlowKey& aKey, Flow& aFlow)
+Balancer::RestoreOther(const FlowKey& aKey, Flow& aFlow)
 {
   StopSearch(aKey);
   aFlow.phase_ = Phase::Held;
--- a/src/cornelshore/relay/balancer_search.cpp
+++ b/src/cornelshore/relay/balancer_search.cpp
@@ -273,7 +273,7 @@
 {
   const auto found = flows_.find(aKey);
   if (found->second.other_ && !found->second.initialSequence_) {
-    KeepOther(aKey, found->second);
+    RestoreOther(aKey, found->second);
     return;
   }
   SearchSummary search;
--- a/src/cornelshore/relay/host_table.cpp
+++ b/src/cornelshore/relay/host_table.cpp
@@ -36,11 +36,11 @@
         host.lastReportAt_ ? host.lastReportAt_ : host.earlierRunHeardAt_;
       const auto left =
         host.record_.state_ == HostState::Leaving ||
-        (host.earlierRunLeft_ && AwaitsReportAfterLeaving(aNow, host));
+        (host.earlierRunLeaving_ && AwaitsReportAfterLeaving(aNow, host));
       host = {};
       host.firstSeenAt_ = aNow;
       host.earlierRunHeardAt_ = heardAt;
-      host.earlierRunLeft_ = left;
+      host.earlierRunLeaving_ = left;
       watchAt_ = aNow;
       changed = true;
     }
@@ -121,7 +121,7 @@
 HostTable::AwaitsReportAfterLeaving(TimePoint aNow,
                                     const KnownHost& aHost) const
 {
-  return aHost.earlierRunLeft_ &&
+  return aHost.earlierRunLeaving_ &&
          aNow - aHost.firstSeenAt_ < settings_.firstReportTimeout_;
 }
 
@@ -303,7 +303,7 @@
       if (host.earlierRunHeardAt_) {
         watch.earlierRunHeardAgo_ = aNow - *host.earlierRunHeardAt_;
       }
-      watch.earlierRunLeft_ = host.earlierRunLeft_;
+      watch.earlierRunLeaving_ = host.earlierRunLeaving_;
       watches.push_back({ host.record_.agent_, watch });
     }
   }
--- a/src/cornelshore/relay/host_table.hpp
+++ b/src/cornelshore/relay/host_table.hpp
@@ -62,7 +62,7 @@
   std::optional<TimePoint> lastReportAt_;
   /** Last load report of an earlier run of the agent. */
   std::optional<TimePoint> earlierRunHeardAt_;
-  bool earlierRunLeft_{}; ///< It last announced that its host leaves.
+  bool earlierRunLeaving_{}; ///< It last announced that its host leaves.
   TimePoint firstSeenAt_;
   TimePoint watchedAt_;
   TimePoint suspectUntil_;
--- a/src/cornelshore/relay/message.hpp
+++ b/src/cornelshore/relay/message.hpp
@@ -103,7 +103,7 @@
   /** Time since the balancer last heard from an earlier run of the agent;
    * nothing if it never did. */
   std::optional<Duration> earlierRunHeardAgo_;
-  bool earlierRunLeft_{}; ///< That run last announced that its host leaves.
+  bool earlierRunLeaving_{}; ///< That run last announced that its host leaves.
 
   bool operator==(const Watch&) const noexcept = default;
 };
--- a/src/cornelshore/role/relay_agent.cpp
+++ b/src/cornelshore/role/relay_agent.cpp
@@ -114,7 +114,7 @@
           message == nullptr ? nullptr : std::get_if<relay::Watch>(message)) {
       if (watch->earlierRunHeardAgo_) {
         flows_.NoteEarlierRun(
-          aNow, *watch->earlierRunHeardAgo_, watch->earlierRunLeft_);
+          aNow, *watch->earlierRunHeardAgo_, watch->earlierRunLeaving_);
       }
       if (reports_.Watch(aNow, aEvent.address_)) {
         aOut.emplace_back(
--- a/src/cornelshore/wire/relay_codec.cpp
+++ b/src/cornelshore/wire/relay_codec.cpp
@@ -70,7 +70,7 @@
 {
   aWriter.Bool(aMessage.earlierRunHeardAgo_.has_value());
   aWriter.Write(aMessage.earlierRunHeardAgo_.value_or(Duration::zero()));
-  aWriter.Bool(aMessage.earlierRunLeft_);
+  aWriter.Bool(aMessage.earlierRunLeaving_);
 }
 
 void
@@ -79,7 +79,7 @@
   const auto heard = aReader.Bool();
   Duration ago{};
   aReader.Read(ago);
-  aMessage.earlierRunLeft_ = aReader.Bool();
+  aMessage.earlierRunLeaving_ = aReader.Bool();
   if (heard) {
     aMessage.earlierRunHeardAgo_ = ago;
   }
--- a/test/cornelshore/relay/host_table.cpp
+++ b/test/cornelshore/relay/host_table.cpp
@@ -114,7 +114,7 @@
   EXPECT_FALSE(table.Pick(kStart, kService, KeyOf(1), {}));
   const auto watches = table.TakeDueWatches(kStart);
   ASSERT_EQ(watches.size(), 1U);
-  EXPECT_TRUE(watches.front().watch_.earlierRunLeft_);
+  EXPECT_TRUE(watches.front().watch_.earlierRunLeaving_);
   const auto later = kStart + milliseconds{ 1500 };
   EXPECT_TRUE(table.Pick(later, kService, KeyOf(1), {}));
 }
