--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -114,7 +114,7 @@
 }
 
 configuration() { # VERSION
-  printf '{"version":%s,"routes":[{"name":"boards","hostname":"198.18.0.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"boards","max-attempts":2}],"services":[{"name":"boards","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}' "$1"
+  printf '{"version":%s,"routes":[{"name":"boards","hostname":"127.0.8.1","path-prefix":"/443/","type":"safe","timeout-ms":1000,"target-latency-ms":150,"priority":2,"service":"boards","max-attempts":2}],"services":[{"name":"boards","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}' "$1"
 }
 
 # Sends a configuration to the machines in turn until one acknowledges it.
