Replace a control voter before its planned stop ends

Callers saw: a control VM was replaced as planned, its successor caught up; two other control VMs lost their disks right after.

Cause: a control process that stopped told its group nothing. A learner took the place of a voter only after 1.2 s without a response; until then the group had five voters of which one had left, and two more lost disks left no quorum. Ruled out: the successor lagging (it holds the newest entry before the stop), the wiped VMs not asking to join (they do; there is no leader to admit them).

Change: a stopping replica asks the leader to replace it; the leader makes a caught-up learner a voter, then removes the stopping one. A stopping leader transfers its leadership first, and a replaced process empties its data folder, so that a restart joins anew. Bounded by 2 s; without a learner the voter stays.

--- a/src/cornelshore/consensus/event.hpp
+++ b/src/cornelshore/consensus/event.hpp
@@ -78,6 +78,11 @@
 struct TrustDisk
 {};
 
+/** @brief The process stops; answered by `LeaveFinished`. A leader transfers
+ * its leadership, and a caught-up learner replaces a voter. */
+struct Leave
+{};
+
 /** @brief Control nodes that are known now and answer; a joining replica
  * contacts the first `kMaxMembers` of the latest ones besides its seeds. */
 struct PeersDiscovered
@@ -94,7 +99,8 @@
                            Propose,
                            ChangeMembership,
                            Read,
-                           TrustDisk>;
+                           TrustDisk,
+                           Leave>;
 
 /** @brief Outcome of a proposal. */
 enum class ProposalStatus : std::uint8_t
@@ -176,6 +182,12 @@
   ConfigVersion version_;
 };
 
+/** @brief The process may end. */
+struct LeaveFinished
+{
+  bool replaced_{}; ///< No longer a member: its disk must not be used again.
+};
+
 /** @brief The replica stopped participating; see `Fault`. */
 struct ReplicaFaulted
 {
@@ -189,6 +201,7 @@
                             MembershipResponse,
                             ReadResponse,
                             Applied,
+                            LeaveFinished,
                             ReplicaFaulted>;
 
 } // namespace cornelshore::consensus
--- a/src/cornelshore/consensus/message.hpp
+++ b/src/cornelshore/consensus/message.hpp
@@ -19,12 +19,16 @@
 {
   PreVote, ///< Asks whether a vote would be granted; changes no state.
   Vote,
+  /** A vote on behalf of the leader of the term before, which has given up its
+   * lease (Raft 4.2.3). */
+  Transfer,
 };
 
 /** @brief Names of `Ballot`. */
-inline constexpr std::array<EnumName<Ballot>, 2> kBallotNames{ {
+inline constexpr std::array<EnumName<Ballot>, 3> kBallotNames{ {
   { Ballot::PreVote, "pre_vote" },
   { Ballot::Vote, "vote" },
+  { Ballot::Transfer, "transfer" },
 } };
 
 /** @brief Requests a vote in `term_`. */
@@ -156,6 +160,32 @@
   bool operator==(const Refusal&) const noexcept = default;
 };
 
+/** @brief Asks to replace a voter whose process stops by a caught-up learner;
+ * sent by it, and forwarded to the leader by a member that does not lead. */
+struct LeaveRequest
+{
+  ReplicaId replica_;
+  /** Newest `AppendRequest::sentAt_` received: tells the leader that the
+   * request is not a late one of an earlier run. */
+  Duration leaderSentAt_{};
+
+  bool operator==(const LeaveRequest&) const noexcept = default;
+};
+
+/** @brief Answers a `LeaveRequest`. */
+struct LeaveReply
+{
+  bool replaced_{}; ///< No longer a member; false: no learner can replace it.
+
+  bool operator==(const LeaveReply&) const noexcept = default;
+};
+
+/** @brief Asks an up-to-date voter to start an election at once (Raft 3.10). */
+struct TimeoutNow
+{
+  bool operator==(const TimeoutNow&) const noexcept = default;
+};
+
 /** @brief Payload of a message. */
 using Body = std::variant<VoteRequest,
                           VoteReply,
@@ -169,7 +199,10 @@
                           ForwardReply,
                           ReadIndexRequest,
                           ReadIndexReply,
-                          Refusal>;
+                          Refusal,
+                          LeaveRequest,
+                          LeaveReply,
+                          TimeoutNow>;
 
 /** @brief A message between two replicas. */
 struct Message
--- a/src/cornelshore/consensus/replica.cpp
+++ b/src/cornelshore/consensus/replica.cpp
@@ -105,6 +105,7 @@
   StepDownWithoutQuorum();
   std::visit([this](const auto& aKind) { Handle(aKind); }, aEvent);
   if (fault_ == Fault::None) {
+    ServeLeavingMembers();
     verifier_.AddMemberships(log_.MembersAt(commit_), log_.Members());
     verifier_.Update(now_);
     RecordDurabilityProof();
@@ -152,6 +153,9 @@
     return;
   }
   if (const auto* request = std::get_if<VoteRequest>(&aMessage.body_)) {
+    if (IsTransfer(*request)) {
+      lastLeaderContact_.reset();
+    }
     const auto isDisruptive = KnowsOtherLeader() || !verifier_.Verified();
     if (request->ballot_ == Ballot::PreVote || isDisruptive) {
       return;
@@ -210,6 +214,7 @@
   }
   FailPendingRequests();
   ExpireRequests(Duration::zero(), Duration::zero());
+  FinishLeaving(false);
   fault_ = aFault;
   role_ = Role::Follower;
   leader_.reset();
@@ -229,6 +234,9 @@
     SendHellos();
     SendJoins();
   }
+  if (leavingSince_ && leaveDue_ <= now_) {
+    ContinueLeaving();
+  }
   if (role_ == Role::Leader) {
     TickLeader();
   } else if (electionDue_ <= now_) {
@@ -265,8 +273,9 @@
   if (fault_ != Fault::None) {
     return TimePoint::max();
   }
-  return std::min(role_ == Role::Leader ? heartbeatDue_ : electionDue_,
-                  maintenanceDue_);
+  return std::min({ role_ == Role::Leader ? heartbeatDue_ : electionDue_,
+                    maintenanceDue_,
+                    leavingSince_ ? leaveDue_ : TimePoint::max() });
 }
 
 void
--- a/src/cornelshore/consensus/replica.hpp
+++ b/src/cornelshore/consensus/replica.hpp
@@ -73,6 +73,9 @@
    * automatic.
    */
   Duration learnerTimeout_{ std::chrono::seconds{ 20 } };
+  /** Time after which a stopping replica no longer waits for its replacement.
+   */
+  Duration leaveTimeout_{ std::chrono::seconds{ 2 } };
   /** Disks that must hold a change before its proposer is answered; 0: a
    * quorum. */
   std::size_t minCopies_{ 0 };
@@ -250,6 +253,7 @@
   void Handle(const Read& aEvent);
   void Handle(const TrustDisk& aEvent);
   void Handle(const PeersDiscovered& aEvent);
+  void Handle(const Leave& aEvent);
 
   void On(const Message& aMessage, const VoteRequest& aBody);
   void On(const Message& aMessage, const VoteReply& aBody);
@@ -264,6 +268,9 @@
   void On(const Message& aMessage, const ReadIndexRequest& aBody);
   void On(const Message& aMessage, const ReadIndexReply& aBody);
   void On(const Message& aMessage, const Refusal& aBody);
+  void On(const Message& aMessage, const LeaveRequest& aBody);
+  void On(const Message& aMessage, const LeaveReply& aBody);
+  void On(const Message& aMessage, const TimeoutNow& aBody);
 
   [[nodiscard]] bool Accepts(const Message& aMessage);
   void AdoptTerm(const Message& aMessage);
@@ -274,7 +281,9 @@
   [[nodiscard]] bool CanGrantVote(const Message& aMessage,
                                   const VoteRequest& aBody) const;
   void StartPreVote();
-  void StartElection();
+  void StartElection(Ballot aBallot);
+  /** @brief Whether the request comes on behalf of the leader known here. */
+  [[nodiscard]] bool IsTransfer(const VoteRequest& aBody) const;
   void RequestVotes(Ballot aBallot, Term aTerm);
   void CountVotes();
   void EnterTerm(Term aTerm);
@@ -349,6 +358,9 @@
   /** @brief Answers proposers whose changes have enough copies. */
   void AnswerReplicatedChanges();
   void AppendRequested(Payload aPayload, const Requester& aRequester);
+  /** @brief Whether this leader appends changes: while it transfers its
+   * leadership, proposers retry at the next one. */
+  [[nodiscard]] bool AcceptsProposals() const;
   void ForwardToLeader(const Propose& aEvent);
   [[nodiscard]] MembershipStatus TryChangeMembership(
     const ChangeMembership& aEvent);
@@ -383,6 +395,27 @@
   void AnswerAppliedReads();
   void ExpireRequests(Duration aReadAge, Duration aProposalAge);
 
+  // Planned stops.
+  void ContinueLeaving();
+  void FinishLeaving(bool aReplaced);
+  /** @brief Transfers leadership to a voter that holds the whole log. @return
+   * Whether one was found, or might yet be. */
+  [[nodiscard]] bool TransferLeadership();
+  /** @brief Stop requests of members at the leader: replaces one, and answers
+   * those that are replaced or cannot be. */
+  void ServeLeavingMembers();
+  [[nodiscard]] bool ReplaceLeavingVoter(const ReplicaId& aLeaving);
+  /** @brief Caught-up learner that can take the place of any voter, the one
+   * with the longest matching log. */
+  [[nodiscard]] const Member* Spare() const;
+  /** @brief Whether a responsive learner might become a spare. */
+  [[nodiscard]] bool AwaitsSpare() const;
+  [[nodiscard]] bool HasSurplusVoter() const;
+  /** @brief Ends a replacement whose leaving voter has stopped, or has not
+   * stopped after all: removes the voter that does not respond, or makes one a
+   * learner. */
+  [[nodiscard]] bool RemoveSurplusVoter();
+
   void SendTo(const ReplicaId& aTo, Body aBody);
   void SendAfterSync(const ReplicaId& aTo, Body aBody, PersistId aAfter);
   void Flush();
@@ -428,6 +461,9 @@
     forwardedReads_;        ///< By local token.
   std::uint64_t nextToken_; ///< Starts at random, to differ between runs.
   std::vector<ReplicaId> joining_;
+  std::map<ReplicaId, TimePoint> leaving_; ///< Latest stop request, by member.
+  std::optional<TimePoint> leavingSince_;  ///< This replica's own stop.
+  TimePoint leaveDue_;
 
   TimePoint now_;
   TimePoint electionDue_;
--- a/src/cornelshore/consensus/replica_election.cpp
+++ b/src/cornelshore/consensus/replica_election.cpp
@@ -44,7 +44,8 @@
     return;
   }
   const auto granted = CanGrantVote(aMessage, aBody);
-  if (granted && aBody.ballot_ == Ballot::Vote) {
+  const auto isPreVote = aBody.ballot_ == Ballot::PreVote;
+  if (granted && !isPreVote) {
     if (!hard_.vote_) {
       hard_.vote_ = aMessage.from_;
       hardChanged_ = true;
@@ -54,7 +55,16 @@
   } else if (granted && YieldsTo(aMessage.from_)) {
     DeferToCandidate();
   }
-  SendTo(aMessage.from_, VoteReply{ aBody.ballot_, aBody.term_, granted });
+  SendTo(aMessage.from_,
+         VoteReply{
+           isPreVote ? Ballot::PreVote : Ballot::Vote, aBody.term_, granted });
+}
+
+bool
+Replica::IsTransfer(const VoteRequest& aBody) const
+{
+  return aBody.ballot_ == Ballot::Transfer && role_ == Role::Follower &&
+         aBody.term_.value_ == hard_.term_.value_ + 1;
 }
 
 void
@@ -90,7 +100,7 @@
     return;
   }
   if (role_ == Role::PreCandidate) {
-    StartElection();
+    StartElection(Ballot::Vote);
   } else {
     BecomeLeader();
   }
@@ -101,7 +111,7 @@
 {
   ResetElectionTimer();
   const auto canCampaign =
-    verifier_.Verified() && log_.Members().IsVoter(id_) &&
+    !leavingSince_ && verifier_.Verified() && log_.Members().IsVoter(id_) &&
     verifier_.IsElectable(Term{ hard_.term_.value_ + 1 }, LastPosition());
   if (canCampaign) {
     StartPreVote();
@@ -128,7 +138,7 @@
 }
 
 void
-Replica::StartElection()
+Replica::StartElection(Ballot aBallot)
 {
   role_ = Role::Candidate;
   EnterTerm(Term{ hard_.term_.value_ + 1 });
@@ -136,7 +146,7 @@
   votes_.clear();
   campaignStart_ = now_;
   ResetElectionTimer();
-  RequestVotes(Ballot::Vote, hard_.term_);
+  RequestVotes(aBallot, hard_.term_);
 }
 
 void
--- a/src/cornelshore/consensus/replica_request.cpp
+++ b/src/cornelshore/consensus/replica_request.cpp
@@ -132,7 +132,7 @@
     AnswerProposal(
       aEvent.token_, ProposalStatus::Decided, register_.Apply(aEvent.change_));
   } else if (fault_ != Fault::None ||
-             (role_ == Role::Leader && !HoldsLease(now_))) {
+             (role_ == Role::Leader && !AcceptsProposals())) {
     AnswerProposal(aEvent.token_, ProposalStatus::Unavailable);
   } else if (role_ != Role::Leader) {
     ForwardToLeader(aEvent);
@@ -172,7 +172,7 @@
   const Requester requester{ aBody.token_, aMessage.from_, false };
   const auto isFull = requesters_.size() + pendingAnswers_.size() >=
                       settings_.maxPendingProposals_;
-  if (!HoldsLease(now_) || isFull) {
+  if (!AcceptsProposals() || isFull) {
     SendTo(aMessage.from_, ForwardReply{ aBody.token_, std::nullopt });
   } else if (register_.FindAnswer(aBody.change_->id_) != nullptr) {
     AnswerAgain(*aBody.change_, requester);
@@ -193,6 +193,12 @@
   AnswerRequester(requester, aBody.answer_, false);
 }
 
+bool
+Replica::AcceptsProposals() const
+{
+  return HoldsLease(now_) && !leavingSince_;
+}
+
 bool
 Replica::HasCommittedInTerm() const
 {
@@ -275,7 +281,8 @@
 Replica::UpdateMembership()
 {
   if (!HasCommittedInTerm() || log_.Members().index_ > commit_ ||
-      AdmitJoiningReplica() || RemoveUnresponsiveLearner()) {
+      AdmitJoiningReplica() || RemoveUnresponsiveLearner() ||
+      RemoveSurplusVoter()) {
     return;
   }
   const auto members = log_.Members().members_;
--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -307,6 +307,10 @@
 
   void operator()(role::Log& aAction) { WriteLog(aAction); }
   void operator()(role::Ended&) { ended_ = true; }
+  void operator()(consensus::LeaveFinished& aAction)
+  {
+    replaced_ = aAction.replaced_;
+  }
   void operator()(consensus::ReplicaFaulted& aAction)
   {
     fault_ = aAction.fault_;
@@ -321,6 +325,9 @@
 
   [[nodiscard]] bool HasEnded() const noexcept { return ended_; }
 
+  /** Whether the group has replaced the replica at its stop. */
+  [[nodiscard]] bool IsReplaced() const noexcept { return replaced_; }
+
   /** Why the replica takes no further part. */
   [[nodiscard]] consensus::Fault Fault() const noexcept { return fault_; }
 
@@ -337,6 +344,7 @@
   WaitingCalls& calls_;
   bool diskHangs_{};
   bool ended_{};
+  bool replaced_{};
   consensus::Fault fault_{ consensus::Fault::None };
 };
 
@@ -635,7 +643,8 @@
   storage->Stop();
   aRuntime.Stop();
   if (carrier.Fault() == consensus::Fault::None) {
-    return absl::OkStatus();
+    storage.reset();
+    return carrier.IsReplaced() ? storage::Discard(folder) : absl::OkStatus();
   }
   storage.reset();
   return HealControlLog(aRuntime.Settings().control_, carrier.Fault());
--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -244,6 +244,19 @@
                                   replica_.AppliedRegister().Document() });
   }
 
+  void Execute(TimePoint aNow, consensus::LeaveFinished& aAction, Actions& aOut)
+  {
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - stopRequestedAt_.value_or(aNow));
+    aOut.emplace_back(
+      Log{ Severity::Info,
+           "control_group_left",
+           { { "replaced", aAction.replaced_ ? "yes" : "no" },
+             { "waited_ms", std::to_string(waited.count()) } } });
+    aOut.emplace_back(aAction);
+    End(aNow, aOut);
+  }
+
   void Execute(TimePoint aNow, consensus::Applied& aAction, Actions& aOut)
   {
     aOut.emplace_back(
@@ -353,7 +366,18 @@
                              { "age_ms", std::to_string(age.count()) } } });
   }
 
+  /** A second request ends the process at once. */
   void Handle(TimePoint aNow, StopRequested&, Actions& aOut)
+  {
+    if (stopRequestedAt_) {
+      End(aNow, aOut);
+      return;
+    }
+    stopRequestedAt_ = aNow;
+    FeedReplica(aNow, consensus::Leave{}, aOut);
+  }
+
+  void End(TimePoint aNow, Actions& aOut)
   {
     if (hostsChanged_) {
       KeepHostRecords(aNow, aOut);
@@ -463,6 +487,7 @@
   absl::flat_hash_map<HostId, TimePoint> unconfirmedSince_;
   bool hostsChanged_{}; ///< Since the last `KeepHosts`.
   TimePoint keptAt_{};
+  std::optional<TimePoint> stopRequestedAt_;
   consensus::Standing standing_;
   bool wasCurrent_{};
   std::uint64_t unexpectedMessages_{};
--- a/src/cornelshore/role/control.hpp
+++ b/src/cornelshore/role/control.hpp
@@ -110,6 +110,7 @@
                                    ApplyResult,
                                    ShowResult,
                                    MembershipChangeResult,
+                                   consensus::LeaveFinished,
                                    consensus::ReplicaFaulted,
                                    Log,
                                    Ended>;
--- a/src/cornelshore/wire/consensus_codec.cpp
+++ b/src/cornelshore/wire/consensus_codec.cpp
@@ -198,7 +198,7 @@
 void
 DecodeBody(Reader& aReader, VoteRequest& aBody)
 {
-  aBody.ballot_ = aReader.Enumerator(Ballot::Vote);
+  aBody.ballot_ = aReader.Enumerator(Ballot::Transfer);
   aReader.Read(aBody.term_);
   Decode(aReader, aBody.last_);
   aReader.Read(aBody.membership_);
@@ -215,7 +215,7 @@
 void
 DecodeBody(Reader& aReader, VoteReply& aBody)
 {
-  aBody.ballot_ = aReader.Enumerator(Ballot::Vote);
+  aBody.ballot_ = aReader.Enumerator(Ballot::Transfer);
   aReader.Read(aBody.term_);
   aBody.granted_ = aReader.Bool();
 }
@@ -397,6 +397,42 @@
   }
 }
 
+void
+EncodeBody(Writer& aWriter, const LeaveRequest& aBody)
+{
+  Encode(aWriter, aBody.replica_);
+  aWriter.Write(aBody.leaderSentAt_);
+}
+
+void
+DecodeBody(Reader& aReader, LeaveRequest& aBody)
+{
+  Decode(aReader, aBody.replica_);
+  aReader.Read(aBody.leaderSentAt_);
+}
+
+void
+EncodeBody(Writer& aWriter, const LeaveReply& aBody)
+{
+  aWriter.Bool(aBody.replaced_);
+}
+
+void
+DecodeBody(Reader& aReader, LeaveReply& aBody)
+{
+  aBody.replaced_ = aReader.Bool();
+}
+
+void
+EncodeBody(Writer& /*aWriter*/, const TimeoutNow& /*aBody*/)
+{
+}
+
+void
+DecodeBody(Reader& /*aReader*/, TimeoutNow& /*aBody*/)
+{
+}
+
 /** Reads the body that stands at `aKind` in the variant. */
 template<std::size_t Kind = 0>
 void
--- a/test/cornelshore/consensus/group.hpp
+++ b/test/cornelshore/consensus/group.hpp
@@ -62,6 +62,35 @@
 
   void Kill(std::uint64_t aNode) { Vm(aNode).replica_.reset(); }
 
+  /** Starts a planned stop; `TakeStopped` reports its end. */
+  void Stop(std::uint64_t aNode) { Tell(aNode, Leave{}); }
+
+  /** Nodes whose process may end since the last call, and whether the group has
+   * replaced them. */
+  std::map<std::uint64_t, bool> TakeStopped()
+  {
+    return std::exchange(stopped_, {});
+  }
+
+  /** Runs until the node's planned stop is over and kills it.
+   * @return Whether it was replaced; nothing when it did not end in time. */
+  std::optional<bool> StopAndWait(std::uint64_t aNode, Duration aLimit)
+  {
+    Stop(aNode);
+    const auto end = now_ + aLimit;
+    while (now_ < end && !stopped_.contains(aNode)) {
+      RunFor(milliseconds{ 1 });
+    }
+    const auto found = stopped_.find(aNode);
+    if (found == stopped_.end()) {
+      return std::nullopt;
+    }
+    const auto replaced = found->second;
+    stopped_.erase(found);
+    Kill(aNode);
+    return replaced;
+  }
+
   /** Restarts a replica from its disk. */
   void Restart(std::uint64_t aNode)
   {
@@ -322,6 +351,8 @@
         reads_[read->token_] = { read->confirmed_,
                                  held.Current().version_.value_,
                                  held.Document() };
+      } else if (auto* finished = std::get_if<LeaveFinished>(&action)) {
+        stopped_[aNode] = finished->replaced_;
       } else if (std::holds_alternative<ReplicaFaulted>(action)) {
         faulted_.push_back(aNode);
       }
@@ -342,6 +373,7 @@
   std::map<Token, ProposalResponse> answers_;
   std::map<Token, ReadResult> reads_;
   std::vector<std::uint64_t> faulted_;
+  std::map<std::uint64_t, bool> stopped_;
   TimePoint now_{ std::chrono::hours{ 1 } };
   TimePoint discoveryDue_{};
   std::uint64_t tokens_{};
--- a/test/cornelshore/consensus/schedule.hpp
+++ b/test/cornelshore/consensus/schedule.hpp
@@ -226,6 +226,7 @@
   }
 
   void Carry(std::size_t, MembershipResponse&) {}
+  void Carry(std::size_t, LeaveFinished&) {}
 
   void Carry(std::size_t aVm, ReplicaFaulted& aAction)
   {
--- a/test/cornelshore/consensus/self_forming_schedule.cpp
+++ b/test/cornelshore/consensus/self_forming_schedule.cpp
@@ -23,6 +23,9 @@
 /** Latest repetition of a request to join. */
 constexpr Duration kLatestRepetition = seconds{ 8 };
 
+/** Within this time a planned stop ends. */
+constexpr Duration kStopLimit = seconds{ 3 };
+
 constexpr Duration kStep = milliseconds{ 10 };
 
 /** Violations in a schedule. The reference register is the highest acknowledged
@@ -34,6 +37,7 @@
   std::size_t wrongAnswers_{}; ///< Answered with a lower version than proposed.
   bool stuck_{};         ///< No leader or no accepted change after recovery.
   std::size_t voters_{}; ///< Voters after recovery.
+  std::size_t notReplaced_{}; ///< Planned stops that left a voter behind.
   std::size_t acknowledged_{};
   std::size_t reads_{};
 };
@@ -72,6 +76,35 @@
     return breaches_;
   }
 
+  /** Replaces VMs as planned: a successor catches up, the old VM stops, and at
+   * that moment as many others as is tolerated lose their disks. */
+  Breaches RunPlannedReplacements()
+  {
+    const auto end = group_.Now() + kReplacementsFor;
+    while (group_.Now() < end) {
+      const auto old = SomeNode();
+      const auto successor = ++addresses_;
+      JoinAt(successor);
+      Pass(kCatchUp);
+      group_.Stop(old);
+      const auto latest = group_.Now() + kStopLimit;
+      auto stopped = group_.TakeStopped();
+      while (stopped.empty() && group_.Now() < latest) {
+        Pass(kStep);
+        stopped = group_.TakeStopped();
+      }
+      breaches_.notReplaced_ += stopped[old] ? 0 : 1;
+      group_.Kill(old);
+      std::replace(nodes_.begin(), nodes_.end(), old, successor);
+      known_.push_back(successor);
+      LoseDisks();
+      Pass(seconds{ 2 } + kCatchUp);
+    }
+    Heal();
+    Settle();
+    return breaches_;
+  }
+
   Breaches Run()
   {
     const auto end = group_.Now() + kFaultsFor;
@@ -195,6 +228,29 @@
     }
   }
 
+  void LoseDisks()
+  {
+    for (auto disks = random_.Below(kTolerated + 1); disks > 0; --disks) {
+      const auto node = SomeNode();
+      if (!losses_.contains(node)) {
+        group_.Kill(node);
+        Add(node, milliseconds{ 100 + random_.Below(900) }, [this, node] {
+          JoinAt(node);
+        });
+      }
+    }
+  }
+
+  /** Proposes, reads and checks for a while. */
+  void Pass(Duration aLength)
+  {
+    const auto end = group_.Now() + aLength;
+    while (group_.Now() < end) {
+      Work();
+      Advance();
+    }
+  }
+
   /** Replaces a VM by another one at a new address. */
   void Replace(std::uint64_t aGone, std::uint64_t aNew)
   {
@@ -331,6 +387,7 @@
   EXPECT_EQ(aBreaches.wrongAnswers_, 0U) << "seed " << aSeed;
   EXPECT_FALSE(aBreaches.stuck_) << "seed " << aSeed;
   EXPECT_EQ(aBreaches.voters_, 5U) << "seed " << aSeed;
+  EXPECT_EQ(aBreaches.notReplaced_, 0U) << "seed " << aSeed;
 }
 
 TEST(SelfFormingSchedule, KeepsWhatItAcknowledgedThroughEveryToleratedLoss)
@@ -358,5 +415,15 @@
   }
 }
 
+// Planned stops beside caught-up successors: none of them costs the group a
+// voter, so that two disks lost right after leave a quorum.
+TEST(SelfFormingSchedule, KeepsWhatItAcknowledgedThroughPlannedReplacements)
+{
+  const auto schedules = Schedules(20);
+  for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+    ExpectNone(Losses(seed).RunPlannedReplacements(), seed);
+  }
+}
+
 } // namespace
 } // namespace cornelshore::consensus
--- a/test/cornelshore/wire/consensus_codec.cpp
+++ b/test/cornelshore/wire/consensus_codec.cpp
@@ -55,6 +55,7 @@
     ChangeOutcome::Conflict, ConfigVersion{ 6 }, RequestId{ 1, 2 }, true
   };
   return { VoteRequest{ Ballot::Vote, Term{ 4 }, last, LogIndex{ 1 } },
+           VoteRequest{ Ballot::Transfer, Term{ 4 }, last, LogIndex{ 1 } },
            VoteReply{ Ballot::PreVote, Term{ 4 }, true },
            AppendRequest{ last, entries, LogIndex{ 9 }, Duration{ 77 } },
            SnapshotRequest{ std::make_shared<const Snapshot>(SomeSnapshot()),
@@ -69,7 +70,11 @@
            ReadIndexRequest{ Token{ 9 } },
            ReadIndexReply{ Token{ 9 }, LogIndex{ 12 } },
            ReadIndexReply{ Token{ 9 }, std::nullopt },
-           Refusal{ Fault::RolledBack } };
+           Refusal{ Fault::RolledBack },
+           LeaveRequest{ { NodeId{ 3 }, Incarnation{ 8 } },
+                         std::chrono::milliseconds{ 70 } },
+           LeaveReply{ true },
+           TimeoutNow{} };
 }
 
 TEST(ConsensusCodec, ReadsBackEveryMessageAndFailsOnEveryTruncation)
