Store host records before a control process waits for its replacement

Cause: a stop stored them only once the group had answered, up to 2 s later, when a supervisor may have killed the process. Control.StoresHostRecordsWhenItStops failed. The codec test's list of messages had one inserted in front of the one that another test reads by its position. Change: host records are stored when the stop is requested; the message stands at the end of the list.

--- a/src/cornelshore/role/control.cpp
+++ b/src/cornelshore/role/control.cpp
@@ -374,6 +374,9 @@
       return;
     }
     stopRequestedAt_ = aNow;
+    if (hostsChanged_) {
+      KeepHostRecords(aNow, aOut);
+    }
     FeedReplica(aNow, consensus::Leave{}, aOut);
   }
 
--- a/test/cornelshore/wire/consensus_codec.cpp
+++ b/test/cornelshore/wire/consensus_codec.cpp
@@ -55,7 +55,6 @@
     ChangeOutcome::Conflict, ConfigVersion{ 6 }, RequestId{ 1, 2 }, true
   };
   return { VoteRequest{ Ballot::Vote, Term{ 4 }, last, LogIndex{ 1 } },
-           VoteRequest{ Ballot::Transfer, Term{ 4 }, last, LogIndex{ 1 } },
            VoteReply{ Ballot::PreVote, Term{ 4 }, true },
            AppendRequest{ last, entries, LogIndex{ 9 }, Duration{ 77 } },
            SnapshotRequest{ std::make_shared<const Snapshot>(SomeSnapshot()),
@@ -74,7 +73,8 @@
            LeaveRequest{ { NodeId{ 3 }, Incarnation{ 8 } },
                          std::chrono::milliseconds{ 70 } },
            LeaveReply{ true },
-           TimeoutNow{} };
+           TimeoutNow{},
+           VoteRequest{ Ballot::Transfer, Term{ 4 }, last, LogIndex{ 1 } } };
 }
 
 TEST(ConsensusCodec, ReadsBackEveryMessageAndFailsOnEveryTruncation)
