Serve a long configuration by the bytes that are left, not two at a time

Cause: each process served two receivers of a long delta at a time, whatever its link, and answered the others with nothing; a receiver asked again only when it heard another message, and counted parts that arrived twice, so that its requests outran the answers; a balancer spent an eighth of its link on a copy.

--- a/src/cornelshore/dissemination/config_store.cpp
+++ b/src/cornelshore/dissemination/config_store.cpp
@@ -75,6 +75,7 @@
   }
   if (!slot->have_[index]) {
     slot->have_[index] = true;
+    ++stored_;
     --slot->missing_;
     std::copy(aChunk.bytes_.begin(),
               aChunk.bytes_.end(),
--- a/src/cornelshore/dissemination/config_store.hpp
+++ b/src/cornelshore/dissemination/config_store.hpp
@@ -55,6 +55,9 @@
 
   [[nodiscard]] const std::string& Bytes() const noexcept;
 
+  /** @brief Parts stored so far; a part that arrives twice counts once. */
+  [[nodiscard]] std::uint64_t Stored() const noexcept { return stored_; }
+
   /** @brief Assembled configurations rejected for their checksum or size. */
   [[nodiscard]] std::uint64_t Refused() const noexcept { return refused_; }
 
@@ -98,6 +101,7 @@
   std::size_t deltaBytes_{};
   std::optional<Assembly> whole_;
   std::optional<Assembly> delta_;
+  std::uint64_t stored_{};
   std::uint64_t refused_{};
 };
 
--- a/src/cornelshore/dissemination/node.cpp
+++ b/src/cornelshore/dissemination/node.cpp
@@ -42,6 +42,7 @@
   };
   return std::min({ state_->nextRound_,
                     orRound(state_->spreadAt_),
+                    orRound(state_->ConfigRequestDue()),
                     orRound(state_->roundOutreach_.Due()) });
 }
 
--- a/src/cornelshore/dissemination/node_exchange.cpp
+++ b/src/cornelshore/dissemination/node_exchange.cpp
@@ -33,7 +33,10 @@
  * referred to others: comparing records with many newcomers would use up the
  * bytes before any of them had learned of another one. */
 constexpr double kNewcomerReserve = 0.25;
-constexpr Duration kRequestRetryInterval = std::chrono::milliseconds(300);
+/** Shares of the burst above which transfers of a long configuration are not
+ * limited in number. Balancers come first: they decide by the routes. */
+constexpr double kTransferReserve = 0.3;
+constexpr double kAgentTransferReserve = 0.75;
 
 } // namespace
 
@@ -41,6 +44,7 @@
 Node::State::Handle(TimePoint aNow, const VersionSeen& aEvent)
 {
   newestKnownConfig_ = std::max(newestKnownConfig_, aEvent.version_);
+  NoteConfigHolder(aEvent.from_, aEvent.address_, aEvent.version_);
   const bool retryDue = aNow - requestedAt_ >= kRequestRetryInterval;
   if (aEvent.version_ > config_.Version() && retryDue) {
     RequestConfig(aNow, aEvent.from_, aEvent.address_);
@@ -79,20 +83,13 @@
   CompareHashes(aNow, aEvent, packer);
   CompareLeaves(aNow, message, packer);
   const bool behind = header.config_ > config_.Version();
-  if (aEvent.from_ == requestedFrom_) {
-    for (const auto& chunk : message.chunks_) {
-      receivedBytes_ += BytesOf(chunk);
-    }
-  }
   const bool transferContinues =
     aProgress && aEvent.from_ == requestedFrom_ &&
-    receivedBytes_ + kMaxMessageBytes > kMaxRequestedBytes;
+    (receivedBytes_ + kChunkBytes > kMaxRequestedBytes ||
+     EndsRequestedPart(message));
   const bool retryDue = aNow - requestedAt_ >= kRequestRetryInterval;
   if (behind && (transferContinues || (retryDue && !DefersToServiceAgents()))) {
-    packer.Add(config_.Missing());
-    requestedAt_ = aNow;
-    requestedFrom_ = aEvent.from_;
-    receivedBytes_ = 0;
+    AddConfigRequest(aNow, aEvent.from_, packer);
   }
   if (!round && packer.Empty()) {
     return;
@@ -102,6 +99,20 @@
   SendTo(aNow, aEvent.from_, aEvent.address_, std::move(messages), priority);
 }
 
+bool
+Node::State::EndsRequestedPart(const Message& aMessage) const
+{
+  return std::any_of(
+    aMessage.chunks_.begin(),
+    aMessage.chunks_.end(),
+    [this](const ConfigChunk& aChunk) {
+      const auto part = kMaxRequestedBytes / BytesOf(aChunk) * kChunkBytes;
+      return aChunk.size_ > part &&
+             aChunk.offset_ + kChunkBytes >=
+               std::min<std::size_t>(aChunk.size_, requestedOffset_ + part);
+    });
+}
+
 bool
 Node::State::MustRefer(TimePoint aNow, const Header& aTheirs)
 {
@@ -156,8 +167,10 @@
   const bool isLong = chunks.size() > kShortTransferChunks ||
                       chunks.front().size_ > chunks.front().bytes_.size();
   const bool agent = header.role_ == NodeRole::Agent;
+  const bool hasRoom = budget_.HasShareLeft(
+    aNow, agent ? kAgentTransferReserve : kTransferReserve);
   if (isLong && (!message.configRequest_ ||
-                 !transfers_.Admit(aNow, aEvent.from_, agent))) {
+                 !transfers_.Admit(aNow, aEvent.from_, agent, hasRoom))) {
     return;
   }
   if (chunks.back().version_ == config_.Version()) {
--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -35,6 +35,7 @@
 void
 Node::State::Handle(TimePoint aNow, const Tick& /*aEvent*/)
 {
+  RepeatConfigRequest(aNow);
   if (aNow < nextRound_) {
     return;
   }
@@ -191,10 +192,7 @@
     AddNewestDelta(packer);
   }
   if (config_.IsAssembling() && aNow - requestedAt_ >= settings_.round_) {
-    packer.Add(config_.Missing());
-    requestedAt_ = aNow;
-    requestedFrom_ = aPeer;
-    receivedBytes_ = 0;
+    AddConfigRequest(aNow, aPeer, packer);
   }
   const auto address = AddressOf(aPeer);
   partners_.Asked(aNow, aPeer);
@@ -222,11 +220,70 @@
                            const Address& aAddress)
 {
   Packer packer(HeaderFor(aNow, aFrom, MessageKind::Round));
-  packer.Add(config_.Missing());
+  AddConfigRequest(aNow, aFrom, packer);
+  SendTo(aNow, aFrom, aAddress, std::move(packer).Finish(), Priority::Normal);
+}
+
+void
+Node::State::AddConfigRequest(TimePoint aNow, NodeId aFrom, Packer& aPacker)
+{
+  const auto request = config_.Missing();
+  aPacker.Add(request);
   requestedAt_ = aNow;
   requestedFrom_ = aFrom;
+  requestedOffset_ = request.offset_;
   receivedBytes_ = 0;
-  SendTo(aNow, aFrom, aAddress, std::move(packer).Finish(), Priority::Normal);
+}
+
+void
+Node::State::NoteConfigHolder(NodeId aNode,
+                              const Address& aAddress,
+                              ConfigVersion aVersion)
+{
+  std::erase_if(configHolders_, [&](const ConfigHolder& aHolder) {
+    return aHolder.node_ == aNode || aHolder.version_ <= config_.Version();
+  });
+  if (IsAgent() || aNode == NodeId{} || aVersion <= config_.Version()) {
+    return;
+  }
+  if (configHolders_.size() == kMaxConfigHolders) {
+    const auto replaced = partners_.Randomness().Below(kMaxConfigHolders);
+    configHolders_.erase(configHolders_.begin() +
+                         static_cast<std::ptrdiff_t>(replaced));
+  }
+  configHolders_.push_back({ aNode, aAddress, aVersion });
+}
+
+std::optional<TimePoint>
+Node::State::ConfigRequestDue() const noexcept
+{
+  if (IsAgent() || configHolders_.empty() ||
+      newestKnownConfig_ <= config_.Version()) {
+    return std::nullopt;
+  }
+  return std::max(requestedAt_, configProgressAt_) + configRetryInterval_;
+}
+
+void
+Node::State::RepeatConfigRequest(TimePoint aNow)
+{
+  std::erase_if(configHolders_, [&](const ConfigHolder& aHolder) {
+    return aHolder.version_ <= config_.Version();
+  });
+  const auto due = ConfigRequestDue();
+  if (!due || aNow < *due) {
+    return;
+  }
+  configRetryInterval_ =
+    std::min(configRetryInterval_ * 2, kRequestRetryInterval);
+  auto holders = configHolders_;
+  if (holders.size() > 1) {
+    std::erase_if(holders, [&](const ConfigHolder& aHolder) {
+      return aHolder.node_ == requestedFrom_;
+    });
+  }
+  const auto& holder = holders[partners_.Randomness().Below(holders.size())];
+  RequestConfig(aNow, holder.node_, holder.address_);
 }
 
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/node_spread.cpp
+++ b/src/cornelshore/dissemination/node_spread.cpp
@@ -12,6 +12,9 @@
 /** Share of the burst below which records are not pushed a second time. */
 constexpr double kRepeatReserve = 0.5;
 constexpr std::size_t kConfigFanout = 6;
+/** Peers that a control VM notifies of a configuration that is too long to be
+ * pushed; they request it from there. */
+constexpr std::size_t kLongConfigFanout = 64;
 constexpr std::size_t kMaxPushedAgents = 64;
 constexpr std::size_t kMaxRepeatedPushes = 64;
 constexpr Duration kSpreadInterval = std::chrono::milliseconds(100);
@@ -124,7 +127,10 @@
 void
 Node::State::SpreadConfig(TimePoint aNow)
 {
-  for (const auto peer : partners_.Pick(aNow, ledger_, kConfigFanout)) {
+  const bool fetched =
+    settings_.role_ == membership::NodeRole::Control && !NewestDeltaChunk();
+  const auto fanout = fetched ? kLongConfigFanout : kConfigFanout;
+  for (const auto peer : partners_.Pick(aNow, ledger_, fanout)) {
     PushConfig(aNow, peer, *AddressOf(peer));
   }
   PushToLaggards(aNow);
@@ -149,17 +155,24 @@
 
 void
 Node::State::AddNewestDelta(Packer& aPacker) const
+{
+  if (auto chunk = NewestDeltaChunk()) {
+    aPacker.Add(*std::move(chunk));
+  }
+}
+
+std::optional<ConfigChunk>
+Node::State::NewestDeltaChunk() const
 {
   if (config_.Base() == ConfigVersion{}) {
-    return;
+    return std::nullopt;
   }
   ConfigRequest step;
   step.held_ = config_.Base();
   auto chunks = config_.ChunksFor(step, kMaxMessageBytes);
-  if (chunks.size() == 1 &&
-      chunks.front().size_ == chunks.front().bytes_.size()) {
-    aPacker.Add(std::move(chunks.front()));
-  }
+  const bool fits =
+    chunks.size() == 1 && chunks.front().size_ == chunks.front().bytes_.size();
+  return fits ? std::optional(std::move(chunks.front())) : std::nullopt;
 }
 
 } // namespace cornelshore::dissemination
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -169,7 +169,10 @@
 {
   for (auto& message : aMessages) {
     const auto bytes = DatagramBytesOf(message);
-    if (!budget_.TrySpend(aNow, bytes, aPriority)) {
+    const bool allowed = message.chunks_.empty()
+                           ? budget_.TrySpend(aNow, bytes, aPriority)
+                           : budget_.TrySpendOnConfig(aNow, bytes, aPriority);
+    if (!allowed) {
       ++sendsThrottled_;
       continue;
     }
@@ -286,6 +289,7 @@
     roundOutreach_.Answered(aEvent.from_);
   }
   newestKnownConfig_ = std::max(newestKnownConfig_, message.header_.config_);
+  NoteConfigHolder(aEvent.from_, aEvent.address_, message.header_.config_);
   if (message.header_.role_ == NodeRole::Control) {
     reachedControlAt_ = reachedControlAt_.value_or(aNow);
   }
@@ -298,15 +302,25 @@
   for (const auto& update : message.peers_) {
     TakePeer(aNow, update, message.header_.kind_ != MessageKind::Push);
   }
-  const auto before = config_.Missing();
+  const auto storedBefore = config_.Stored();
   for (const auto& chunk : message.chunks_) {
+    const auto stored = config_.Stored();
     static_cast<void>(config_.Take(chunk));
+    const bool isNew = config_.Stored() != stored;
+    if (isNew && aEvent.from_ == requestedFrom_) {
+      receivedBytes_ += BytesOf(chunk);
+    }
+  }
+  const bool progress = config_.Stored() != storedBefore;
+  if (progress) {
+    configProgressAt_ = aNow;
+    configRetryInterval_ = kStalledTransferInterval;
   }
   Release(aNow);
   TakeSnapshotBatch(aNow, aEvent);
   NoteSynced(aNow, aEvent);
   AnswerSnapshotRequest(aNow, aEvent);
-  Answer(aNow, aEvent, config_.Missing() != before);
+  Answer(aNow, aEvent, progress);
 }
 
 void
--- a/src/cornelshore/dissemination/node_state.hpp
+++ b/src/cornelshore/dissemination/node_state.hpp
@@ -34,6 +34,19 @@
 /** Most peers that a node starts rounds with at a time. */
 inline constexpr std::size_t kMaxRoundWidth = 8;
 
+/** Interval after which an unanswered request for a configuration is repeated.
+ */
+inline constexpr Duration kRequestRetryInterval =
+  std::chrono::milliseconds(300);
+
+/** The same while parts of the configuration arrive; doubled each time that
+ * none does, up to `kRequestRetryInterval`. */
+inline constexpr Duration kStalledTransferInterval =
+  std::chrono::milliseconds(100);
+
+/** Most processes remembered as holding a newer configuration. */
+inline constexpr std::size_t kMaxConfigHolders = 16;
+
 /** @brief State of a node and its event handlers. */
 struct Node::State
 {
@@ -61,6 +74,9 @@
   /** @brief Whether no configuration is in force, or the node has just started
    * and has not yet synchronised with enough peers. */
   [[nodiscard]] bool IsBehind() const noexcept;
+  /** @brief When a request for a newer configuration is repeated; nothing when
+   * none is known, or the requests follow the rounds. */
+  [[nodiscard]] std::optional<TimePoint> ConfigRequestDue() const noexcept;
 
   NodeSettings settings_;
   Ledger ledger_;
@@ -106,6 +122,8 @@
   void PushConfig(TimePoint aNow, NodeId aTo, const Address& aAddress);
   void PushToLaggards(TimePoint aNow);
   void AddNewestDelta(Packer& aPacker) const;
+  /** @brief The newest delta, if it fits one chunk. */
+  [[nodiscard]] std::optional<ConfigChunk> NewestDeltaChunk() const;
   /** @brief Interval of joining rounds; grows to the normal one when joining
    * takes long, as while control has no leader. */
   [[nodiscard]] Duration JoiningInterval() const noexcept;
@@ -124,6 +142,18 @@
   void RequestFromServiceAgent(TimePoint aNow);
   /** @brief Requests what is missing of the newest configuration. */
   void RequestConfig(TimePoint aNow, NodeId aFrom, const Address& aAddress);
+  /** @brief Remembers a process that holds a newer configuration. */
+  void NoteConfigHolder(NodeId aNode,
+                        const Address& aAddress,
+                        ConfigVersion aVersion);
+  /** @brief Repeats a request that brought nothing, at another holder: the one
+   * asked may be busy, or a message was lost. */
+  void RepeatConfigRequest(TimePoint aNow);
+  /** @brief Requests the next part of what is missing, and notes that. */
+  void AddConfigRequest(TimePoint aNow, NodeId aFrom, Packer& aPacker);
+  /** @brief Whether the message has the last chunk of the requested part: one
+   * that is still missing before it was lost. */
+  [[nodiscard]] bool EndsRequestedPart(const Message& aMessage) const;
   [[nodiscard]] bool DefersToServiceAgents();
   void Renew(TimePoint aNow);
   void AddRumors(TimePoint aNow, std::size_t aMost, Packer& aPacker);
@@ -180,6 +210,17 @@
     bool complete_{};
   };
 
+  struct ConfigHolder
+  {
+    NodeId node_;
+    Address address_;
+    ConfigVersion version_;
+  };
+
+  std::vector<ConfigHolder> configHolders_;
+  TimePoint configProgressAt_; ///< When the last new part arrived.
+  Duration configRetryInterval_{ kRequestRetryInterval };
+
   Snapshot snapshot_;
   std::uint64_t selfSequence_{};
   bool selfGone_{};
@@ -196,7 +237,10 @@
   TimePoint renewAt_;
   TimePoint requestedAt_;
   NodeId requestedFrom_;
-  std::size_t receivedBytes_{}; ///< Received since the request.
+  std::size_t requestedOffset_{};
+  /** New parts received since the request. A part that arrives twice does not
+   * count, or the requests would outrun the answers. */
+  std::size_t receivedBytes_{};
   TimePoint spreadLast_;
   std::optional<TimePoint> candidateSince_;
   absl::flat_hash_map<NodeId, ConfigVersion> activeVersions_;
--- a/src/cornelshore/dissemination/transfers.hpp
+++ b/src/cornelshore/dissemination/transfers.hpp
@@ -12,24 +12,35 @@
 /**
  * @brief Limits the number of concurrent transfers of a long configuration.
  *
- * A few receivers at a time complete it and then serve others; within the
- * byte budget, serving all at once would complete none.
+ * While bytes are short, a few receivers at a time complete it and then serve
+ * others; serving all at once would complete none.
  */
 class Transfers
 {
 public:
   static constexpr std::size_t kMaxReplicas = 2;
   static constexpr std::size_t kMaxAgents = 1;
+  /** Places while the byte budget has room. */
+  static constexpr std::size_t kMaxReplicasWithRoom = 256;
+  static constexpr std::size_t kMaxAgentsWithRoom = 8;
   static constexpr Duration kIdleTimeout = std::chrono::seconds(1);
 
-  /** @brief Whether the process is admitted; it then occupies a place. */
-  [[nodiscard]] bool Admit(TimePoint aNow, NodeId aPeer, bool aAgent)
+  /**
+   * @brief Whether the process is admitted; it then occupies a place.
+   * @param aHasRoom Whether the byte budget bears further transfers.
+   */
+  [[nodiscard]] bool Admit(TimePoint aNow,
+                           NodeId aPeer,
+                           bool aAgent,
+                           bool aHasRoom)
   {
     auto& places = aAgent ? agents_ : replicas_;
     std::erase_if(places, [aNow, aPeer](const Place& aPlace) {
       return aPlace.peer_ == aPeer || aNow - aPlace.askedAt_ >= kIdleTimeout;
     });
-    if (places.size() >= (aAgent ? kMaxAgents : kMaxReplicas)) {
+    const auto agents = aHasRoom ? kMaxAgentsWithRoom : kMaxAgents;
+    const auto replicas = aHasRoom ? kMaxReplicasWithRoom : kMaxReplicas;
+    if (places.size() >= (aAgent ? agents : replicas)) {
       return false;
     }
     places.push_back({ aPeer, aNow });
