Keep configurations within the share of a link that all dissemination has

Change: the allowance is taken back. A repeated request goes to a control VM each second time, if one is known to hold the version, and control VMs that are known are not displaced by other holders.

--- a/src/cornelshore/dissemination/link_budget.hpp
+++ b/src/cornelshore/dissemination/link_budget.hpp
@@ -18,11 +18,6 @@
 /** @brief Burst on the slowest links, in bytes: a batch of a snapshot. */
 inline constexpr std::uint64_t kMinLinkBurst = 10'000;
 
-/** @brief Part of a link's bytes a second that configurations may use beside
- * that: they are rare and have to be in force in time. The burst is half of it.
- */
-inline constexpr std::uint64_t kConfigLinkDivisor = 2;
-
 /** @brief Bytes that a link passes in this part of a second may be queued on
  * it: a longer queue delays callers' packets past their first retransmission.
  */
@@ -50,9 +45,6 @@
       const auto share = aLinkPerSecond / kLinkShareDivisor;
       own_ = ByteBudget(Least(aPerSecond, share),
                         Least(aBurst, std::max(share, kMinLinkBurst)));
-      const auto configShare = aLinkPerSecond / kConfigLinkDivisor;
-      config_.emplace(Least(aPerSecond, configShare),
-                      Least(aBurst, configShare / 2));
       link_.emplace(static_cast<double>(aLinkPerSecond),
                     static_cast<double>(aLinkPerSecond) / kLinkQueueDivisor);
     }
@@ -88,23 +80,6 @@
     return true;
   }
 
-  /** @brief Spends the bytes of a part of a configuration, if need be from the
-   * bytes that only configurations may use; false when too few are left. */
-  [[nodiscard]] bool TrySpendOnConfig(TimePoint aNow,
-                                      std::size_t aBytes,
-                                      Priority aPriority) noexcept
-  {
-    if (TrySpend(aNow, aBytes, aPriority)) {
-      return true;
-    }
-    if (!config_ || !link_->Allows(aNow, aBytes, aPriority) ||
-        !config_->TrySpend(aNow, aBytes, Priority::Normal)) {
-      return false;
-    }
-    NoteOther(aNow, aBytes);
-    return true;
-  }
-
   /** @brief Share of the burst that is left, 1 at most; below 0: owed. */
   [[nodiscard]] double ShareLeft(TimePoint aNow) noexcept
   {
@@ -126,7 +101,6 @@
   }
 
   ByteBudget own_;
-  std::optional<ByteBudget> config_; ///< Set together with `link_`.
   std::optional<ByteBudget> link_;
 };
 
--- a/src/cornelshore/dissemination/node_round.cpp
+++ b/src/cornelshore/dissemination/node_round.cpp
@@ -1,6 +1,7 @@
 #include <cornelshore/dissemination/node_state.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace cornelshore::dissemination {
@@ -246,12 +247,9 @@
   if (IsAgent() || aNode == NodeId{} || aVersion <= config_.Version()) {
     return;
   }
-  if (configHolders_.size() == kMaxConfigHolders) {
-    const auto replaced = partners_.Randomness().Below(kMaxConfigHolders);
-    configHolders_.erase(configHolders_.begin() +
-                         static_cast<std::ptrdiff_t>(replaced));
+  if (configHolders_.size() < kMaxConfigHolders) {
+    configHolders_.push_back({ aNode, aAddress, aVersion });
   }
-  configHolders_.push_back({ aNode, aAddress, aVersion });
 }
 
 std::optional<TimePoint>
@@ -277,6 +275,17 @@
   configRetryInterval_ =
     std::min(configRetryInterval_ * 2, kRequestRetryInterval);
   auto holders = configHolders_;
+  const auto isControl = [this](const ConfigHolder& aHolder) {
+    const auto* peer = ledger_.LivePeer(aHolder.node_);
+    return peer != nullptr && peer->role_ == NodeRole::Control;
+  };
+  // Control VMs have faster links than balancers, but are few.
+  const bool asksControl =
+    partners_.Randomness().Below(2) == 0 &&
+    std::any_of(holders.begin(), holders.end(), isControl);
+  if (asksControl) {
+    std::erase_if(holders, std::not_fn(isControl));
+  }
   if (holders.size() > 1) {
     std::erase_if(holders, [&](const ConfigHolder& aHolder) {
       return aHolder.node_ == requestedFrom_;
--- a/src/cornelshore/dissemination/node_state.cpp
+++ b/src/cornelshore/dissemination/node_state.cpp
@@ -169,10 +169,7 @@
 {
   for (auto& message : aMessages) {
     const auto bytes = DatagramBytesOf(message);
-    const bool allowed = message.chunks_.empty()
-                           ? budget_.TrySpend(aNow, bytes, aPriority)
-                           : budget_.TrySpendOnConfig(aNow, bytes, aPriority);
-    if (!allowed) {
+    if (!budget_.TrySpend(aNow, bytes, aPriority)) {
       ++sendsThrottled_;
       continue;
     }
