Keep the data folder of a replaced replica where operators manage the group

Cause: found by reading: a replica that an operator had removed, and that had not heard of it when it was told to stop, emptied its folder. With bootstrap still set in its settings a restart would have set up a second group. Change: only a group that forms itself lets a replaced process empty its folder.

--- a/src/cornelshore/daemon/control_process.cpp
+++ b/src/cornelshore/daemon/control_process.cpp
@@ -644,7 +644,9 @@
   aRuntime.Stop();
   if (carrier.Fault() == consensus::Fault::None) {
     storage.reset();
-    return carrier.IsReplaced() ? storage::Discard(folder) : absl::OkStatus();
+    const auto joinsAnew =
+      carrier.IsReplaced() && aRuntime.Settings().control_.formsItself_;
+    return joinsAnew ? storage::Discard(folder) : absl::OkStatus();
   }
   storage.reset();
   return HealControlLog(aRuntime.Settings().control_, carrier.Fault());
